--- /dev/null
+++ b/cmd/daledyke/main.go
@@ -0,0 +1,117 @@
+// Command daledyke schedules jobs on rented machines; one process of it is
+// one controller.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"daledyke/internal/config"
+	"daledyke/internal/coordination"
+	"daledyke/internal/transport"
+)
+
+// version is set by the build of a release.
+var version = "dev"
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "daledyke:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var platform, operator string
+	root := &cobra.Command{
+		Use:   "daledyke --config FILE",
+		Short: "Schedules jobs on rented machines",
+		Long: `daledyke schedules jobs on rented machines. Run as "daledyke --config FILE" it
+is one controller, which runs until it is killed; FILE is the settings file
+(TOML) that the platform hands over. It logs to standard error, as much as
+LOG_LEVEL says (error, info or debug).`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if platform == "" {
+				return cmd.Help()
+			}
+			c, err := config.Load(platform, operator)
+			if err != nil {
+				return err
+			}
+			if err := setLogging(); err != nil {
+				return err
+			}
+			return run(cmd.Context(), c)
+		},
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&platform, "config", "", "the platform's settings `FILE` (TOML)")
+	flags.StringVar(&operator, "settings", "", "the operators' own settings `FILE` (an S-expression); optional")
+	root.AddCommand(&cobra.Command{
+		Use:   "check --config FILE [--settings FILE]",
+		Short: "Checks the settings and says what a controller would run with",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if platform == "" {
+				return fmt.Errorf("check needs --config FILE")
+			}
+			c, err := config.Load(platform, operator)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "settings are sound: controller %s in %s of %s; window %v, published after %v, summaries every %v, sample %d\n",
+				c.Name, c.Zone, strings.Join(c.Names(), ", "), c.Window, c.PublishOffset, c.SummaryEvery, c.Sample)
+			return nil
+		},
+	}, &cobra.Command{
+		Use:   "version",
+		Short: "Prints the version",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "daledyke", version) },
+	})
+	return root
+}
+
+func setLogging() error {
+	level := slog.LevelInfo
+	if s := os.Getenv("LOG_LEVEL"); s != "" {
+		if err := level.UnmarshalText([]byte(s)); err != nil {
+			return fmt.Errorf("LOG_LEVEL must be error, info or debug, not %q", s)
+		}
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	return nil
+}
+
+func run(ctx context.Context, c *config.Config) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	limits := &c.Deployment.Limits
+	debug.SetMemoryLimit(int64(limits.MemMB * 0.6 * (1 << 20)))
+	front, err := net.Listen("tcp", c.Front)
+	if err != nil {
+		return err
+	}
+	internal, err := net.Listen("tcp", c.Internal)
+	if err != nil {
+		return err
+	}
+	k := coordination.NewController(ctx, c, transport.NetDialer())
+	failed := make(chan error, 2)
+	go func() { failed <- transport.ServeFront(front, k, limits.FDLimit*3/4) }()
+	go func() { failed <- transport.ServeRPC(internal, k.Receivers()) }()
+	go k.Run(ctx)
+	slog.Info("controller started", "name", c.Name, "zone", c.Zone)
+	return <-failed
+}
--- /dev/null
+++ b/internal/bookkeeping/job.go
@@ -0,0 +1,107 @@
+package bookkeeping
+
+import (
+	"math/bits"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// ChunkTasks is how many results one key holds; a chunk stays far below the
+// state service's limit on values even when every task of it is recorded.
+const ChunkTasks = 8192
+
+// jobRecord is a job's value in the state service. It only moves forward:
+// from pending to cancelled or to done, and stays there.
+type jobRecord struct {
+	Spec       *protocol.JobSpec `json:"spec"`
+	State      string            `json:"state"`
+	AcceptedMs int64             `json:"at"`
+}
+
+// chunkRecord is a bitmap of tasks with a recorded result, as hex-free JSON
+// bytes (base64).
+type chunkRecord struct {
+	Bits []byte `json:"bits"`
+}
+
+// Job is a controller's picture of a job. Jobs are never changed once they
+// are published; a change makes a new one, so actors may share them.
+type Job struct {
+	Spec     *protocol.JobSpec
+	State    string
+	Accepted time.Time
+	// Created and Version are the revisions of the record's first and latest
+	// version that this controller has seen.
+	Created, Version uint64
+	Results          []Chunk
+	Token            int64
+}
+
+// Chunk is a part of a job's results.
+type Chunk struct {
+	Bits    []byte
+	Version uint64
+}
+
+// Final tells whether the job is over.
+func (j *Job) Final() bool { return j.State != protocol.Pending }
+
+// TaskDone tells whether the task's result is recorded.
+func (j *Job) TaskDone(i int) bool {
+	c := i / ChunkTasks
+	if c >= len(j.Results) {
+		return false
+	}
+	i %= ChunkTasks
+	return i/8 < len(j.Results[c].Bits) && j.Results[c].Bits[i/8]&(1<<(i%8)) != 0
+}
+
+// DoneCount counts the recorded results.
+func (j *Job) DoneCount() int {
+	n := 0
+	for _, c := range j.Results {
+		for _, b := range c.Bits {
+			n += bits.OnesCount8(b)
+		}
+	}
+	return n
+}
+
+// withChunk gives the job with a newer chunk; an older one changes nothing.
+func (j *Job) withChunk(i int, c Chunk) *Job {
+	if i < len(j.Results) && j.Results[i].Version >= c.Version {
+		return j
+	}
+	n := *j
+	n.Results = make([]Chunk, max(len(j.Results), i+1))
+	copy(n.Results, j.Results)
+	n.Results[i] = c
+	return &n
+}
+
+// withRecord gives the job as a newer record has it.
+func (j *Job) withRecord(r *jobRecord, version uint64) *Job {
+	if j == nil {
+		return &Job{Spec: r.Spec, State: r.State, Accepted: time.UnixMilli(r.AcceptedMs), Created: version, Version: version}
+	}
+	if version <= j.Version {
+		return j
+	}
+	n := *j
+	n.State, n.Version = r.State, version
+	return &n
+}
+
+// marked gives the bits of a chunk with more tasks recorded.
+func marked(old []byte, tasks []int) []byte {
+	out := append([]byte(nil), old...)
+	for _, t := range tasks {
+		i := t % ChunkTasks
+		for len(out) <= i/8 {
+			out = append(out, 0)
+		}
+		out[i/8] |= 1 << (i % 8)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bookkeeping/replica.go
@@ -0,0 +1,227 @@
+package bookkeeping
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// Listener hears of every change of the records, in order, on the replica's
+// goroutine; it must pass it on without waiting for the replica.
+type Listener interface {
+	JobChanged(*Job)
+	MemberChanged(name string, m *Member)
+	LeaderChanged(*Leader)
+	WindowChanged(*Window)
+	SlotChanged(slot int, s *Slot)
+	MachineChanged(id string, m *Machine)
+	CatalogChanged(*protocol.Catalog)
+	// Synced: the replica held all changes up to now, where now is when the
+	// request was sent that showed it.
+	Synced(now time.Time)
+}
+
+// Replica follows the records and tells listeners. It is an actor of its own.
+type Replica struct {
+	state *transport.State
+	to    Listener
+	jobs  map[string]*Job
+	known map[string]bool // other keys that exist
+	early map[string]map[int]Chunk
+	// tokenOf gives a job its place on the ring.
+	tokenOf func(*protocol.JobSpec) int64
+}
+
+// NewReplica makes a replica.
+func NewReplica(s *transport.State, tokenOf func(*protocol.JobSpec) int64, to Listener) *Replica {
+	return &Replica{state: s, to: to, jobs: map[string]*Job{}, known: map[string]bool{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf}
+}
+
+// watchBlock bounds one wait for changes, and so how stale a replica can be
+// while it believes to be fresh.
+const watchBlock = 3 * time.Second
+
+// Run follows the records until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	var from uint64
+	loaded := false
+	for ctx.Err() == nil {
+		sent := time.Now()
+		var err error
+		if !loaded {
+			from, err = r.load(ctx)
+			loaded = err == nil
+		} else {
+			var ev protocol.Events
+			ev, err = r.state.Watch(ctx, Root, from, watchBlock)
+			if err == nil {
+				for _, e := range ev.Events {
+					r.apply(e.Set+e.Drop, e.Drop != "", e.Value, e.Version)
+				}
+				from = max(from, ev.Revision)
+			} else if errors.Is(err, transport.ErrTooOld) {
+				loaded = false
+				continue
+			}
+		}
+		if err != nil {
+			slog.Debug("replica cannot follow", "err", err)
+			pause(ctx, 300*time.Millisecond)
+			continue
+		}
+		r.to.Synced(sent)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// load reads all records. Watching goes on from the first page's revision,
+// so that no change is missed between pages.
+func (r *Replica) load(ctx context.Context) (uint64, error) {
+	var first uint64
+	from := ""
+	seen := map[string]bool{}
+	for {
+		page, err := r.state.List(ctx, transport.Urgent, Root, from)
+		if err != nil {
+			return 0, err
+		}
+		if from == "" {
+			first = page.Revision
+		}
+		for _, p := range page.Pairs {
+			seen[p.Key] = true
+			r.apply(p.Key, false, p.Value, p.Version)
+			from = p.Key
+		}
+		if !page.More || len(page.Pairs) == 0 {
+			break
+		}
+	}
+	for key := range r.known {
+		if !seen[key] {
+			r.apply(key, true, nil, first)
+		}
+	}
+	return first, nil
+}
+
+func parse[T any](key string, raw json.RawMessage, dropped bool) *T {
+	if dropped {
+		return nil
+	}
+	v := new(T)
+	if err := json.Unmarshal(raw, v); err != nil {
+		slog.Error("senseless record", "key", key, "err", err)
+		return nil
+	}
+	return v
+}
+
+func parseMachine(key string, raw json.RawMessage, version uint64) *Machine {
+	m := parse[Machine](key, raw, false)
+	if m != nil {
+		m.ID, _ = under(key, machPrefix)
+		m.Version = version
+	}
+	return m
+}
+
+func (r *Replica) apply(key string, dropped bool, raw json.RawMessage, version uint64) {
+	if id, ok := under(key, jobPrefix); ok {
+		if rec := parse[jobRecord](key, raw, dropped); rec != nil && rec.Spec != nil {
+			r.put(id, r.jobs[id].withRecord(rec, version))
+		}
+		return
+	}
+	if rest, ok := under(key, resultPrefix); ok {
+		if rec := parse[chunkRecord](key, raw, dropped); rec != nil {
+			r.result(rest, Chunk{Bits: rec.Bits, Version: version})
+		}
+		return
+	}
+	if dropped {
+		delete(r.known, key)
+	} else {
+		r.known[key] = true
+	}
+	if name, ok := under(key, memberPrefix); ok {
+		m := parse[Member](key, raw, dropped)
+		if m != nil {
+			m.Version = version
+		}
+		r.to.MemberChanged(name, m)
+	} else if num, ok := under(key, slotPrefix); ok {
+		slot, err := strconv.Atoi(num)
+		s := parse[Slot](key, raw, dropped)
+		if s != nil && err == nil {
+			s.Version = version
+			r.to.SlotChanged(slot, s)
+		}
+	} else if id, ok := under(key, machPrefix); ok {
+		if dropped {
+			r.to.MachineChanged(id, nil)
+		} else if m := parseMachine(key, raw, version); m != nil {
+			r.to.MachineChanged(id, m)
+		}
+	} else if key == keyLeader {
+		l := parse[Leader](key, raw, dropped)
+		if l != nil {
+			l.Version = version
+		}
+		r.to.LeaderChanged(l)
+	} else if key == keyWindow {
+		if w := parse[Window](key, raw, dropped); w != nil {
+			w.Version = version
+			r.to.WindowChanged(w)
+		}
+	} else if key == keyCatalog {
+		if c := parse[protocol.Catalog](key, raw, dropped); c != nil {
+			r.to.CatalogChanged(c)
+		}
+	}
+}
+
+// put publishes a job. Results may have been listed before their job.
+func (r *Replica) put(id string, j *Job) {
+	if j == r.jobs[id] {
+		return
+	}
+	if r.jobs[id] == nil {
+		j.Token = r.tokenOf(j.Spec)
+		for c, chunk := range r.early[id] {
+			j = j.withChunk(c, chunk)
+		}
+		delete(r.early, id)
+	}
+	r.jobs[id] = j
+	r.to.JobChanged(j)
+}
+
+func (r *Replica) result(rest string, c Chunk) {
+	id, num, _ := strings.Cut(rest, "/")
+	i, err := strconv.Atoi(num)
+	if err != nil || i < 0 || i > protocol.MaxTasks/ChunkTasks {
+		return
+	}
+	if j := r.jobs[id]; j != nil {
+		r.put(id, j.withChunk(i, c))
+		return
+	}
+	if r.early[id] == nil {
+		r.early[id] = map[int]Chunk{}
+	}
+	r.early[id][i] = c
+}
--- /dev/null
+++ b/internal/bookkeeping/store.go
@@ -0,0 +1,346 @@
+package bookkeeping
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// ErrConflict: the records are no longer what the change was based on.
+var ErrConflict = errors.New("record changed meanwhile")
+
+// Store writes and reads records in the state service. It keeps nothing.
+type Store struct {
+	state  *transport.State
+	txnOps int
+}
+
+// NewStore makes a store.
+func NewStore(s *transport.State, txnOps int) *Store { return &Store{state: s, txnOps: txnOps} }
+
+func get[T any](ctx context.Context, s *Store, u transport.Urgency, timeout time.Duration, key string) (v *T, version uint64, err error) {
+	p, found, err := s.state.Get(ctx, u, timeout, key)
+	if err != nil || !found {
+		return nil, 0, err
+	}
+	v = new(T)
+	if err := json.Unmarshal(p.Value, v); err != nil {
+		return nil, 0, fmt.Errorf("record %s: %w", key, err)
+	}
+	return v, p.Version, nil
+}
+
+func set(key string, v any, lease uint64) protocol.Change {
+	return protocol.Change{Set: key, Value: v, Lease: lease}
+}
+
+func (s *Store) commit(ctx context.Context, u transport.Urgency, timeout time.Duration, conds []protocol.Condition, then ...protocol.Change) error {
+	_, ok, err := s.state.Commit(ctx, u, timeout, protocol.Txn{If: conds, Then: then})
+	if err == nil && !ok {
+		err = ErrConflict
+	}
+	return err
+}
+
+// ---- jobs
+
+// userPatience is how long a user's request may wait for the state service.
+const userPatience = 1700 * time.Millisecond
+
+// CreateJob records a job as accepted. ErrConflict: the id is known already.
+func (s *Store) CreateJob(ctx context.Context, spec *protocol.JobSpec) error {
+	rec := &jobRecord{Spec: spec, State: protocol.Pending, AcceptedMs: time.Now().UnixMilli()}
+	return s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(spec.ID)}}, set(jobKey(spec.ID), rec, 0))
+}
+
+// ReadJob reads a job's record afresh; nil without an error means that the
+// job was never accepted.
+func (s *Store) ReadJob(ctx context.Context, id string) (*Job, error) {
+	r, version, err := get[jobRecord](ctx, s, transport.Urgent, userPatience, jobKey(id))
+	if err != nil || r == nil {
+		return nil, err
+	}
+	return (*Job)(nil).withRecord(r, version), nil
+}
+
+// CancelJob moves a job to cancelled unless it is over already; the job that
+// it gives back is as it stands afterwards, nil if it was never accepted.
+func (s *Store) CancelJob(ctx context.Context, id string) (*Job, error) {
+	for range 4 {
+		j, err := s.ReadJob(ctx, id)
+		if err != nil || j == nil || j.Final() {
+			return j, err
+		}
+		rec := &jobRecord{Spec: j.Spec, State: protocol.Cancelled, AcceptedMs: j.Accepted.UnixMilli()}
+		err = s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(id), Version: j.Version}}, set(jobKey(id), rec, 0))
+		if err == nil {
+			j.State = protocol.Cancelled
+			return j, nil
+		}
+		if !errors.Is(err, ErrConflict) {
+			return nil, err
+		}
+	}
+	return nil, ErrConflict
+}
+
+// Outcome is a set of results of one job that are to be recorded.
+type Outcome struct {
+	Job   *Job
+	Tasks []int
+}
+
+// finishes tells whether the job is complete with the outcome's results.
+func (o *Outcome) finishes() bool {
+	n := o.Job.DoneCount()
+	for _, t := range o.Tasks {
+		if !o.Job.TaskDone(t) {
+			n++
+		}
+	}
+	return n >= o.Job.Spec.Tasks
+}
+
+// changes are the conditions and changes that record the outcome.
+func (o *Outcome) changes() (conds []protocol.Condition, then []protocol.Change) {
+	byChunk := map[int][]int{}
+	for _, t := range o.Tasks {
+		byChunk[t/ChunkTasks] = append(byChunk[t/ChunkTasks], t)
+	}
+	id := o.Job.Spec.ID
+	for c, tasks := range byChunk {
+		var old Chunk
+		if c < len(o.Job.Results) {
+			old = o.Job.Results[c]
+		}
+		conds = append(conds, protocol.Condition{Key: resultKey(id, c), Version: old.Version})
+		then = append(then, set(resultKey(id, c), chunkRecord{Bits: marked(old.Bits, tasks)}, 0))
+	}
+	conds = append(conds, protocol.Condition{Key: jobKey(id), Version: o.Job.Version})
+	// All chunks must be the ones counted: guard those not written as well.
+	if o.finishes() {
+		for c, ch := range o.Job.Results {
+			if byChunk[c] == nil {
+				conds = append(conds, protocol.Condition{Key: resultKey(id, c), Version: ch.Version})
+			}
+		}
+		then = append(then, set(jobKey(id), &jobRecord{Spec: o.Job.Spec, State: protocol.Done, AcceptedMs: o.Job.Accepted.UnixMilli()}, 0))
+	}
+	return conds, then
+}
+
+// Record writes outcomes, as many in one transaction as it may hold. A
+// condition that fails fails all of them: then each is tried alone. It gives
+// back the jobs whose outcome is recorded for certain.
+func (s *Store) Record(ctx context.Context, outcomes []Outcome) (recorded []string) {
+	for len(outcomes) > 0 {
+		var conds []protocol.Condition
+		var then []protocol.Change
+		n := 0
+		for n < len(outcomes) {
+			c, t := outcomes[n].changes()
+			if n > 0 && (len(then)+len(t) > s.txnOps || len(conds)+len(c) > 4*s.txnOps || n >= 16) {
+				break
+			}
+			conds, then = append(conds, c...), append(then, t...)
+			n++
+		}
+		batch := outcomes[:n]
+		outcomes = outcomes[n:]
+		err := s.commit(ctx, transport.Ordinary, 3*time.Second, conds, then...)
+		switch {
+		case err == nil:
+			for _, o := range batch {
+				recorded = append(recorded, o.Job.Spec.ID)
+			}
+		case errors.Is(err, ErrConflict) && n > 1:
+			for _, o := range batch {
+				recorded = append(recorded, s.Record(ctx, []Outcome{o})...)
+			}
+		}
+	}
+	return recorded
+}
+
+// ---- terms, members, slots, windows
+
+// TakeTerm takes a new term from the counter and makes the changes that need
+// it in the same transaction.
+func (s *Store) TakeTerm(ctx context.Context, conds []protocol.Condition, with func(term uint64) []protocol.Change) (uint64, error) {
+	c, version, err := get[Counter](ctx, s, transport.Urgent, 3*time.Second, keyTerm)
+	if err != nil {
+		return 0, err
+	}
+	next := Counter{Term: 1}
+	if c != nil {
+		next.Term = c.Term + 1
+	}
+	then := []protocol.Change{set(keyTerm, next, 0)}
+	if with != nil {
+		then = append(then, with(next.Term)...)
+	}
+	conds = append(slices.Clone(conds), protocol.Condition{Key: keyTerm, Version: version})
+	return next.Term, s.commit(ctx, transport.Urgent, 3*time.Second, conds, then...)
+}
+
+// Join opens a session: a new term and a member record that lives with a
+// fresh lease.
+func (s *Store) Join(ctx context.Context, name string, ttl time.Duration) (term, lease uint64, sent time.Time, err error) {
+	sent = time.Now()
+	if lease, err = s.state.OpenLease(ctx, ttl); err != nil {
+		return 0, 0, sent, err
+	}
+	term, err = s.TakeTerm(ctx, nil, func(term uint64) []protocol.Change {
+		return []protocol.Change{set(memberKey(name), Member{Term: term}, lease)}
+	})
+	return term, lease, sent, err
+}
+
+// Renew renews the session's lease.
+func (s *Store) Renew(ctx context.Context, timeout time.Duration, lease uint64) error {
+	return s.state.TouchLease(ctx, timeout, lease)
+}
+
+// UpdateMember rewrites this controller's own member record.
+func (s *Store) UpdateMember(ctx context.Context, name string, m Member, lease uint64) error {
+	return s.commit(ctx, transport.Ordinary, 3*time.Second, nil, set(memberKey(name), m, lease))
+}
+
+// Lead tries to become leader, in place of the record last seen (nil: none).
+func (s *Store) Lead(ctx context.Context, seen *Leader, me Leader, lease uint64) error {
+	c := protocol.Condition{Key: keyLeader}
+	if seen != nil {
+		c.Version = seen.Version
+	}
+	return s.commit(ctx, transport.Ordinary, 3*time.Second, []protocol.Condition{c}, set(keyLeader, me, lease))
+}
+
+// PublishWindow writes the next window, provided that the leader's record is
+// still the one given and the last window is still the one seen.
+func (s *Store) PublishWindow(ctx context.Context, leader *Leader, seen *Window, w Window) error {
+	conds := []protocol.Condition{{Key: keyLeader, Version: leader.Version}, {Key: keyWindow}}
+	if seen != nil {
+		conds[1].Version = seen.Version
+	}
+	return s.commit(ctx, transport.Urgent, 3*time.Second, conds, set(keyWindow, w, 0))
+}
+
+// ReadWindow reads the newest window afresh.
+func (s *Store) ReadWindow(ctx context.Context) (*Window, error) {
+	w, version, err := get[Window](ctx, s, transport.Urgent, 3*time.Second, keyWindow)
+	if w != nil {
+		w.Version = version
+	}
+	return w, err
+}
+
+// Claim is a slot that is to be taken: the record it stands on (nil: none)
+// and, if the former holder must be without a session, what shows that.
+type Claim struct {
+	Slot int
+	Seen *Slot
+	// Former is the former holder; its member record must have FormerVersion
+	// (0: must not exist).
+	Former        string
+	FormerVersion uint64
+}
+
+// TakeSlots takes slots under one new term.
+func (s *Store) TakeSlots(ctx context.Context, name string, incarnation uint64, claims []Claim) (uint64, error) {
+	var conds []protocol.Condition
+	guarded := map[string]bool{}
+	for _, c := range claims {
+		cond := protocol.Condition{Key: slotKey(c.Slot)}
+		if c.Seen != nil {
+			cond.Version = c.Seen.Version
+		}
+		conds = append(conds, cond)
+		if c.Former != "" && !guarded[c.Former] {
+			guarded[c.Former] = true
+			conds = append(conds, protocol.Condition{Key: memberKey(c.Former), Version: c.FormerVersion})
+		}
+	}
+	return s.TakeTerm(ctx, conds, func(term uint64) []protocol.Change {
+		var then []protocol.Change
+		for _, c := range claims {
+			then = append(then, set(slotKey(c.Slot), Slot{Holder: name, Incarnation: incarnation, Term: term}, 0))
+		}
+		return then
+	})
+}
+
+// ReleaseSlot gives up a slot that this controller holds and has stopped
+// acting for.
+func (s *Store) ReleaseSlot(ctx context.Context, slot int, seen *Slot) error {
+	return s.commit(ctx, transport.Urgent, 3*time.Second, []protocol.Condition{{Key: slotKey(slot), Version: seen.Version}},
+		set(slotKey(slot), Slot{Term: seen.Term}, 0))
+}
+
+// Revision asks for the present revision.
+func (s *Store) Revision(ctx context.Context) (uint64, error) {
+	ans, _, err := s.state.Commit(ctx, transport.Ordinary, 3*time.Second, protocol.Txn{})
+	return ans.Revision, err
+}
+
+// ---- machines
+
+// Machines reads the registry afresh.
+func (s *Store) Machines(ctx context.Context) ([]Machine, error) {
+	var out []Machine
+	from := ""
+	for {
+		page, err := s.state.List(ctx, transport.Urgent, machPrefix, from)
+		if err != nil {
+			return nil, err
+		}
+		for _, p := range page.Pairs {
+			if m := parseMachine(p.Key, p.Value, p.Version); m != nil {
+				out = append(out, *m)
+			}
+			from = p.Key
+		}
+		if !page.More || len(page.Pairs) == 0 {
+			return out, nil
+		}
+	}
+}
+
+// RegisterMachines writes registry entries.
+func (s *Store) RegisterMachines(ctx context.Context, u transport.Urgency, ms []Machine) error {
+	for chunk := range slices.Chunk(ms, s.txnOps) {
+		var then []protocol.Change
+		for _, m := range chunk {
+			then = append(then, set(machineKey(m.ID), m, 0))
+		}
+		if err := s.commit(ctx, u, 4*time.Second, nil, then...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DropMachines removes registry entries of machines that are gone.
+func (s *Store) DropMachines(ctx context.Context, ids []string) error {
+	for chunk := range slices.Chunk(ids, s.txnOps) {
+		var then []protocol.Change
+		for _, id := range chunk {
+			then = append(then, protocol.Change{Drop: machineKey(id)})
+		}
+		if err := s.commit(ctx, transport.Ordinary, 4*time.Second, nil, then...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SaveCatalog records the catalogue, so that a controller that starts while
+// the cloud is silent knows the machine types.
+func (s *Store) SaveCatalog(ctx context.Context, c protocol.Catalog) error {
+	return s.commit(ctx, transport.Ordinary, 3*time.Second, nil, set(keyCatalog, c, 0))
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,219 @@
+// Package config reads what daledyke is told at its start: the settings file
+// that the platform hands over (TOML) and the operators' own (an S-expression
+// in EDN, the registry's nearest kin).
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"daledyke/internal/protocol"
+)
+
+// Sibling is another controller.
+type Sibling struct {
+	Name string `toml:"host_name"`
+	Zone string `toml:"zone"`
+	Addr string `toml:"peer_addr"`
+}
+
+// Team is a team's guarantee and limit; a limit of 0 means none.
+type Team struct {
+	Name      string  `toml:"name"`
+	Cores     float64 `toml:"cpus"`
+	CoresMax  float64 `toml:"cpus_max"`
+	Accels    float64 `toml:"gpus"`
+	AccelsMax float64 `toml:"gpus_max"`
+}
+
+// Limited tells whether anything bounds what the team's tasks may use.
+func (t *Team) Limited() bool { return t.CoresMax > 0 || t.AccelsMax > 0 }
+
+// Admits tells whether the team may use as much as this at once.
+func (t *Team) Admits(use protocol.Room) bool {
+	const slack = 1e-6
+	return (t.CoresMax <= 0 || use.Cores <= t.CoresMax+slack) && (t.AccelsMax <= 0 || use.Accels <= t.AccelsMax+slack)
+}
+
+// Objective is one of the aims that the users stated.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Platform is the settings file of one controller.
+type Platform struct {
+	Name     string    `toml:"host_name"`
+	Zone     string    `toml:"zone"`
+	Front    string    `toml:"front"`
+	Internal string    `toml:"internal_addr"`
+	Siblings []Sibling `toml:"siblings"`
+	Services struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"services"`
+	Deployment struct {
+		Size       int         `toml:"size"`
+		Zones      []string    `toml:"zones"`
+		ClockOffMs float64     `toml:"clock_off_ms"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Limits struct {
+			Cores   float64 `toml:"cores"`
+			MemMB   float64 `toml:"mem_mb"`
+			FDLimit int     `toml:"fd_limit"`
+		} `toml:"machine_limits"`
+	} `toml:"deployment"`
+}
+
+// Config is all that a controller is told.
+type Config struct {
+	Platform
+	Operator
+	teams map[string]*Team
+}
+
+// Load reads and checks the platform's settings, and the operators' own if
+// operatorFile is not empty.
+func Load(platformFile, operatorFile string) (*Config, error) {
+	c := &Config{Operator: Defaults()}
+	if _, err := toml.DecodeFile(platformFile, &c.Platform); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", platformFile, err)
+	}
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", platformFile, err)
+	}
+	if operatorFile != "" {
+		if err := c.Operator.load(operatorFile); err != nil {
+			return nil, fmt.Errorf("operators' settings %s: %w", operatorFile, err)
+		}
+	}
+	c.index()
+	return c, nil
+}
+
+func (c *Config) index() {
+	c.teams = make(map[string]*Team, len(c.Deployment.Teams))
+	for i := range c.Deployment.Teams {
+		c.teams[c.Deployment.Teams[i].Name] = &c.Deployment.Teams[i]
+	}
+}
+
+// Team finds a team by its name, nil if there is none.
+func (c *Config) Team(name string) *Team { return c.teams[name] }
+
+// Names lists all controllers, this one among them, in one order everywhere.
+func (c *Config) Names() []string {
+	names := []string{c.Name}
+	for _, s := range c.Siblings {
+		names = append(names, s.Name)
+	}
+	for i := range names {
+		for j := i; j > 0 && names[j] < names[j-1]; j-- {
+			names[j], names[j-1] = names[j-1], names[j]
+		}
+	}
+	return names
+}
+
+// Durations of the workers' settings.
+func (c *Config) ReportEvery() time.Duration { return protocol.Seconds(c.Deployment.Workers.ReportS) }
+func (c *Config) WorkerLease() time.Duration { return protocol.Seconds(c.Deployment.Workers.LeaseS) }
+func (c *Config) GangWait() time.Duration    { return protocol.Seconds(c.Deployment.Workers.GangWaitS) }
+func (c *Config) GangPeer() time.Duration    { return protocol.Seconds(c.Deployment.Workers.GangPeerS) }
+func (c *Config) ListLag() time.Duration     { return protocol.Seconds(c.Deployment.Cloud.ListLagS) }
+
+// drift is more than twice what two steady clocks may drift apart.
+const drift = 0.002
+
+// Surely stretches a duration that ran on another machine's clock to one that
+// has passed there for certain once it has passed here.
+func Surely(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*drift) + 500*time.Millisecond
+}
+
+// SurelyWithin shortens a duration to one that ends here for certain before
+// it ends on another machine's clock.
+func SurelyWithin(d time.Duration) time.Duration {
+	return d - time.Duration(float64(d)*drift) - 300*time.Millisecond
+}
+
+// SessionTTL is the life of a controller's lease in the state service: half
+// the workers' lease, so that a successor can take them over before it ends.
+func (c *Config) SessionTTL() time.Duration { return c.WorkerLease() / 2 }
+
+func (c *Config) check() error {
+	d := &c.Deployment
+	for name, addr := range map[string]string{"front": c.Front, "internal_addr": c.Internal,
+		"services.cloud": c.Services.Cloud, "services.state": c.Services.State} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("%s is not an address: %q", name, addr)
+		}
+	}
+	if c.Name == "" {
+		return errors.New("host_name is missing")
+	}
+	seen := map[string]bool{c.Name: true}
+	for _, s := range c.Siblings {
+		if s.Name == "" || seen[s.Name] {
+			return fmt.Errorf("siblings: host_name %q is missing or not unique", s.Name)
+		}
+		seen[s.Name] = true
+		if _, _, err := net.SplitHostPort(s.Addr); err != nil {
+			return fmt.Errorf("siblings: peer_addr of %s is not an address: %q", s.Name, s.Addr)
+		}
+	}
+	for name, v := range map[string]float64{
+		"deployment.workers.report_s": d.Workers.ReportS, "deployment.workers.lease_s": d.Workers.LeaseS,
+		"deployment.workers.gang_wait_s": d.Workers.GangWaitS, "deployment.workers.gang_peer_s": d.Workers.GangPeerS,
+		"deployment.workers.cancel_s": d.Workers.CancelS, "deployment.state.rps": d.State.RPS,
+		"deployment.state.write_rps": d.State.WriteRPS, "deployment.state.value_kb": d.State.ValueKB,
+		"deployment.state.txn_ops": float64(d.State.TxnOps), "deployment.cloud.rps": d.Cloud.RPS,
+		"deployment.machine_limits.mem_mb":   d.Limits.MemMB,
+		"deployment.machine_limits.fd_limit": float64(d.Limits.FDLimit),
+	} {
+		if !(v > 0) || v > 1e9 {
+			return fmt.Errorf("%s must be positive, not %v", name, v)
+		}
+	}
+	if d.Workers.LeaseS < 2*d.Workers.ReportS {
+		return errors.New("deployment.workers.lease_s must be at least twice report_s")
+	}
+	if d.ClockOffMs < 0 || d.Cloud.ListLagS < 0 {
+		return errors.New("deployment.clock_off_ms and deployment.cloud.list_lag_s must not be negative")
+	}
+	names := map[string]bool{}
+	for _, t := range d.Teams {
+		if t.Name == "" || names[t.Name] {
+			return fmt.Errorf("deployment.teams: name %q is missing or not unique", t.Name)
+		}
+		names[t.Name] = true
+		if t.Cores < 0 || t.CoresMax < 0 || t.Accels < 0 || t.AccelsMax < 0 {
+			return fmt.Errorf("deployment.teams: amounts of %s must not be negative", t.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,110 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"olympos.io/encoding/edn"
+)
+
+// Operator holds the operators' own settings; every one has a default.
+type Operator struct {
+	// Window is how long one division of the ring stands.
+	Window time.Duration
+	// PublishOffset is how far into a window the next one is published.
+	PublishOffset time.Duration
+	// SummaryEvery is how often holders send summaries when nothing changes.
+	SummaryEvery time.Duration
+	// Sample is how many machines are drawn for a best fit.
+	Sample int
+	// IdleAfter is how long a machine may stand idle before it is returned.
+	IdleAfter time.Duration
+	// Spare scales the room that is kept ready for work in a hurry.
+	Spare float64
+}
+
+// Defaults are the operators' settings where they say nothing.
+func Defaults() Operator {
+	return Operator{Window: 10 * time.Second, PublishOffset: 5 * time.Second, SummaryEvery: 2 * time.Second,
+		Sample: 6, IdleAfter: 45 * time.Second, Spare: 1}
+}
+
+// load reads a file such as
+//
+//	(daledyke (window-s 10) (publish-offset-s 5) (summary-s 2) (sample 6))
+//
+// and refuses names that it does not know.
+func (o *Operator) load(file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return o.parse(raw)
+}
+
+func (o *Operator) parse(raw []byte) error {
+	var form []edn.RawMessage
+	if err := edn.Unmarshal(raw, &form); err != nil {
+		return fmt.Errorf("not one list of settings: %w", err)
+	}
+	var head edn.Symbol
+	if len(form) == 0 || edn.Unmarshal(form[0], &head) != nil || head != "daledyke" {
+		return fmt.Errorf("the list must begin with daledyke")
+	}
+	for _, item := range form[1:] {
+		var pair []edn.RawMessage
+		var name edn.Symbol
+		if err := edn.Unmarshal(item, &pair); err != nil || len(pair) != 2 || edn.Unmarshal(pair[0], &name) != nil {
+			return fmt.Errorf("not a pair of name and number: %s", item)
+		}
+		var v float64
+		if err := edn.Unmarshal(pair[1], &v); err != nil {
+			var whole int64
+			if edn.Unmarshal(pair[1], &whole) != nil {
+				return fmt.Errorf("%s: not a number: %s", name, pair[1])
+			}
+			v = float64(whole)
+		}
+		if err := o.set(string(name), v); err != nil {
+			return err
+		}
+	}
+	if o.PublishOffset >= o.Window {
+		return fmt.Errorf("publish-offset-s must be less than window-s")
+	}
+	return nil
+}
+
+func (o *Operator) set(name string, v float64) error {
+	seconds := func(d *time.Duration, least, most float64) error {
+		if !(v >= least && v <= most) {
+			return fmt.Errorf("%s must be from %v to %v, not %v", name, least, most, v)
+		}
+		*d = time.Duration(v * float64(time.Second))
+		return nil
+	}
+	switch name {
+	case "window-s":
+		return seconds(&o.Window, 2, 600)
+	case "publish-offset-s":
+		return seconds(&o.PublishOffset, 0.5, 600)
+	case "summary-s":
+		return seconds(&o.SummaryEvery, 0.2, 30)
+	case "idle-after-s":
+		return seconds(&o.IdleAfter, 5, 86400)
+	case "sample":
+		if v < 1 || v > 1000 || v != float64(int(v)) {
+			return fmt.Errorf("sample must be a whole number from 1 to 1000, not %v", v)
+		}
+		o.Sample = int(v)
+	case "spare":
+		if !(v >= 0 && v <= 10) {
+			return fmt.Errorf("spare must be from 0 to 10, not %v", v)
+		}
+		o.Spare = v
+	default:
+		return fmt.Errorf("unknown setting %s", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/controller.go
@@ -0,0 +1,291 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// Controller is one controller: its actors and what users and workers ask of
+// them.
+type Controller struct {
+	cfg     *config.Config
+	store   *bookkeeping.Store
+	session *Session
+	holder  *Holder
+	owner   *Owner
+	leader  *Leader
+	replica *bookkeeping.Replica
+
+	catalog atomic.Pointer[protocol.Catalog]
+	loaded  atomic.Bool
+}
+
+// sibling reaches a holder over net/rpc. Feeds wait, so they have a
+// connection of their own.
+type sibling struct {
+	feeds, asks *transport.Peer
+}
+
+// rpcName is the name that holders are served under.
+const rpcName = "Holder"
+
+func (s sibling) Feed(ctx context.Context, a FeedArgs, r *FeedReply) error {
+	return s.feeds.Call(ctx, time.Duration(a.WaitMs)*time.Millisecond+2*time.Second, rpcName+".Feed", a, r)
+}
+
+func (s sibling) Ask(ctx context.Context, a AskArgs, r *AskReply) error {
+	return s.asks.Call(ctx, 2*time.Second, rpcName+".Ask", a, r)
+}
+
+func (s sibling) Drain(ctx context.Context, a DrainArgs) error {
+	return s.asks.Call(ctx, 2*time.Second, rpcName+".Drain", a, &Nothing{})
+}
+
+// local reaches this controller's own holder.
+type local struct{ rpc HolderRPC }
+
+func (l local) Feed(_ context.Context, a FeedArgs, r *FeedReply) error { return l.rpc.Feed(a, r) }
+func (l local) Ask(_ context.Context, a AskArgs, r *AskReply) error    { return l.rpc.Ask(a, r) }
+func (l local) Drain(_ context.Context, a DrainArgs) error             { return l.rpc.Drain(a, &Nothing{}) }
+
+// NewController puts a controller together.
+func NewController(ctx context.Context, c *config.Config, dial transport.Dialer) *Controller {
+	d := &c.Deployment
+	share := float64(len(c.Siblings) + 1)
+	state := transport.NewState(dial, c.Services.State, d.State.RPS/share, d.State.WriteRPS/share)
+	k := &Controller{cfg: c, store: bookkeeping.NewStore(state, d.State.TxnOps)}
+	k.session = NewSession(c, k.store, func() { k.holder.ask(ctx, k.holder.reset) })
+	k.holder = NewHolder(ctx, c, k.session, k.store, transport.NewWorkers(dial))
+	holders := map[string]HolderCaller{c.Name: local{HolderRPC{k.holder}}}
+	for _, s := range c.Siblings {
+		holders[s.Name] = sibling{transport.NewPeer(ctx, dial, s.Addr), transport.NewPeer(ctx, dial, s.Addr)}
+	}
+	k.owner = NewOwner(ctx, c, k.session, k.store, holders)
+	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
+	k.replica = bookkeeping.NewReplica(state, func(s *protocol.JobSpec) int64 { return Token(c, s) }, k)
+	return k
+}
+
+// Receivers are what siblings may call.
+func (k *Controller) Receivers() map[string]any {
+	return map[string]any{rpcName: HolderRPC{k.holder}}
+}
+
+// Run runs all actors until ctx ends.
+func (k *Controller) Run(ctx context.Context) {
+	go k.holder.Run()
+	go k.owner.Run()
+	go k.leader.Run()
+	go k.session.Run(ctx)
+	k.replica.Run(ctx)
+}
+
+// ---- what the replica tells
+
+// JobChanged implements bookkeeping.Listener, as do the methods below.
+func (k *Controller) JobChanged(j *bookkeeping.Job) {
+	k.holder.tell(func() { k.holder.jobChanged(j) })
+	k.owner.tell(func() { k.owner.jobChanged(j) })
+}
+
+func (k *Controller) MemberChanged(name string, m *bookkeeping.Member) {
+	if m == nil {
+		k.holder.tell(func() { delete(k.holder.members, name) })
+		k.leader.tell(func() { delete(k.leader.members, name) })
+		return
+	}
+	k.holder.tell(func() { k.holder.members[name] = m })
+	k.leader.tell(func() { k.leader.members[name] = m })
+}
+
+func (k *Controller) LeaderChanged(l *bookkeeping.Leader) {
+	k.leader.tell(func() { k.leader.leader = l })
+}
+
+func (k *Controller) WindowChanged(w *bookkeeping.Window) {
+	k.holder.tell(func() { k.holder.learnWindow(w) })
+	k.owner.tell(func() { k.owner.windowChanged(w) })
+	k.leader.tell(func() { k.leader.window = w })
+}
+
+func (k *Controller) SlotChanged(slot int, s *bookkeeping.Slot) {
+	k.holder.tell(func() { k.holder.records[slot] = s })
+}
+
+func (k *Controller) MachineChanged(id string, m *bookkeeping.Machine) {
+	k.holder.tell(func() { k.holder.machineChanged(id, m) })
+	k.owner.tell(func() { k.owner.machineChanged(id, m) })
+}
+
+func (k *Controller) CatalogChanged(c *protocol.Catalog) {
+	types := make(map[string]protocol.MachineType, len(c.Types))
+	for _, t := range c.Types {
+		types[t.Name] = t
+	}
+	k.catalog.Store(c)
+	k.holder.tell(func() { k.holder.types = types })
+	k.owner.tell(func() { k.owner.types = types; k.owner.dirty = true })
+	k.leader.tell(func() { k.leader.catalog = c })
+}
+
+func (k *Controller) Synced(at time.Time) {
+	k.loaded.Store(true)
+	k.holder.tell(func() { k.holder.syncedAt = at })
+}
+
+// ---- what users and workers ask
+
+// Healthy tells whether this controller can take users' requests. A short
+// outage of the state service strikes all alike and is no reason to send
+// users away; being the only one that is refused is.
+func (k *Controller) Healthy() bool {
+	return k.loaded.Load() && (k.session.Valid() || !k.owner.othersValid.Load())
+}
+
+// Report passes a worker's report to the holder.
+func (k *Controller) Report(ctx context.Context, rep *protocol.Report) (status int, body any) {
+	status = http.StatusServiceUnavailable
+	var s int
+	var b any
+	if k.holder.ask(ctx, func() { s, b = k.holder.Report(rep) }) {
+		return s, b
+	}
+	return status, nil
+}
+
+func (k *Controller) answer(j *bookkeeping.Job, running int) *protocol.JobStatus {
+	done := j.DoneCount()
+	st := &protocol.JobStatus{ID: j.Spec.ID, Status: j.State, Done: &done, Running: &running}
+	switch {
+	case j.State == protocol.Done:
+		done, running = j.Spec.Tasks, 0
+	case j.State == protocol.Cancelled:
+		running = 0
+	case running > 0:
+		st.Status = protocol.Running
+	}
+	return st
+}
+
+// Status finds out how a job stands; nil without an error means that it was
+// never accepted. A job that is over stays so: what is known here is enough.
+// Anything else takes a fresh read.
+func (k *Controller) Status(ctx context.Context, id string) (*protocol.JobStatus, error) {
+	known, running := k.owner.Status(ctx, id)
+	if known != nil && known.Final() {
+		return k.answer(known, running), nil
+	}
+	fresh, err := k.store.ReadJob(ctx, id)
+	if err != nil || fresh == nil {
+		return nil, err
+	}
+	if known != nil && !fresh.Final() {
+		fresh = known // the same state, with the results counted
+	}
+	return k.answer(fresh, running), nil
+}
+
+// ErrLater: it cannot be decided now; the user should come again.
+var ErrLater = errors.New("cannot be decided now")
+
+// Submit takes a submission: its status code and answer. An id that is known
+// is answered with the job's state, whatever the rest of the body says.
+func (k *Controller) Submit(ctx context.Context, body []byte) (status int, answer any) {
+	id := protocol.PeekID(body)
+	if id != "" {
+		if known, _ := k.owner.Status(ctx, id); known != nil {
+			return k.known(ctx, id, nil)
+		}
+	}
+	spec, err := protocol.ParseJob(body)
+	if err != nil {
+		if id == "" {
+			return http.StatusBadRequest, err
+		}
+		return k.known(ctx, id, func() (int, any) { return http.StatusBadRequest, err })
+	}
+	if k.catalog.Load() == nil {
+		return k.known(ctx, id, nil)
+	}
+	if err := k.judge(spec); err != nil {
+		return k.known(ctx, id, func() (int, any) { return http.StatusUnprocessableEntity, err })
+	}
+	for range 2 {
+		err = k.store.CreateJob(ctx, spec)
+		if err == nil {
+			return http.StatusCreated, &protocol.JobStatus{ID: id, Status: protocol.Pending}
+		}
+		if errors.Is(err, bookkeeping.ErrConflict) {
+			return k.known(ctx, id, nil)
+		}
+		if errors.Is(err, transport.ErrRefused) {
+			break
+		}
+	}
+	slog.Debug("submission not recorded", "job", id, "err", err)
+	return http.StatusServiceUnavailable, ErrLater
+}
+
+// known answers for a job that may be known already; otherwise says what else.
+func (k *Controller) known(ctx context.Context, id string, otherwise func() (int, any)) (int, any) {
+	st, err := k.Status(ctx, id)
+	switch {
+	case err != nil:
+		return http.StatusServiceUnavailable, ErrLater
+	case st != nil:
+		return http.StatusOK, st
+	case otherwise != nil:
+		return otherwise()
+	}
+	return http.StatusServiceUnavailable, ErrLater
+}
+
+// judge says why a job can never run, if so.
+func (k *Controller) judge(s *protocol.JobSpec) error {
+	team := k.cfg.Team(s.Team)
+	if team == nil {
+		return errors.New("unknown crew")
+	}
+	n := 1.0
+	if s.Shape != protocol.Array {
+		n = float64(s.Tasks)
+	}
+	if !team.Admits(protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n}) {
+		return errors.New("the job needs more than its crew may use")
+	}
+	for _, t := range k.catalog.Load().Types {
+		if !s.AllowsType(t.Name) || !t.Room().Fits(s.Need()) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if s.Zone == nil || *s.Zone == z {
+				return nil
+			}
+		}
+	}
+	return errors.New("a task fits no machine that the job allows")
+}
+
+// Cancel cancels a job.
+func (k *Controller) Cancel(ctx context.Context, id string) (status int, answer any) {
+	if known, running := k.owner.Status(ctx, id); known != nil && known.Final() {
+		return http.StatusOK, k.answer(known, running)
+	}
+	j, err := k.store.CancelJob(ctx, id)
+	switch {
+	case err != nil:
+		return http.StatusServiceUnavailable, ErrLater
+	case j == nil:
+		return http.StatusNotFound, errors.New("no such job")
+	}
+	return http.StatusOK, k.answer(j, 0)
+}
--- /dev/null
+++ b/internal/coordination/holder.go
@@ -0,0 +1,993 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// Holder is the sole authority for the machines of the slots it holds: it
+// hears their reports, gives them commands and says what is on them.
+type Holder struct {
+	actor
+	cfg     *config.Config
+	session *Session
+	store   *bookkeeping.Store
+	workers *transport.Workers
+
+	types    map[string]protocol.MachineType
+	jobs     map[string]*bookkeeping.Job
+	members  map[string]*bookkeeping.Member
+	records  map[int]*bookkeeping.Slot
+	registry map[string]*bookkeeping.Machine
+	slots    map[int]*heldSlot
+	byID     map[string]*worker
+	gone     []goneMachine // bounded
+	retired  map[string]bool
+	version  uint64
+	changed  chan struct{} // closed and renewed when version rises
+
+	window *bookkeeping.Window // whose owners are obeyed
+	latest *bookkeeping.Window // newest known, may start later
+	fences map[string]protocol.Token
+
+	syncedAt time.Time
+	adopting bool
+	enlist   bool // a registry write is under way
+	deafTill time.Time
+	heardAt  time.Time // last report of any worker
+}
+
+type goneMachine struct {
+	id      string
+	version uint64
+}
+
+type heldSlot struct {
+	slot     int
+	term     uint64
+	adopted  time.Time
+	ready    bool // the registry was read after the adoption
+	complete bool
+	// awaited are machines that may have tasks and have not reported under
+	// this term yet.
+	awaited map[string]bool
+}
+
+type worker struct {
+	id, addr, rig, zone string
+	spot                bool
+	slot                *heldSlot
+	session, ticket     uint64
+	seq                 uint64
+	// verified: a report under this slot's term has come (invariant 3).
+	verified   bool
+	lastHeard  time.Time
+	lastAnswer time.Time
+	// lapsed: the lease of session lapsedIn and all before surely ended.
+	lapsedIn  uint64
+	lapsed    bool
+	notice    bool
+	entries   map[string]*entry
+	images    []image // most recently used last
+	busy      bool    // a direct command is under way
+	holdOff   time.Time
+	drainTill time.Time
+	silent    bool
+	errorsBy  map[string]bool // jobs that failed here since the last success
+	suspect   bool
+	version   uint64
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// entry is a task that is, or may be, on a machine.
+type entry struct {
+	task    string
+	job     string
+	index   int
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+	// token is that of the start command, as long as its outcome is open.
+	token protocol.Token
+	until time.Time // end of a reservation or of waiting for room
+	stop  bool
+	grace float64
+	sent  time.Time // when the last stop or forget was sent
+	hard  bool      // a second stop without grace is wanted
+	reap  bool
+}
+
+func (e *entry) unconfirmed() bool {
+	return e.state == taskReserved || e.state == taskQueued || e.state == taskStarting
+}
+
+// NewHolder makes the actor.
+func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
+	return &Holder{actor: newActor(ctx), cfg: c, session: session, store: store, workers: workers,
+		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
+		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
+		byID: map[string]*worker{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
+}
+
+// Run runs the actor until its context ends.
+func (h *Holder) Run() { h.loop(250*time.Millisecond, h.tick) }
+
+// SlotCount is into how many shares the workers are dealt: enough that those
+// of one lost controller spread over all others.
+func SlotCount(controllers int) int { return max(1, controllers*(controllers-1)) }
+
+func (h *Holder) slotOf(machine string) int {
+	return int(protocol.MachineNumber(machine) % uint64(SlotCount(len(h.cfg.Siblings)+1)))
+}
+
+func (h *Holder) bump() uint64 {
+	h.version++
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return h.version
+}
+
+func (h *Holder) touch(w *worker) { w.version = h.bump() }
+
+// silentAfter is when a worker's silence tells of trouble: later than any
+// regular report and before its lease ends.
+func (h *Holder) silentAfter() time.Duration {
+	return max(3*h.cfg.ReportEvery(), h.cfg.WorkerLease()/2)
+}
+
+// ---- the wanted state: which slots to hold
+
+// reset forgets all slots, as after a restart: the session was lost, and
+// others may have taken them.
+func (h *Holder) reset() {
+	h.slots = map[int]*heldSlot{}
+	h.byID = map[string]*worker{}
+	h.gone = nil
+	h.bump()
+}
+
+func (h *Holder) wants(slot int) bool {
+	return h.latest != nil && slot < len(h.latest.Deal) && h.latest.Deal[slot] == h.cfg.Name
+}
+
+// adopt takes the slots that the deal gives to this controller and that
+// nobody can be acting for.
+func (h *Holder) adopt() {
+	if h.adopting || !h.session.Valid() || h.latest == nil {
+		return
+	}
+	inc := h.session.Term()
+	var claims []bookkeeping.Claim
+	for slot := range h.latest.Deal {
+		if !h.wants(slot) || h.slots[slot] != nil {
+			continue
+		}
+		c := bookkeeping.Claim{Slot: slot, Seen: h.records[slot]}
+		if c.Seen != nil && c.Seen.Holder != "" {
+			// Another process may be acting for the slot as long as its
+			// session lives; the member record tells.
+			m := h.members[c.Seen.Holder]
+			if c.Seen.Holder == h.cfg.Name && (m == nil || m.Term != inc) {
+				continue // our own record has not come back to us yet
+			}
+			if m != nil && m.Term == c.Seen.Incarnation && c.Seen.Holder != h.cfg.Name {
+				continue
+			}
+			c.Former = c.Seen.Holder
+			if m != nil {
+				c.FormerVersion = m.Version
+			}
+		}
+		claims = append(claims, c)
+	}
+	if len(claims) == 0 {
+		return
+	}
+	h.adopting = true
+	go func() {
+		ctx, cancel := context.WithTimeout(h.ctx, 8*time.Second)
+		defer cancel()
+		term, err := h.store.TakeSlots(ctx, h.cfg.Name, inc, claims)
+		if err != nil {
+			pause(ctx, 100*time.Millisecond)
+			h.tell(func() { h.adopting = false })
+			return
+		}
+		h.tell(func() {
+			h.adopting = false
+			if h.session.Term() != inc {
+				return
+			}
+			for _, c := range claims {
+				h.slots[c.Slot] = &heldSlot{slot: c.Slot, term: term, adopted: time.Now(), awaited: map[string]bool{}}
+			}
+			slog.Info("took slots", "count", len(claims), "term", term)
+			h.bump()
+			h.inform(term)
+		})
+	}()
+}
+
+// inform reads, after an adoption, what the former holders registered and
+// which windows they may have obeyed. Only then are the slots ready.
+func (h *Holder) inform(term uint64) {
+	go func() {
+		for h.ctx.Err() == nil {
+			ctx, cancel := context.WithTimeout(h.ctx, 8*time.Second)
+			machines, err := h.store.Machines(ctx)
+			var win *bookkeeping.Window
+			if err == nil {
+				win, err = h.store.ReadWindow(ctx)
+			}
+			cancel()
+			if err != nil {
+				pause(h.ctx, 300*time.Millisecond)
+				continue
+			}
+			h.tell(func() {
+				// The former holder may have obeyed any published window,
+				// also one that has not begun by this clock.
+				h.learnWindow(win)
+				h.obey(win)
+				for i := range machines {
+					m := &machines[i]
+					s := h.slots[h.slotOf(m.ID)]
+					if s == nil || s.term != term {
+						continue
+					}
+					if h.registry[m.ID] == nil && !h.retired[m.ID] {
+						h.registry[m.ID] = m
+					}
+					if w := h.byID[m.ID]; m.Up && !(w != nil && w.verified) {
+						s.awaited[m.ID] = true
+					}
+				}
+				for _, s := range h.slots {
+					if s.term == term {
+						s.ready = true
+					}
+				}
+				h.complete()
+			})
+			return
+		}
+	}()
+}
+
+// complete finds out which slots are fully known by now.
+func (h *Holder) complete() {
+	for _, s := range h.slots {
+		if s.ready && !s.complete && len(s.awaited) == 0 {
+			s.complete = true
+			slog.Info("slot complete", "slot", s.slot, "after", time.Since(s.adopted))
+			h.bump()
+		}
+	}
+}
+
+// release gives up slots that the deal gives to another living controller.
+func (h *Holder) release() {
+	if h.latest == nil {
+		return
+	}
+	for slot, s := range h.slots {
+		if slot < len(h.latest.Deal) && h.wants(slot) {
+			continue
+		}
+		rec := h.records[slot]
+		if slot < len(h.latest.Deal) && h.members[h.latest.Deal[slot]] == nil || rec == nil || rec.Term != s.term {
+			continue
+		}
+		// Stop acting first, then say so.
+		delete(h.slots, slot)
+		for id, w := range h.byID {
+			if w.slot == s {
+				delete(h.byID, id)
+			}
+		}
+		h.bump()
+		go func() {
+			for h.ctx.Err() == nil {
+				ctx, cancel := context.WithTimeout(h.ctx, 4*time.Second)
+				err := h.store.ReleaseSlot(ctx, slot, rec)
+				cancel()
+				if err == nil || errors.Is(err, bookkeeping.ErrConflict) {
+					return
+				}
+				pause(h.ctx, 500*time.Millisecond)
+			}
+		}()
+	}
+}
+
+// ---- windows
+
+func (h *Holder) learnWindow(w *bookkeeping.Window) {
+	if w != nil && (h.latest == nil || w.Number > h.latest.Number) {
+		h.latest = w
+	}
+}
+
+// obey adopts a window: from now on only its owners' requests count.
+func (h *Holder) obey(w *bookkeeping.Window) {
+	if w != nil && (h.window == nil || w.Number > h.window.Number) {
+		h.window = w
+		h.bump()
+	}
+}
+
+// obeyUpTo adopts the newest window if a caller has adopted one that is
+// newer than ours: the promise not to serve older owners, not the clock, is
+// what lets the new owner place.
+func (h *Holder) obeyUpTo(number uint64) {
+	if h.latest != nil && (h.window == nil || number > h.window.Number) && h.latest.Number >= number {
+		h.obey(h.latest)
+	}
+}
+
+// ---- reports
+
+// Report takes a worker's report and gives the answer to it.
+func (h *Holder) Report(rep *protocol.Report) (status int, body any) {
+	slot := h.slotOf(rep.Machine)
+	s := h.slots[slot]
+	if !h.session.Valid() {
+		return http.StatusServiceUnavailable, nil
+	}
+	if s == nil {
+		if rec := h.records[slot]; rec != nil && rec.Holder != "" && rec.Holder != h.cfg.Name && h.members[rec.Holder] != nil {
+			return http.StatusMisdirectedRequest, protocol.Redirect{Node: rec.Holder}
+		}
+		if h.latest != nil && slot < len(h.latest.Deal) && !h.wants(slot) && h.members[h.latest.Deal[slot]] != nil {
+			return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latest.Deal[slot]}
+		}
+		return http.StatusServiceUnavailable, nil
+	}
+	// A report that names a higher term than ours: the slot was taken.
+	if rep.Token.Term() > s.term {
+		return http.StatusMisdirectedRequest, protocol.Redirect{}
+	}
+	if h.retired[rep.Machine] {
+		return http.StatusServiceUnavailable, nil
+	}
+	w := h.byID[rep.Machine]
+	if w == nil {
+		w = &worker{id: rep.Machine, slot: s, seq: 1, entries: map[string]*entry{}, errorsBy: map[string]bool{}}
+		h.byID[rep.Machine] = w
+	}
+	if !h.hear(w, rep) {
+		// An old message that was held up on its way: it must not count as
+		// an answer, nor as news.
+		return http.StatusServiceUnavailable, nil
+	}
+	w.lastAnswer = time.Now()
+	h.pump(w)
+	return http.StatusOK, protocol.ReportAnswer{Token: protocol.NewToken(s.term, w.seq), Commands: []protocol.Command{}}
+}
+
+// hear takes in a report, from whichever way it came; false if it is no news.
+func (h *Holder) hear(w *worker, rep *protocol.Report) bool {
+	if !rep.Newer(w.session, w.ticket) || rep.Session <= w.lapsedIn {
+		return false
+	}
+	now := time.Now()
+	news := rep.Session > w.session || w.lapsed || w.silent || w.notice != (rep.NoticeS != nil)
+	was := w.verified
+	if rep.Session > w.session && w.session != 0 {
+		h.forgetTasks(w) // the former session's tasks were killed
+	}
+	w.session, w.ticket = rep.Session, rep.Ticket
+	w.addr, w.rig, w.zone, w.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
+	w.lastHeard, h.heardAt = now, now
+	w.lapsed, w.silent = false, false
+	w.notice = rep.NoticeS != nil
+	news = news || !was
+	if rep.Token.Term() == w.slot.term && h.believe(w, rep) || news {
+		h.touch(w)
+	}
+	return true
+}
+
+// forgetTasks drops all that was on a machine: it is surely gone.
+func (h *Holder) forgetTasks(w *worker) {
+	for name, e := range w.entries {
+		if e.state != taskReserved && e.state != taskQueued {
+			delete(w.entries, name)
+		}
+	}
+}
+
+// believe makes a report the truth about its machine; it tells whether that
+// changed anything.
+func (h *Holder) believe(w *worker, rep *protocol.Report) (news bool) {
+	if !w.verified {
+		w.verified = true
+		delete(w.slot.awaited, w.id)
+		h.complete()
+		news = true
+	}
+	listed := make(map[string]bool, len(rep.Tasks))
+	for _, t := range rep.Tasks {
+		listed[t.Task] = true
+		e := w.entries[t.Task]
+		if e != nil && e.attempt != t.Attempt {
+			e = nil // what is there counts, not what we believed or wished
+		}
+		if e == nil {
+			job, index, _ := protocol.SplitTask(t.Task)
+			e = &entry{task: t.Task, job: job, index: index, attempt: t.Attempt}
+			w.entries[t.Task] = e
+		}
+		if e.state != t.State {
+			news = true
+			h.noteState(w, e, t)
+		}
+		e.state, e.cause, e.saved, e.token = t.State, t.Cause, t.Saved, 0
+	}
+	for name, e := range w.entries {
+		switch {
+		case listed[name] || e.state == taskQueued || e.state == taskReserved:
+		case e.state == taskStarting && rep.Token <= e.token:
+			// The start may still be on its way (invariant 3).
+		default:
+			news = true
+			delete(w.entries, name)
+		}
+	}
+	return news
+}
+
+// noteState learns from a task's new state: which images the machine has,
+// and whether it fails what it is given.
+func (h *Holder) noteState(w *worker, e *entry, t protocol.TaskReport) {
+	if j := h.jobs[e.job]; j != nil && t.State != protocol.TaskExited {
+		w.useImage(image{j.Spec.Image, j.Spec.ImageGB}, h.types[w.rig].CacheGB)
+	}
+	if t.State != protocol.TaskExited {
+		return
+	}
+	switch t.Cause {
+	case protocol.CauseDone:
+		clear(w.errorsBy)
+	case protocol.CauseError:
+		w.errorsBy[e.job] = true
+		if len(w.errorsBy) >= 2 && !w.suspect {
+			w.suspect = true
+			slog.Info("machine is suspect", "machine", w.id)
+		}
+	}
+}
+
+// useImage puts an image at the recent end of what the machine caches.
+func (w *worker) useImage(img image, cache float64) {
+	w.images = slices.DeleteFunc(w.images, func(i image) bool { return i.name == img.name })
+	w.images = append(w.images, img)
+	total := 0.0
+	for i := len(w.images) - 1; i >= 0; i-- {
+		total += w.images[i].gb
+		if total > cache && i < len(w.images)-1 {
+			w.images = slices.Clone(w.images[i+1:])
+			return
+		}
+	}
+}
+
+// ---- commands
+
+func (h *Holder) need(e *entry) protocol.Room {
+	if j := h.jobs[e.job]; j != nil {
+		return j.Spec.Need()
+	}
+	return protocol.Room{}
+}
+
+// free is the room left beside all that is or may be on the machine; queued
+// tells whether tasks that wait for room count too.
+func (h *Holder) free(w *worker, queued bool) protocol.Room {
+	t, ok := h.types[w.rig]
+	if !ok {
+		return protocol.Room{}
+	}
+	r := t.Room()
+	for _, e := range w.entries {
+		if e.state != protocol.TaskExited && (queued || e.state != taskQueued) {
+			r = r.Sub(h.need(e))
+		}
+	}
+	return r
+}
+
+// wanted works out which commands lead from what is on a machine to what
+// should be.
+func (h *Holder) wanted(w *worker, now time.Time) []protocol.Command {
+	var out []protocol.Command
+	for _, e := range w.entries {
+		j := h.jobs[e.job]
+		over := j != nil && j.Final()
+		switch {
+		case e.state == protocol.TaskExited:
+			// A result is kept on the machine until it is recorded.
+			if (e.reap || over || e.cause == protocol.CauseDone && j != nil && j.TaskDone(e.index)) && now.Sub(e.sent) > 2*time.Second {
+				e.sent = now
+				out = append(out, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
+			}
+		case e.unconfirmed():
+		case over || e.stop:
+			grace := e.grace
+			if over {
+				grace = 0
+			}
+			if now.Sub(e.sent) > 3*time.Second && (e.state != protocol.TaskFlushing || grace == 0 || over) {
+				e.sent = now
+				out = append(out, protocol.Command{Verb: protocol.VerbStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
+			}
+		}
+	}
+	room := h.free(w, false)
+	for _, e := range w.entries {
+		if e.state != taskQueued {
+			continue
+		}
+		if j := h.jobs[e.job]; j == nil || j.Final() || !h.startable(w) {
+			delete(w.entries, e.task)
+			continue
+		}
+		if need := h.need(e); room.Fits(need) {
+			room = room.Sub(need)
+			e.state = taskStarting
+			out = append(out, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
+		}
+	}
+	return out
+}
+
+// pump sends a worker the commands it needs. One direct command is under way
+// at a time; each has a token of its own, so that a report with a higher one
+// proves that it was carried out or never will be.
+func (h *Holder) pump(w *worker) {
+	now := time.Now()
+	if w.busy || w.lapsed || w.session == 0 || now.Before(w.holdOff) || !h.session.Valid() || h.slots[w.slot.slot] != w.slot {
+		return
+	}
+	var cmds []protocol.Command
+	if w.verified {
+		if cmds = h.wanted(w, now); len(cmds) == 0 {
+			return
+		}
+	}
+	w.seq++
+	orders := protocol.Orders{Token: protocol.NewToken(w.slot.term, w.seq), Session: w.session, Commands: cmds}
+	for _, c := range cmds {
+		if c.Verb == protocol.VerbStart {
+			w.entries[c.Task].token = orders.Token
+		}
+	}
+	w.busy = true
+	h.touch(w)
+	go func() {
+		rep, executed, err := h.workers.Do(h.ctx, w.addr, orders)
+		h.tell(func() { h.executed(w, orders, rep, executed, err) })
+	}()
+}
+
+func (h *Holder) executed(w *worker, o protocol.Orders, rep *protocol.Report, executed bool, err error) {
+	w.busy = false
+	if h.byID[w.id] != w || h.slots[w.slot.slot] != w.slot {
+		return
+	}
+	if err != nil {
+		// Unknown: the next answer's higher token fences what is in flight.
+		w.seq++
+		w.holdOff = time.Now().Add(time.Second)
+		slog.Debug("direct command unanswered", "machine", w.id, "err", err)
+		return
+	}
+	if !executed {
+		// Refused for good: the starts in it will never happen.
+		for _, c := range o.Commands {
+			if e := w.entries[c.Task]; c.Verb == protocol.VerbStart && e != nil && e.state == taskStarting && e.token == o.Token {
+				delete(w.entries, c.Task)
+			}
+		}
+		w.holdOff = time.Now().Add(500 * time.Millisecond)
+	}
+	if rep.Machine == w.id && rep.Token.Term() <= w.slot.term {
+		h.hear(w, rep)
+	}
+	h.touch(w)
+	h.pump(w)
+}
+
+// startable tells whether tasks may be started on a machine.
+func (h *Holder) startable(w *worker) bool {
+	m := h.registry[w.id]
+	return w.verified && w.slot.ready && !w.lapsed && !w.silent && !w.notice && !w.suspect && m != nil && m.Up && time.Now().After(w.drainTill)
+}
+
+// ---- requests of owners
+
+// maxStale bounds how old the holder's picture of job states may be when it
+// starts a task.
+const maxStale = 10 * time.Second
+
+// serve carries out an owner's request: the second door (invariant 5).
+func (h *Holder) serve(a *AskArgs) (r AskReply, ok bool) {
+	h.obeyUpTo(a.Window)
+	if a.ID < h.fences[a.Caller] || h.window == nil || a.Window > h.window.Number || !h.session.Valid() {
+		return r, false
+	}
+	for _, st := range a.Stops {
+		h.stop(a, st)
+	}
+	now := time.Now()
+	for _, st := range a.Starts {
+		why := h.start(a, st, now)
+		r.Refused = append(r.Refused, why)
+		if why != "" {
+			slog.Debug("start refused", "task", st.Task, "machine", st.Machine, "why", why)
+		}
+	}
+	touched := map[string]bool{}
+	for _, st := range a.Starts {
+		touched[st.Machine] = true
+	}
+	for _, st := range a.Stops {
+		touched[st.Machine] = true
+	}
+	for id := range touched {
+		if w := h.byID[id]; w != nil {
+			h.touch(w)
+			h.pump(w)
+		}
+	}
+	r.Incarnation, r.Version = h.session.Term(), h.version
+	return r, true
+}
+
+func (h *Holder) start(a *AskArgs, st Start, now time.Time) string {
+	w := h.byID[st.Machine]
+	jobID, index, ok := protocol.SplitTask(st.Task)
+	j := h.jobs[jobID]
+	switch {
+	case !ok || w == nil || h.slots[w.slot.slot] != w.slot:
+		return "not held here"
+	case j == nil || j.Final() || index >= j.Spec.Tasks || j.TaskDone(index):
+		return "not to be run"
+	case h.window.Owner(j.Token) != a.Caller:
+		return "not the owner"
+	case now.Sub(h.syncedAt) > maxStale:
+		return "records too old"
+	case !h.startable(w):
+		return "machine not usable"
+	case !j.Spec.Allows(w.rig, w.zone, w.spot):
+		return "machine not allowed"
+	}
+	if e := w.entries[st.Task]; e != nil && !(e.state == taskReserved && e.attempt == st.Attempt) {
+		return "already there"
+	} else if e == nil {
+		for _, o := range h.byID {
+			if x := o.entries[st.Task]; x != nil && x.state != protocol.TaskExited {
+				return "elsewhere here"
+			}
+		}
+	}
+	delete(w.entries, st.Task)
+	room := h.free(w, true)
+	for _, name := range st.Evict {
+		if v := w.entries[name]; v != nil && v.state != protocol.TaskExited && !v.unconfirmed() {
+			room = room.Add(h.need(v))
+		}
+	}
+	if !room.Fits(j.Spec.Need()) {
+		return "no room"
+	}
+	for _, name := range st.Evict {
+		if v := w.entries[name]; v != nil && !v.stop {
+			v.stop = true
+			if vj := h.jobs[v.job]; vj != nil {
+				v.grace = vj.Spec.SaveS * 2
+			}
+		}
+	}
+	e := &entry{task: st.Task, job: jobID, index: index, attempt: st.Attempt, state: taskQueued, until: now.Add(20 * time.Second)}
+	if st.Reserve {
+		e.state, e.until = taskReserved, now.Add(6*time.Second)
+	}
+	w.entries[st.Task] = e
+	return ""
+}
+
+func (h *Holder) stop(a *AskArgs, st Stop) {
+	w := h.byID[st.Machine]
+	if w == nil {
+		return
+	}
+	e := w.entries[st.Task]
+	if e == nil || e.attempt != st.Attempt {
+		return
+	}
+	if j := h.jobs[e.job]; j != nil && h.window.Owner(j.Token) != a.Caller {
+		return
+	}
+	switch {
+	case st.Forget:
+		e.reap = true
+	case e.state == taskReserved || e.state == taskQueued:
+		delete(w.entries, st.Task)
+	default:
+		e.stop, e.grace = true, st.GraceS
+	}
+}
+
+// ---- the feed
+
+// HolderRPC is what siblings may call, and the controller itself alike.
+type HolderRPC struct{ h *Holder }
+
+var errNotNow = errors.New("request is void or the holder may not act")
+
+// Ask carries out an owner's request.
+func (r HolderRPC) Ask(a AskArgs, reply *AskReply) error {
+	ok := false
+	var out AskReply
+	if !r.h.ask(r.h.ctx, func() { out, ok = r.h.serve(&a) }) || !ok {
+		return errNotNow
+	}
+	*reply = out
+	return nil
+}
+
+// Feed answers a controller's question for news, after a wait if there is
+// none. It runs on the caller's goroutine.
+func (r HolderRPC) Feed(a FeedArgs, reply *FeedReply) error { return r.h.feed(a, reply) }
+
+func (h *Holder) feed(a FeedArgs, r *FeedReply) error {
+	deadline := time.NewTimer(time.Duration(a.WaitMs) * time.Millisecond)
+	defer deadline.Stop()
+	for first := true; ; first = false {
+		var wait chan struct{}
+		news := false
+		if !h.ask(h.ctx, func() {
+			if first {
+				h.fences[a.Caller] = max(h.fences[a.Caller], a.Fence)
+				h.obeyUpTo(a.Window)
+			}
+			wait = h.changed
+			news = h.version != a.Since || h.session.Term() != a.Incarnation
+		}) {
+			return h.ctx.Err()
+		}
+		if !news {
+			select {
+			case <-wait:
+				// Let what belongs together come together.
+				pause(h.ctx, 50*time.Millisecond)
+				continue
+			case <-deadline.C:
+			case <-h.ctx.Done():
+				return h.ctx.Err()
+			}
+		}
+		h.ask(h.ctx, func() { *r = h.summary(a) })
+		return nil
+	}
+}
+
+// summary is the reply to a feed request as things stand.
+func (h *Holder) summary(a FeedArgs) FeedReply {
+	r := FeedReply{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid()}
+	if h.window != nil {
+		r.Window = h.window.Number
+	}
+	since := a.Since
+	if a.Incarnation != r.Incarnation || len(h.gone) == maxGone && since < h.gone[0].version {
+		r.Full, since = true, 0
+	}
+	for _, s := range h.slots {
+		r.Slots = append(r.Slots, SlotView{Slot: s.slot, Term: s.term, Complete: s.complete})
+	}
+	for _, w := range h.byID {
+		if w.version > since && (w.verified || w.lapsed) {
+			r.Machines = append(r.Machines, h.view(w))
+		}
+	}
+	for _, g := range h.gone {
+		if g.version > since {
+			r.Gone = append(r.Gone, g.id)
+		}
+	}
+	return r
+}
+
+func (h *Holder) view(w *worker) MachineView {
+	v := MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
+		Free: h.free(w, true), Usable: h.startable(w), Silent: w.silent || w.lapsed, Suspect: w.suspect, Leaving: w.notice,
+		Drained: time.Now().Before(w.drainTill) && len(w.entries) == 0 && !w.busy}
+	for _, i := range w.images {
+		v.Images = append(v.Images, i.name)
+	}
+	for _, e := range w.entries {
+		v.Tasks = append(v.Tasks, TaskView{Task: e.task, Attempt: e.attempt, State: e.state, Cause: e.cause, Saved: e.saved})
+	}
+	return v
+}
+
+// ---- draining
+
+// drainFor is how long a wish to drain stands without being repeated.
+const drainFor = 12 * time.Second
+
+// Drain keeps machines free of new tasks.
+func (r HolderRPC) Drain(a DrainArgs, _ *Nothing) error {
+	h := r.h
+	h.tell(func() {
+		for _, id := range a.Machines {
+			w := h.byID[id]
+			if w == nil {
+				continue
+			}
+			for name, e := range w.entries {
+				if e.state == taskReserved || e.state == taskQueued {
+					delete(w.entries, name)
+				}
+			}
+			if time.Now().After(w.drainTill) || len(w.entries) == 0 {
+				h.touch(w)
+			}
+			w.drainTill = time.Now().Add(drainFor)
+		}
+	})
+	return nil
+}
+
+// ---- the loop
+
+func (h *Holder) tick() {
+	now := time.Now()
+	if h.latest != nil && (h.window == nil || h.latest.Number > h.window.Number) && now.UnixMilli() >= h.latest.StartMs {
+		h.obey(h.latest)
+	}
+	h.adopt()
+	h.release()
+	h.enroll()
+	lease := config.Surely(h.cfg.WorkerLease())
+	for _, s := range h.slots {
+		if s.ready && !s.complete && now.Sub(s.adopted) > lease {
+			// All leases that former holders may have renewed have lapsed.
+			clear(s.awaited)
+			h.complete()
+		}
+	}
+	for _, w := range h.byID {
+		since := w.lastAnswer
+		if w.slot.adopted.After(since) {
+			since = w.slot.adopted
+		}
+		if !w.lapsed && now.Sub(since) > lease {
+			w.lapsed, w.lapsedIn = true, w.session
+			clear(w.entries)
+			h.touch(w)
+			slog.Info("lease lapsed", "machine", w.id)
+		}
+		if quiet := now.Sub(w.lastHeard) > h.silentAfter() && now.Sub(w.slot.adopted) > h.silentAfter(); quiet != w.silent {
+			w.silent = quiet
+			h.touch(w)
+		}
+		for name, e := range w.entries {
+			if (e.state == taskReserved || e.state == taskQueued) && now.After(e.until) {
+				delete(w.entries, name)
+				h.touch(w)
+			}
+		}
+		h.pump(w)
+	}
+}
+
+// enroll registers machines before tasks are started on them.
+func (h *Holder) enroll() {
+	if h.enlist || !h.session.Valid() {
+		return
+	}
+	var fresh []bookkeeping.Machine
+	for _, w := range h.byID {
+		if m := h.registry[w.id]; w.verified && (m == nil || !m.Up) && len(fresh) < 12 {
+			n := bookkeeping.Machine{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, RentedMs: time.Now().UnixMilli(), Up: true}
+			if m != nil {
+				n.RentedMs = m.RentedMs
+			}
+			fresh = append(fresh, n)
+		}
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	h.enlist = true
+	go func() {
+		err := h.store.RegisterMachines(h.ctx, transport.Ordinary, fresh)
+		h.tell(func() {
+			h.enlist = false
+			if err != nil {
+				return
+			}
+			for _, m := range fresh {
+				if h.retired[m.ID] {
+					continue
+				}
+				h.registry[m.ID] = &m
+				if w := h.byID[m.ID]; w != nil {
+					h.touch(w)
+				}
+			}
+		})
+	}()
+}
+
+// maxGone bounds how many removals a feed remembers.
+const maxGone = 256
+
+// remove takes a machine out: it was returned, and all on it is gone.
+func (h *Holder) remove(id string) {
+	delete(h.registry, id)
+	if len(h.retired) > 5000 {
+		clear(h.retired)
+	}
+	h.retired[id] = true
+	if s := h.slots[h.slotOf(id)]; s != nil {
+		delete(s.awaited, id)
+		h.complete()
+	}
+	if h.byID[id] == nil {
+		return
+	}
+	delete(h.byID, id)
+	if len(h.gone) == maxGone {
+		h.gone = h.gone[1:]
+	}
+	h.gone = append(h.gone, goneMachine{id, h.bump()})
+}
+
+// ---- the records
+
+func (h *Holder) jobChanged(j *bookkeeping.Job) {
+	h.jobs[j.Spec.ID] = j
+	if !j.Final() && len(j.Results) == 0 {
+		return
+	}
+	for _, w := range h.byID {
+		for _, e := range w.entries {
+			if e.job == j.Spec.ID {
+				e.sent = time.Time{}
+				h.pump(w)
+				break
+			}
+		}
+	}
+}
+
+func (h *Holder) machineChanged(id string, m *bookkeeping.Machine) {
+	if m == nil {
+		h.remove(id)
+		return
+	}
+	if h.retired[id] {
+		return
+	}
+	h.registry[id] = m
+	if w := h.byID[id]; w != nil {
+		h.touch(w)
+	}
+}
--- /dev/null
+++ b/internal/coordination/leader.go
@@ -0,0 +1,570 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// Leader stands for leadership and, while it leads, publishes windows and
+// deals and rents machines.
+type Leader struct {
+	actor
+	cfg     *config.Config
+	session *Session
+	store   *bookkeeping.Store
+	cloud   *transport.Cloud
+	owner   *Owner
+	holders map[string]HolderCaller
+
+	members map[string]*bookkeeping.Member
+	leader  *bookkeeping.Leader
+	window  *bookkeeping.Window
+	writing bool
+
+	// the fleet, while leading
+	busy     bool
+	bookings uint64
+	refusals map[string]time.Time
+	listed   map[string]protocol.Machine
+	listedAt time.Time
+	priced   time.Time
+	catalog  *protocol.Catalog
+	catBusy  bool
+	started  time.Time
+	leadFrom time.Time
+	draining map[string]time.Time
+}
+
+// NewLeader makes the actor.
+func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
+	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
+		members: map[string]*bookkeeping.Member{}, refusals: map[string]time.Time{}, listed: map[string]protocol.Machine{},
+		draining: map[string]time.Time{}, started: time.Now()}
+}
+
+// Run runs the actor until its context ends.
+func (l *Leader) Run() { l.loop(250*time.Millisecond, l.tick) }
+
+func (l *Leader) leads() bool {
+	return l.leader != nil && l.leader.Name == l.cfg.Name && l.leader.Term == l.session.Term() && l.session.Valid()
+}
+
+func (l *Leader) tick() {
+	l.learnCatalog()
+	if !l.session.Valid() {
+		return
+	}
+	if !l.leads() {
+		l.leadFrom = time.Time{}
+		l.stand()
+		return
+	}
+	if l.leadFrom.IsZero() {
+		l.leadFrom = time.Now()
+		slog.Info("leading", "term", l.session.Term())
+	}
+	l.publish()
+	l.manage()
+}
+
+// stand takes the leadership if nobody has it, or if the one who had it was
+// this controller's former process.
+func (l *Leader) stand() {
+	if l.writing || l.leader != nil && l.leader.Name != l.cfg.Name {
+		return
+	}
+	if l.leader != nil && l.leader.Term == l.session.Term() {
+		return
+	}
+	l.writing = true
+	seen, me, lease := l.leader, bookkeeping.Leader{Name: l.cfg.Name, Term: l.session.Term()}, l.session.Lease()
+	go func() {
+		l.store.Lead(l.ctx, seen, me, lease)
+		pause(l.ctx, 300*time.Millisecond)
+		l.tell(func() { l.writing = false })
+	}()
+}
+
+// ---- windows
+
+// nextWindow works out the window to publish, nil if it is not time yet: in
+// the middle of the present one, or at once when controllers came or went.
+func nextWindow(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string, now time.Time, every, offset time.Duration) *bookkeeping.Window {
+	var owners, hearing []string
+	for _, n := range names {
+		if m := members[n]; m != nil {
+			owners = append(owners, n)
+			if !m.Deaf {
+				hearing = append(hearing, n)
+			}
+		}
+	}
+	if len(owners) == 0 {
+		return nil
+	}
+	if len(hearing) == 0 {
+		hearing = owners
+	}
+	deal := make([]string, SlotCount(len(names)))
+	for s := range deal {
+		home := names[s%len(names)]
+		if slices.Contains(hearing, home) {
+			deal[s] = home
+		} else {
+			deal[s] = hearing[(s/len(names))%len(hearing)]
+		}
+	}
+	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: deal}
+	if cur == nil {
+		return w
+	}
+	w.Number = cur.Number + 1
+	start := time.UnixMilli(cur.StartMs)
+	if !slices.Equal(cur.Owners, owners) || !slices.Equal(cur.Deal, deal) {
+		w.StartMs = max(now.Add(300*time.Millisecond).UnixMilli(), cur.StartMs)
+		return w
+	}
+	if now.Before(start.Add(offset)) && start.Sub(now) < 2*every {
+		return nil
+	}
+	w.StartMs = max(now.UnixMilli(), start.Add(every).UnixMilli())
+	return w
+}
+
+func (l *Leader) publish() {
+	if l.writing {
+		return
+	}
+	w := nextWindow(l.window, l.members, l.cfg.Names(), time.Now(), l.cfg.Window, l.cfg.PublishOffset)
+	if w == nil {
+		return
+	}
+	l.writing = true
+	leader, seen := l.leader, l.window
+	go func() {
+		err := l.store.PublishWindow(l.ctx, leader, seen, *w)
+		if err != nil {
+			slog.Debug("window not published", "number", w.Number, "err", err)
+			pause(l.ctx, 300*time.Millisecond)
+		}
+		pause(l.ctx, 100*time.Millisecond)
+		l.tell(func() { l.writing = false })
+	}()
+}
+
+// ---- the catalogue
+
+// learnCatalog reads the machine types: every controller once, if the records
+// don't have them, and the leader regularly for the prices.
+func (l *Leader) learnCatalog() {
+	every := time.Second
+	if l.catalog != nil {
+		if !l.leads() {
+			return
+		}
+		every = 30 * time.Second
+	}
+	if l.catBusy || time.Since(l.priced) < every {
+		return
+	}
+	l.catBusy, l.priced = true, time.Now()
+	go func() {
+		c, err := l.cloud.Catalog(l.ctx)
+		l.tell(func() {
+			l.catBusy = false
+			if err != nil || len(c.Types) == 0 {
+				slog.Debug("no catalogue", "err", err)
+				return
+			}
+			first := l.catalog == nil
+			l.catalog = &c
+			if l.leads() || first {
+				go l.store.SaveCatalog(l.ctx, c)
+			}
+		})
+	}()
+}
+
+// ---- the fleet
+
+// manage compares the fleet with what is needed, one round at a time.
+func (l *Leader) manage() {
+	if l.busy || l.catalog == nil {
+		return
+	}
+	l.busy = true
+	leadFrom := l.leadFrom
+	go func() {
+		l.round(leadFrom)
+		pause(l.ctx, 700*time.Millisecond)
+		l.tell(func() { l.busy = false })
+	}()
+}
+
+// fleetState is what the owner's board says about the fleet.
+type fleetState struct {
+	in      fleetInput
+	silent  []string
+	suspect []string
+	drained map[string]bool
+	holder  map[string]string
+	reg     map[string]*bookkeeping.Machine
+	seen    map[string]bool
+	ready   bool
+}
+
+// round runs on a goroutine of its own; only one round runs at a time, and it
+// alone touches what the leader keeps of the fleet.
+func (l *Leader) round(leadFrom time.Time) {
+	now := time.Now()
+	st := l.owner.fleet(l.ctx, now, l.started)
+	if st == nil || !l.session.Valid() {
+		return
+	}
+	l.list(now, st)
+	var gone []string
+	boots := map[string]*fleetMachine{}
+	for id, m := range st.reg {
+		lm, isListed := l.listed[id]
+		if isListed && lm.Status == "failed" {
+			gone = append(gone, id)
+			continue
+		}
+		if st.seen[id] {
+			continue
+		}
+		t, ok := st.in.types[m.Type]
+		if !ok {
+			continue
+		}
+		age := now.Sub(time.UnixMilli(m.RentedMs))
+		if !m.Up && age > protocol.Seconds(2.6*t.BootS+15) || m.Up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
+			gone = append(gone, id) // never came up, or never came back
+			continue
+		}
+		b := &fleetMachine{id: id, rig: m.Type, zone: m.Zone, spot: m.Spot, booting: true, free: t.Room()}
+		if age > protocol.Seconds(1.8*t.BootS+5) {
+			b.drains = true // late: don't count on it
+		}
+		boots[id] = b
+		st.in.machines = append(st.in.machines, b)
+	}
+	if len(st.silent) <= max(2, len(st.seen)/3) {
+		gone = append(gone, st.silent...)
+	}
+	for _, id := range st.suspect {
+		if first, ok := l.draining[id]; !ok {
+			l.draining[id] = now
+		} else if st.drained[id] || now.Sub(first) > 20*time.Second {
+			gone = append(gone, id)
+		}
+	}
+	st.in.refused = func(rig, zone string, spot bool) bool {
+		return now.Before(l.refusals[fmt.Sprint(rig, "/", zone, "/", spot)])
+	}
+	st.in.idleAfter = l.cfg.IdleAfter
+	rent, idle := planFleet(&st.in)
+	for _, id := range idle {
+		if _, ok := l.draining[id]; !ok {
+			l.draining[id] = now
+		}
+		if st.drained[id] {
+			gone = append(gone, id)
+		}
+	}
+	for id := range l.draining {
+		if !slices.Contains(idle, id) && !slices.Contains(st.suspect, id) {
+			delete(l.draining, id)
+		}
+	}
+	l.drain(st)
+	l.giveBack(gone)
+	if st.ready {
+		l.rent(rent)
+	}
+}
+
+// list reads the machine list now and then, for machines that failed and for
+// those that nobody expected.
+func (l *Leader) list(now time.Time, st *fleetState) {
+	if now.Sub(l.listedAt) < max(4*time.Second, l.cfg.ListLag()) {
+		return
+	}
+	l.listedAt = now
+	listed := map[string]protocol.Machine{}
+	from := ""
+	for {
+		page, err := l.cloud.List(l.ctx, from)
+		if err != nil {
+			slog.Debug("no machine list", "err", err)
+			return
+		}
+		for _, m := range page.Machines {
+			listed[m.ID] = m
+			from = m.ID
+		}
+		if !page.More || len(page.Machines) == 0 || len(listed) > 10000 {
+			break
+		}
+	}
+	l.listed = listed
+	var fresh []bookkeeping.Machine
+	for id, m := range listed {
+		if st.reg[id] == nil && !st.seen[id] && m.Status != "failed" && m.AgeS > 2 && !l.owner.isGone(l.ctx, id) {
+			fresh = append(fresh, bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, RentedMs: now.Add(-protocol.Seconds(m.AgeS)).UnixMilli()})
+		}
+	}
+	if len(fresh) > 0 {
+		slog.Info("unexpected machines", "count", len(fresh))
+		l.store.RegisterMachines(l.ctx, transport.Background, fresh)
+	}
+}
+
+func (l *Leader) drain(st *fleetState) {
+	byHolder := map[string][]string{}
+	for id := range l.draining {
+		if h := st.holder[id]; h != "" {
+			byHolder[h] = append(byHolder[h], id)
+		}
+	}
+	for name, ids := range byHolder {
+		if h := l.holders[name]; h != nil {
+			h.Drain(l.ctx, DrainArgs{Caller: l.cfg.Name, Term: l.session.Term(), Machines: ids})
+		}
+	}
+}
+
+// giveBack returns machines; what was on them is gone once the cloud has
+// answered, and the registry says so to everyone.
+func (l *Leader) giveBack(ids []string) {
+	if len(ids) == 0 || !l.session.Valid() {
+		return
+	}
+	slices.Sort(ids)
+	ids = slices.Compact(ids)
+	ids = ids[:min(len(ids), protocol.MaxReturn)]
+	if err := l.cloud.Return(l.ctx, ids); err != nil {
+		slog.Info("return failed", "machines", len(ids), "err", err)
+		return
+	}
+	slog.Info("returned machines", "ids", ids)
+	if err := l.store.DropMachines(l.ctx, ids); err != nil {
+		slog.Info("registry not updated, will return again", "err", err)
+		return
+	}
+	for _, id := range ids {
+		delete(l.listed, id)
+		delete(l.draining, id)
+	}
+}
+
+// rent rents machines. A booking's name is made of the controller's term,
+// which the state service gave once and for all, and a rising number.
+func (l *Leader) rent(rentals []rental) {
+	for k, r := range rentals {
+		if k >= 6 || !l.session.Valid() {
+			return
+		}
+		l.bookings++
+		req := protocol.RentRequest{Booking: fmt.Sprintf("b-%d-%d", l.session.Term(), l.bookings), Type: r.rig, Zone: r.zone, Spot: r.spot, Count: r.count}
+		key := fmt.Sprint(r.rig, "/", r.zone, "/", r.spot)
+		names, err := l.cloud.Rent(l.ctx, req)
+		if errors.Is(err, transport.ErrUnknown) {
+			names, err = l.cloud.Rent(l.ctx, req) // the same booking: nothing is rented twice
+		}
+		if errors.Is(err, transport.ErrNoCapacity) {
+			l.refusals[key] = time.Now().Add(20 * time.Second)
+			slog.Info("no capacity", "kind", key)
+			continue
+		}
+		if err != nil {
+			slog.Info("rental failed", "kind", key, "err", err)
+			return
+		}
+		if len(names.Machines) < r.count {
+			l.refusals[key] = time.Now().Add(15 * time.Second)
+		}
+		slog.Info("rented", "kind", key, "asked", r.count, "got", len(names.Machines))
+		var ms []bookkeeping.Machine
+		for _, id := range names.Machines {
+			ms = append(ms, bookkeeping.Machine{ID: id, Type: r.rig, Zone: r.zone, Spot: r.spot, RentedMs: time.Now().UnixMilli()})
+		}
+		l.owner.expect(ms)
+		if err := l.store.RegisterMachines(l.ctx, transport.Ordinary, ms); err != nil {
+			slog.Info("rented machines not registered", "err", err)
+		}
+	}
+}
+
+// ---- the owner's side of it
+
+func (o *Owner) isGone(ctx context.Context, id string) (gone bool) {
+	o.ask(ctx, func() { gone = o.gone[id] })
+	return gone
+}
+
+// expect notes rented machines before the records show them.
+func (o *Owner) expect(ms []bookkeeping.Machine) {
+	o.tell(func() {
+		for _, m := range ms {
+			if o.machReg[m.ID] == nil && !o.gone[m.ID] {
+				o.machReg[m.ID] = &m
+			}
+		}
+	})
+}
+
+// fleet sums up the fleet for the leader.
+func (o *Owner) fleet(ctx context.Context, now, started time.Time) *fleetState {
+	st := &fleetState{drained: map[string]bool{}, holder: map[string]string{}, reg: map[string]*bookkeeping.Machine{}, seen: map[string]bool{}}
+	ok := o.ask(ctx, func() {
+		// Without every slot's news it is not known what is missing.
+		st.ready = o.window() != nil && o.board.allComplete(o.slots, 0)
+		st.in.types = o.types
+		st.in.scarce = o.scarce()
+		for id, m := range o.machReg {
+			st.reg[id] = m
+		}
+		for id, m := range o.board.machines {
+			st.seen[id] = true
+			st.holder[id] = m.holder
+			if st.reg[id] == nil {
+				st.reg[id] = &bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+			}
+			if m.Drained {
+				st.drained[id] = true
+			}
+			if p := o.peers[m.holder]; m.Silent && m.current && p != nil && p.valid {
+				st.silent = append(st.silent, id)
+				continue
+			}
+			if m.Suspect {
+				st.suspect = append(st.suspect, id)
+				continue
+			}
+			if m.Leaving || m.Silent {
+				continue
+			}
+			f := &fleetMachine{id: id, rig: m.Type, zone: m.Zone, spot: m.Spot, free: m.Free, used: len(m.insts) > 0}
+			for _, i := range m.insts {
+				if js := o.jobs[i.job]; js != nil && !i.exited() {
+					f.byRank[js.job.Spec.Priority.Rank()] = f.byRank[js.job.Spec.Priority.Rank()].Add(js.job.Spec.Need())
+				}
+			}
+			if !m.emptySince.IsZero() {
+				f.idle = now.Sub(m.emptySince)
+			}
+			st.in.machines = append(st.in.machines, f)
+		}
+		st.in.demands = o.demands(now, started)
+	})
+	if !ok {
+		return nil
+	}
+	return st
+}
+
+// demands is what has no machine, and what is expected to come.
+func (o *Owner) demands(now, started time.Time) []demand {
+	var out []demand
+	total := 0
+	for id, js := range o.active {
+		s := js.job.Spec
+		missing := s.Tasks - js.job.DoneCount() - len(js.pending)
+		zones := map[string]int{}
+		for index, list := range o.board.tasks[id] {
+			if js.job.TaskDone(index) {
+				continue
+			}
+			missing--
+			for _, i := range list {
+				zones[i.machine.Zone]++
+			}
+		}
+		if missing <= 0 || js.errors > 6 || total > 4*maxPacked {
+			continue
+		}
+		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
+			missing = min(missing, fits(s.Need(), protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}))
+		}
+		total += missing
+		d := demand{spec: s, count: missing}
+		if s.Scatter || s.OneZone {
+			d.zoneLeft = map[string]int{}
+			for _, z := range o.cfg.Deployment.Zones {
+				d.zoneLeft[z] = s.ZoneShare() - zones[z]
+				if s.OneZone && len(zones) > 0 && zones[z] == 0 {
+					d.zoneLeft[z] = 0
+				}
+			}
+		}
+		out = append(out, d)
+	}
+	for name, c := range o.classes {
+		if n, preempt := o.spare(name, c, now, started); n > 0 {
+			d := demand{spec: c.spec, count: n, spare: true, preempt: preempt}
+			if c.spec.Scatter {
+				d.zoneLeft = map[string]int{}
+				for _, z := range o.cfg.Deployment.Zones {
+					d.zoneLeft[z] = (n + 1) / 2
+				}
+			}
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// fits is how often a need goes into a limit, of which zeros mean none.
+func fits(need, limit protocol.Room) int {
+	n := math.Inf(1)
+	if need.Cores > 0 && limit.Cores > 0 {
+		n = min(n, limit.Cores/need.Cores)
+	}
+	if need.Accels > 0 && limit.Accels > 0 {
+		n = min(n, limit.Accels/need.Accels)
+	}
+	return int(min(n, 1e6))
+}
+
+// spare is for how many tasks of a class room should be kept ready: as many
+// as come, give or take, while a machine boots, if the users' aims leave no
+// time to wait for one.
+func (o *Owner) spare(name string, c *classStats, now, started time.Time) (n int, preempt bool) {
+	within := time.Duration(math.MaxInt64)
+	for _, a := range o.cfg.Deployment.Objectives {
+		if a.Class == name && a.Kind == "wait" && a.WithinS > 0 {
+			within = min(within, protocol.Seconds(a.WithinS))
+		}
+	}
+	ready, fetch := time.Duration(math.MaxInt64), time.Duration(0)
+	for _, t := range o.types {
+		if c.spec.AllowsType(t.Name) && t.Room().Fits(c.spec.Need()) {
+			f := time.Duration(0)
+			if t.FetchRate > 0 {
+				f = protocol.Seconds(c.image / t.FetchRate)
+			}
+			if r := protocol.Seconds(1.3*t.BootS) + f; r < ready {
+				ready, fetch = r, f
+			}
+		}
+	}
+	if ready == math.MaxInt64 || within >= ready {
+		return 0, false
+	}
+	mean := c.rate(now, started) * ready.Seconds() * o.cfg.Spare
+	if mean == 0 {
+		return 0, false
+	}
+	return int(math.Ceil(mean + 0.7*math.Sqrt(mean))), within > fetch+12*time.Second
+}
--- /dev/null
+++ b/internal/coordination/owner.go
@@ -0,0 +1,682 @@
+package coordination
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// HolderCaller reaches a holder: a sibling's over net/rpc, or our own.
+type HolderCaller interface {
+	Feed(ctx context.Context, a FeedArgs, r *FeedReply) error
+	Ask(ctx context.Context, a AskArgs, r *AskReply) error
+	Drain(ctx context.Context, a DrainArgs) error
+}
+
+// Owner places the tasks of the jobs in this controller's range of the ring,
+// and keeps the board that everything else here is decided by.
+type Owner struct {
+	actor
+	cfg     *config.Config
+	session *Session
+	store   *bookkeeping.Store
+	holders map[string]HolderCaller
+	slots   int
+
+	board   *board
+	types   map[string]protocol.MachineType
+	jobs    map[string]*jobState
+	active  map[string]*jobState // not final
+	machReg map[string]*bookkeeping.Machine
+	gone    map[string]bool
+
+	windows []*bookkeeping.Window // those obeyed in a row without a gap, bounded
+	latest  *bookkeeping.Window
+	born    map[uint64]uint64 // gain window -> jobs created after this revision are new
+	asking  map[uint64]bool
+
+	seq       uint64
+	inFlight  map[string]bool // holders with a request under way
+	peers     map[string]*peerState
+	recording map[string]bool
+	dirty     bool
+	planned   time.Time
+	classes   map[string]*classStats
+
+	// othersValid: some sibling says that its session lives.
+	othersValid atomic.Bool
+}
+
+type peerState struct {
+	incarnation, version uint64
+	window               uint64
+	fence                uint64 // sequence below which requests are void
+	valid                bool
+	heard                time.Time
+}
+
+type jobState struct {
+	job *bookkeeping.Job
+	// known is when this controller first saw the job.
+	known time.Time
+	// gain is the window since which we own the job without a break, 0 if we
+	// don't; settled: all that may be left of former owners' starts is known.
+	gain    uint64
+	settled bool
+	seen    map[int]bool // slots seen complete since the gain
+	pending map[int]*pendingStart
+	retryAt map[int]time.Time
+	errors  int
+	badOn   map[string]bool // machines on which tasks of the job failed
+	// stopping is the attempt of a gang that is being taken down.
+	stopping uint64
+	// reserving gang: the attempt and the machines chosen.
+	waitFrom time.Time
+	blocked  time.Time // no room was found; look again then
+}
+
+type pendingStart struct {
+	machine  string
+	holder   string
+	inc      uint64
+	slot     int
+	term     uint64
+	id       protocol.Token
+	need     protocol.Room
+	acked    bool
+	unknown  bool
+	ackInc   uint64
+	version  uint64
+	attempt  uint64
+	reserved bool
+}
+
+// NewOwner makes the actor.
+func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller) *Owner {
+	return &Owner{actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders,
+		slots: SlotCount(len(c.Siblings) + 1), board: newBoard(), types: map[string]protocol.MachineType{},
+		jobs: map[string]*jobState{}, active: map[string]*jobState{}, machReg: map[string]*bookkeeping.Machine{}, gone: map[string]bool{},
+		born: map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
+		recording: map[string]bool{}, classes: map[string]*classStats{}}
+}
+
+// Run follows all holders' feeds and runs the actor until its context ends.
+func (o *Owner) Run() {
+	for name, h := range o.holders {
+		o.peers[name] = &peerState{}
+		go o.follow(name, h)
+	}
+	o.loop(100*time.Millisecond, o.tick)
+}
+
+// Token is a job's place on the ring. Jobs of a team with a limit stand where
+// the team's name does, so that one controller grants all that the team may
+// use (invariant 7).
+func Token(c *config.Config, s *protocol.JobSpec) int64 {
+	if t := c.Team(s.Team); t != nil && t.Limited() {
+		return protocol.RingToken(s.Team)
+	}
+	return protocol.RingToken(s.ID)
+}
+
+// ---- feeds
+
+func (o *Owner) follow(name string, h HolderCaller) {
+	var inc, since uint64
+	for o.ctx.Err() == nil {
+		var a FeedArgs
+		if !o.ask(o.ctx, func() {
+			a = FeedArgs{Caller: o.cfg.Name, Fence: protocol.NewToken(o.session.Term(), o.peers[name].fence),
+				Incarnation: inc, Since: since, WaitMs: o.cfg.SummaryEvery.Milliseconds()}
+			if w := o.window(); w != nil {
+				a.Window = w.Number
+			}
+		}) {
+			return
+		}
+		if o.session.Term() == 0 {
+			pause(o.ctx, 100*time.Millisecond)
+			continue
+		}
+		var r FeedReply
+		sent := time.Now()
+		if err := h.Feed(o.ctx, a, &r); err != nil {
+			slog.Debug("no feed", "holder", name, "err", err)
+			o.tell(func() { o.peers[name].valid = false })
+			pause(o.ctx, 300*time.Millisecond)
+			continue
+		}
+		inc, since = r.Incarnation, r.Version
+		o.ask(o.ctx, func() { o.feed(name, &a, &r, sent) })
+		pause(o.ctx, 20*time.Millisecond)
+	}
+}
+
+// feed takes in a holder's reply to a request that was sent at the time.
+func (o *Owner) feed(name string, a *FeedArgs, r *FeedReply, sent time.Time) {
+	p := o.peers[name]
+	p.incarnation, p.version, p.valid, p.heard, p.window = r.Incarnation, r.Version, r.Valid, time.Now(), r.Window
+	kept := r.Machines[:0]
+	for _, m := range r.Machines {
+		if !o.gone[m.ID] {
+			kept = append(kept, m)
+		}
+	}
+	r.Machines = kept
+	o.board.apply(name, r, time.Now())
+	o.dirty = true
+	for _, js := range o.active {
+		for i, ps := range js.pending {
+			if o.resolved(ps, name, a, r) {
+				delete(js.pending, i)
+			}
+		}
+		if js.gain == 0 || js.settled || !js.known.Before(sent) {
+			continue
+		}
+		for _, s := range r.Slots {
+			if s.Complete && r.Window >= js.gain && a.Fence.Term() == o.session.Term() {
+				js.seen[s.Slot] = true
+			}
+		}
+		js.settled = len(js.seen) >= o.slots
+	}
+}
+
+// resolved tells whether a start that was asked for shows on the board by
+// now, or never will.
+func (o *Owner) resolved(ps *pendingStart, name string, a *FeedArgs, r *FeedReply) bool {
+	if s := o.board.slots[ps.slot]; s != nil && s.term > ps.term && s.complete {
+		return true // a new holder knows all that is there
+	}
+	if name != ps.holder {
+		return false
+	}
+	if ps.acked {
+		return r.Incarnation == ps.ackInc && r.Version >= ps.version
+	}
+	// Outcome unknown: void once the holder has promised so, unless shown.
+	return ps.unknown && a.Fence > ps.id && r.Incarnation == ps.inc
+}
+
+// ---- windows
+
+func (o *Owner) window() *bookkeeping.Window {
+	if len(o.windows) == 0 {
+		return nil
+	}
+	return o.windows[len(o.windows)-1]
+}
+
+func (o *Owner) windowChanged(w *bookkeeping.Window) {
+	if o.latest == nil || w.Number > o.latest.Number {
+		if o.latest != nil && (o.window() == nil || o.latest.Number > o.window().Number) {
+			o.obey(o.latest) // it was superseded before it began here
+		}
+		o.latest = w
+	}
+}
+
+// obey adopts a window and works out which jobs are ours, since when.
+func (o *Owner) obey(w *bookkeeping.Window) {
+	cur := o.window()
+	if cur != nil && w.Number != cur.Number+1 {
+		o.windows = nil // what happened in between is not known
+	}
+	if n := len(o.windows); n > 0 && slices.Equal(o.windows[n-1].Owners, w.Owners) {
+		// Nothing changes hands: keep the first of equal windows as well,
+		// since it is the one that gains count from.
+		if n > 1 && slices.Equal(o.windows[n-2].Owners, w.Owners) {
+			o.windows[n-1] = w
+		} else {
+			o.windows = append(o.windows, w)
+		}
+	} else {
+		o.windows = append(o.windows, w)
+	}
+	if len(o.windows) > 16 {
+		o.windows = slices.Clone(o.windows[len(o.windows)-16:])
+	}
+	for _, js := range o.active {
+		o.place1(js)
+	}
+	o.dirty = true
+}
+
+// gainOf is the number of the window since which a token is ours without a
+// break, 0 if it isn't.
+func (o *Owner) gainOf(token int64) uint64 {
+	gain := uint64(0)
+	for i := len(o.windows) - 1; i >= 0 && o.windows[i].Owner(token) == o.cfg.Name; i-- {
+		gain = o.windows[i].Number
+	}
+	return gain
+}
+
+// place1 brings up to date whether, and since when, a job is ours.
+func (o *Owner) place1(js *jobState) {
+	gain := o.gainOf(js.job.Token)
+	if gain == js.gain || gain != 0 && js.gain != 0 && gain > js.gain && len(o.windows) > 1 {
+		return // unchanged, or only the memory of windows was cut
+	}
+	js.gain, js.seen = gain, map[int]bool{}
+	born := o.bornBy(gain)
+	js.settled = gain != 0 && born != 0 && js.job.Created > born
+}
+
+// learnBorn finds out from which revision on jobs are surely new to all: all
+// holders had promised to obey only windows that make us their owner.
+func (o *Owner) learnBorn() {
+	gains := map[uint64]bool{}
+	for _, w := range o.windows {
+		for i, name := range w.Owners {
+			if name == o.cfg.Name {
+				// any token in the middle of the share will do
+				width := ^uint64(0)/uint64(len(w.Owners)) + 1
+				if len(w.Owners) == 1 {
+					width = 1 << 62
+				}
+				tok := int64((uint64(i)*width + width/2) ^ (1 << 63))
+				if g := o.gainOf(tok); g != 0 {
+					gains[g] = true
+				}
+			}
+		}
+	}
+	for g := range gains {
+		if o.born[g] != 0 || o.asking[g] || !o.board.allComplete(o.slots, g) {
+			continue
+		}
+		o.asking[g] = true
+		go func() {
+			rev, err := o.store.Revision(o.ctx)
+			o.tell(func() {
+				delete(o.asking, g)
+				if err == nil {
+					if len(o.born) > 64 {
+						clear(o.born)
+					}
+					o.born[g] = rev
+				}
+			})
+		}()
+	}
+}
+
+// ---- records
+
+func (o *Owner) jobChanged(j *bookkeeping.Job) {
+	id := j.Spec.ID
+	js := o.jobs[id]
+	if js == nil {
+		js = &jobState{job: j, known: time.Now(), pending: map[int]*pendingStart{}, retryAt: map[int]time.Time{}, badOn: map[string]bool{}, seen: map[int]bool{}}
+		o.jobs[id] = js
+		if !j.Final() {
+			o.active[id] = js
+			o.place1(js)
+			o.countArrival(js)
+		}
+	}
+	js.job = j
+	if j.Final() && o.active[id] != nil {
+		delete(o.active, id)
+		js.pending, js.retryAt, js.seen, js.badOn = nil, nil, nil, nil
+	}
+	o.dirty = true
+	if len(o.jobs) > maxFinal+len(o.active) {
+		o.evict()
+	}
+}
+
+// maxFinal bounds how many jobs that are over are kept at hand.
+const maxFinal = 8000
+
+func (o *Owner) evict() {
+	n := maxFinal / 4
+	for id, js := range o.jobs {
+		if js.job.Final() && o.board.tasks[id] == nil {
+			delete(o.jobs, id)
+			if n--; n == 0 {
+				return
+			}
+		}
+	}
+}
+
+func (o *Owner) machineChanged(id string, m *bookkeeping.Machine) {
+	if m != nil {
+		if !o.gone[id] {
+			o.machReg[id] = m
+		}
+		return
+	}
+	// The registry drops a machine once its return was answered: it is gone.
+	delete(o.machReg, id)
+	if len(o.gone) > 5000 {
+		clear(o.gone)
+	}
+	o.gone[id] = true
+	o.board.remove(id, map[string]bool{})
+	for _, js := range o.active {
+		for i, ps := range js.pending {
+			if ps.machine == id {
+				delete(js.pending, i)
+			}
+		}
+	}
+	o.dirty = true
+}
+
+// Status is what this controller knows of a job, nil if nothing.
+func (o *Owner) Status(ctx context.Context, id string) (job *bookkeeping.Job, running int) {
+	o.ask(ctx, func() {
+		if js := o.jobs[id]; js != nil {
+			job = js.job
+			for _, list := range o.board.tasks[id] {
+				for _, i := range list {
+					if i.running() {
+						running++
+					}
+				}
+			}
+		}
+	})
+	return job, running
+}
+
+// ---- the loop
+
+const planEvery = 100 * time.Millisecond
+
+func (o *Owner) tick() {
+	now := time.Now()
+	if o.latest != nil && (o.window() == nil || o.latest.Number > o.window().Number) && now.UnixMilli() >= o.latest.StartMs {
+		o.obey(o.latest)
+	}
+	o.learnBorn()
+	others := false
+	for name, p := range o.peers {
+		others = others || name != o.cfg.Name && p.valid && now.Sub(p.heard) < 6*time.Second
+	}
+	o.othersValid.Store(others)
+	if o.dirty && now.Sub(o.planned) >= planEvery || now.Sub(o.planned) > time.Second {
+		o.dirty, o.planned = false, now
+		o.plan(now)
+	}
+}
+
+// requests collects what a planning round asks of each holder.
+type requests map[string]*AskArgs
+
+func (o *Owner) to(rq requests, m *boardMachine) *AskArgs {
+	a := rq[m.holder]
+	if a == nil {
+		a = &AskArgs{Caller: o.cfg.Name}
+		rq[m.holder] = a
+	}
+	return a
+}
+
+// plan works out the difference between what the jobs want and what is, and
+// asks the holders for it.
+func (o *Owner) plan(now time.Time) {
+	if !o.session.Valid() || o.window() == nil {
+		return
+	}
+	rq := requests{}
+	var ready []*jobState
+	var outcomes []bookkeeping.Outcome
+	for id, js := range o.active {
+		if js.gain == 0 {
+			continue
+		}
+		if out := o.review(js, now, rq); len(out.Tasks) > 0 && !o.recording[id] && len(outcomes) < 64 {
+			outcomes = append(outcomes, out)
+		}
+		if js.settled {
+			ready = append(ready, js)
+		}
+	}
+	o.record(outcomes)
+	slices.SortFunc(ready, func(a, b *jobState) int {
+		return cmp.Or(cmp.Compare(b.job.Spec.Priority.Rank(), a.job.Spec.Priority.Rank()), o.due(a).Compare(o.due(b)),
+			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	o.promise()
+	budget := 64
+	for _, js := range ready {
+		if budget <= 0 {
+			o.dirty = true
+			break
+		}
+		if now.Before(js.blocked) {
+			continue
+		}
+		budget -= o.placeJob(js, now, rq)
+	}
+	for name, a := range rq {
+		o.send(name, a)
+	}
+}
+
+// due orders jobs of one priority: by what is due first.
+func (o *Owner) due(js *jobState) time.Time {
+	s := js.job.Spec
+	if s.DeadlineS != nil {
+		return js.job.Accepted.Add(protocol.Seconds(*s.DeadlineS) - s.Estimate())
+	}
+	return js.job.Accepted.Add(time.Minute)
+}
+
+// record writes results; a worker may forget one only afterwards.
+func (o *Owner) record(outcomes []bookkeeping.Outcome) {
+	if len(outcomes) == 0 {
+		return
+	}
+	for _, out := range outcomes {
+		o.recording[out.Job.Spec.ID] = true
+	}
+	go func() {
+		o.store.Record(o.ctx, outcomes)
+		// What was written comes back through the replica.
+		pause(o.ctx, 150*time.Millisecond)
+		o.tell(func() {
+			for _, out := range outcomes {
+				delete(o.recording, out.Job.Spec.ID)
+			}
+			o.dirty = true
+		})
+	}()
+}
+
+// review looks at what is there of a job: results to record, exited attempts
+// to forget, tasks that must stop.
+func (o *Owner) review(js *jobState, now time.Time, rq requests) (out bookkeeping.Outcome) {
+	j := js.job
+	out.Job = j
+	for index, list := range o.board.tasks[j.Spec.ID] {
+		var keep *inst
+		for _, i := range list {
+			if i.exited() {
+				o.reviewExit(js, index, i, now, rq, &out)
+				continue
+			}
+			if keep == nil || i.since.Before(keep.since) {
+				keep = i
+			}
+		}
+		for _, i := range list {
+			// Two of one task cannot be by our doing; should it happen, the
+			// younger one goes.
+			if !i.exited() && (i != keep && len(list) > 1 || j.TaskDone(index)) {
+				o.askStop(i, 0, now, rq)
+			}
+		}
+	}
+	o.rescue(js, now, rq)
+	if j.Spec.Shape == protocol.Gang && len(out.Tasks) > 0 {
+		out.Tasks = out.Tasks[:0]
+		for t := range j.Spec.Tasks {
+			out.Tasks = append(out.Tasks, t) // a gang completes together
+		}
+	}
+	return out
+}
+
+// rescue has tasks save what they can on machines that are being taken away;
+// the tasks of a gang must all be told.
+func (o *Owner) rescue(js *jobState, now time.Time, rq requests) {
+	s := js.job.Spec
+	if !s.Saves() {
+		return
+	}
+	for _, list := range o.board.tasks[s.ID] {
+		for _, i := range list {
+			if !i.machine.Leaving || !i.running() {
+				continue
+			}
+			if s.Shape == protocol.Gang {
+				o.stopGang(js, 2*s.SaveS, now, rq)
+				return
+			}
+			o.askStop(i, 2*s.SaveS, now, rq)
+		}
+	}
+}
+
+func (o *Owner) reviewExit(js *jobState, index int, i *inst, now time.Time, rq requests, out *bookkeeping.Outcome) {
+	if i.Cause == protocol.CauseDone {
+		if !js.job.TaskDone(index) {
+			out.Tasks = append(out.Tasks, index)
+		}
+		return // the holder has it forgotten once the result is recorded
+	}
+	if now.Sub(i.asked) < 2*time.Second {
+		return
+	}
+	if i.asked.IsZero() {
+		delay := time.Duration(0)
+		switch i.Cause {
+		case protocol.CauseError:
+			js.errors++
+			js.badOn[i.machine.ID] = true
+			delay = min(30*time.Second, 500*time.Millisecond<<min(js.errors, 7))
+			if len(js.badOn) < 3 {
+				delay = 0 // mostly the machine's fault: try elsewhere at once
+			}
+		case "no_room", "in_use", "unknown":
+			delay = time.Second
+		}
+		js.retryAt[index] = now.Add(delay)
+		slog.Info("task exited", "task", i.Task, "machine", i.machine.ID, "cause", i.Cause)
+	}
+	i.asked = now
+	a := o.to(rq, i.machine)
+	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.machine.ID, Forget: true})
+}
+
+func (o *Owner) askStop(i *inst, grace float64, now time.Time, rq requests) {
+	if now.Sub(i.asked) < 2*time.Second {
+		return
+	}
+	i.asked = now
+	a := o.to(rq, i.machine)
+	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.machine.ID, GraceS: grace})
+}
+
+// promise adds up the room of starts that the board does not show yet.
+func (o *Owner) promise() {
+	for _, m := range o.board.machines {
+		m.promised = protocol.Room{}
+	}
+	for _, js := range o.active {
+		for _, ps := range js.pending {
+			if m := o.board.machines[ps.machine]; m != nil {
+				m.promised = m.promised.Add(ps.need)
+			}
+		}
+	}
+}
+
+// newAttempt gives an attempt number that was never used: the controller's
+// incarnation is unique, and the sequence rises within it.
+func (o *Owner) newAttempt() uint64 {
+	o.seq++
+	return uint64(protocol.NewToken(o.session.Term(), o.seq))
+}
+
+// start adds a start to the round's requests.
+func (o *Owner) start(js *jobState, index int, attempt uint64, c choice, reserve bool, rq requests) {
+	m := c.machine
+	a := o.to(rq, m)
+	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.evict, Reserve: reserve})
+	ps := &pendingStart{machine: m.ID, holder: m.holder, inc: o.peers[m.holder].incarnation, slot: m.Slot, term: m.Term,
+		need: js.job.Spec.Need(), attempt: attempt, reserved: reserve}
+	js.pending[index] = ps
+	m.promised = m.promised.Add(ps.need)
+}
+
+// send makes a request of a holder. Its outcome, if it doesn't come in time,
+// is found out by the feed behind a fence.
+func (o *Owner) send(name string, a *AskArgs) {
+	o.seq++
+	a.ID = protocol.NewToken(o.session.Term(), o.seq)
+	a.Window = o.window().Number
+	mine := make([]*pendingStart, len(a.Starts))
+	for k, st := range a.Starts {
+		job, index, _ := protocol.SplitTask(st.Task)
+		mine[k] = o.jobs[job].pending[index]
+		mine[k].id = a.ID
+	}
+	h := o.holders[name]
+	if h == nil {
+		o.answered(name, a, mine, nil, errNotNow)
+		return
+	}
+	go func() {
+		var r AskReply
+		err := h.Ask(o.ctx, *a, &r)
+		o.tell(func() { o.answered(name, a, mine, &r, err) })
+	}()
+}
+
+func (o *Owner) answered(name string, a *AskArgs, mine []*pendingStart, r *AskReply, err error) {
+	o.dirty = true
+	refused := errors.Is(err, transport.ErrRefused) || err != nil && err.Error() == errNotNow.Error()
+	if err != nil && !refused {
+		o.peers[name].fence = max(o.peers[name].fence, uint64(a.ID)&(1<<32-1)+1)
+		slog.Debug("request unanswered", "holder", name, "err", err)
+	}
+	for k, st := range a.Starts {
+		job, index, _ := protocol.SplitTask(st.Task)
+		js := o.active[job]
+		if js == nil || js.pending[index] != mine[k] {
+			continue
+		}
+		switch {
+		case refused:
+			delete(js.pending, index)
+			js.retryAt[index] = time.Now().Add(500 * time.Millisecond)
+		case err != nil:
+			mine[k].unknown = true
+		case k < len(r.Refused) && r.Refused[k] != "":
+			delete(js.pending, index)
+			js.retryAt[index] = time.Now().Add(300 * time.Millisecond)
+		default:
+			mine[k].acked, mine[k].ackInc, mine[k].version = true, r.Incarnation, r.Version
+			// The feed may have shown it before the answer came.
+			if p := o.peers[name]; p.incarnation == r.Incarnation && p.version >= r.Version {
+				delete(js.pending, index)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/place.go
@@ -0,0 +1,478 @@
+package coordination
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// choice is a machine for a task, and what has to go for it.
+type choice struct {
+	machine *boardMachine
+	evict   []string
+}
+
+// placing is all that a decision on one task needs.
+type placing struct {
+	spec   *protocol.JobSpec
+	zoneOK func(zone string) bool
+	avoid  map[string]bool
+	types  map[string]protocol.MachineType
+	// scarce are the types that some other class of jobs cannot do without.
+	scarce map[string]bool
+	sample int
+	rng    *rand.Rand
+}
+
+func (p *placing) allowed(m *boardMachine) bool {
+	return m.current && m.Usable && !p.avoid[m.ID] && p.spec.Allows(m.Type, m.Zone, m.Spot) && (p.zoneOK == nil || p.zoneOK(m.Zone))
+}
+
+// bestFit draws a few of the machines that have room, as many again of those
+// that have the task's image, and takes the best of the draw.
+func (p *placing) bestFit(machines []*boardMachine) (choice, bool) {
+	var with, without []*boardMachine
+	need := p.spec.Need()
+	for _, m := range machines {
+		if !p.allowed(m) || !m.Free.Sub(m.promised).Fits(need) {
+			continue
+		}
+		if slices.Contains(m.Images, p.spec.Image) {
+			with = append(with, m)
+		} else {
+			without = append(without, m)
+		}
+	}
+	var best *boardMachine
+	var bestCost float64
+	for _, pool := range [][]*boardMachine{with, without} {
+		p.rng.Shuffle(len(pool), func(i, k int) { pool[i], pool[k] = pool[k], pool[i] })
+		for _, m := range pool[:min(len(pool), p.sample)] {
+			if c := p.cost(m); best == nil || c < bestCost {
+				best, bestCost = m, c
+			}
+		}
+	}
+	return choice{machine: best}, best != nil
+}
+
+// cost is how badly a machine fits, in seconds' worth.
+func (p *placing) cost(m *boardMachine) float64 {
+	t := p.types[m.Type]
+	whole := t.Room()
+	c := 0.0
+	if !slices.Contains(m.Images, p.spec.Image) && t.FetchRate > 0 {
+		c += p.spec.ImageGB / t.FetchRate
+	}
+	left := m.Free.Sub(m.promised).Sub(p.spec.Need())
+	c += 8 * left.Share(whole)
+	if p.scarce[t.Name] {
+		// Keep machines whole for what fits nowhere else.
+		for _, o := range p.types {
+			if !p.scarce[o.Name] && p.spec.AllowsType(o.Name) && o.Room().Fits(p.spec.Need()) {
+				c += 15
+				break
+			}
+		}
+	}
+	if p.spec.Spot && !m.Spot {
+		c += 4
+	}
+	return c
+}
+
+// evictable is what preemption needs to know of a task on a machine.
+type evictable struct {
+	name  string
+	need  protocol.Room
+	price float64
+}
+
+// preempt finds the machine on which the least is lost by stopping work of
+// lower priority. price gives what stopping a task would cost, or false if it
+// may not be stopped.
+func (p *placing) preempt(machines []*boardMachine, price func(*inst) (evictable, bool)) (choice, bool) {
+	var best choice
+	bestPrice := 0.0
+	need := p.spec.Need()
+	for _, m := range machines {
+		if !p.allowed(m) {
+			continue
+		}
+		var can []evictable
+		for _, i := range m.insts {
+			if e, ok := price(i); ok {
+				can = append(can, e)
+			}
+		}
+		slices.SortFunc(can, func(a, b evictable) int {
+			return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.name, b.name))
+		})
+		room := m.Free.Sub(m.promised)
+		var evict []string
+		total := p.cost(m)
+		for _, e := range can {
+			if room.Fits(need) {
+				break
+			}
+			room = room.Add(e.need)
+			evict = append(evict, e.name)
+			total += e.price
+		}
+		if room.Fits(need) && (best.machine == nil || total < bestPrice) {
+			best, bestPrice = choice{m, evict}, total
+		}
+	}
+	return best, best.machine != nil
+}
+
+// ---- the owner's side of it
+
+func (o *Owner) machinesNow() []*boardMachine {
+	out := make([]*boardMachine, 0, len(o.board.machines))
+	for _, m := range o.board.machines {
+		if p := o.peers[m.holder]; p != nil && p.valid && time.Since(p.heard) < 6*time.Second {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *boardMachine) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (o *Owner) placingFor(js *jobState) *placing {
+	s := js.job.Spec
+	p := &placing{spec: s, avoid: js.badOn, types: o.types, scarce: o.scarce(), sample: o.cfg.Sample,
+		rng: rand.New(rand.NewPCG(rand.Uint64(), o.seq))}
+	if len(js.badOn) >= 3 {
+		p.avoid = nil // it fails everywhere: no machine is to blame
+	}
+	if s.OneZone || s.Scatter {
+		zones := map[string]int{}
+		for _, list := range o.board.tasks[s.ID] {
+			for _, i := range list {
+				if !i.exited() {
+					zones[i.machine.Zone]++
+				}
+			}
+		}
+		for _, ps := range js.pending {
+			if m := o.board.machines[ps.machine]; m != nil {
+				zones[m.Zone]++
+			}
+		}
+		p.zoneOK = func(z string) bool {
+			if s.OneZone && len(zones) > 0 && zones[z] == 0 {
+				return false
+			}
+			return !s.Scatter || zones[z] < s.ZoneShare()
+		}
+	}
+	return p
+}
+
+// scarce are the types that some class seen lately cannot do without.
+func (o *Owner) scarce() map[string]bool {
+	out := map[string]bool{}
+	for _, c := range o.classes {
+		only := ""
+		n := 0
+		for _, t := range o.types {
+			if c.spec.AllowsType(t.Name) && t.Room().Fits(c.spec.Need()) {
+				only = t.Name
+				n++
+			}
+		}
+		if n == 1 {
+			out[only] = true
+		}
+	}
+	return out
+}
+
+// price is what stopping a task for one of the given priority costs.
+func (o *Owner) price(rank int, now time.Time) func(*inst) (evictable, bool) {
+	return func(i *inst) (evictable, bool) {
+		js := o.jobs[i.job]
+		if js == nil || js.job.Spec.Priority.Rank() >= rank || i.exited() || i.State == protocol.TaskFlushing ||
+			i.State == taskQueued || i.State == taskReserved || i.State == taskStarting || js.job.Spec.Shape == protocol.Gang && js.job.Spec.Tasks > 1 {
+			return evictable{}, false
+		}
+		s := js.job.Spec
+		price := 10 + 10*float64(s.Priority.Rank())
+		if !s.Saves() {
+			price += min(60, now.Sub(i.since).Seconds())
+		}
+		if now.Sub(i.since) < 30*time.Second {
+			price += 10
+		}
+		return evictable{i.Task, s.Need(), price}, true
+	}
+}
+
+// teamRoom tells whether the team's limit leaves room for more. The team's
+// jobs all have one owner, whose board and open requests show all that may be
+// running.
+func (o *Owner) teamRoom(js *jobState, more int) bool {
+	t := o.cfg.Team(js.job.Spec.Team)
+	if t == nil || !t.Limited() {
+		return t != nil
+	}
+	if o.bornBy(js.gain) == 0 {
+		return false // not everything that runs is known yet
+	}
+	use := protocol.Room{}
+	for job, tasks := range o.board.tasks {
+		x := o.jobs[job]
+		if x == nil || x.job.Spec.Team != t.Name {
+			continue
+		}
+		for _, list := range tasks {
+			for _, i := range list {
+				if !i.exited() {
+					use = use.Add(x.job.Spec.Need())
+				}
+			}
+		}
+	}
+	for _, x := range o.active {
+		if x.job.Spec.Team == t.Name {
+			for range x.pending {
+				use = use.Add(x.job.Spec.Need())
+			}
+		}
+	}
+	for range more {
+		use = use.Add(js.job.Spec.Need())
+	}
+	return t.Admits(use)
+}
+
+// placeJob starts what is missing of a job, as far as there is room. It gives
+// back how many tasks it looked for a machine for.
+func (o *Owner) placeJob(js *jobState, now time.Time, rq requests) int {
+	if js.job.Spec.Shape == protocol.Gang {
+		return o.placeGang(js, now, rq)
+	}
+	s := js.job.Spec
+	tasks := o.board.tasks[s.ID]
+	if len(tasks)+len(js.pending)+js.job.DoneCount() >= s.Tasks && len(js.pending) > 0 && len(tasks) == 0 {
+		return 0
+	}
+	looked := 0
+	var machines []*boardMachine
+	var p *placing
+	for index := 0; index < s.Tasks && looked < 32; index++ {
+		if js.job.TaskDone(index) || len(tasks[index]) > 0 || js.pending[index] != nil {
+			continue
+		}
+		if at, ok := js.retryAt[index]; ok {
+			if now.Before(at) {
+				continue
+			}
+			delete(js.retryAt, index)
+		}
+		if machines == nil {
+			machines = o.machinesNow()
+		}
+		p = o.placingFor(js)
+		looked++
+		if !o.teamRoom(js, 1) {
+			js.blocked = now.Add(500 * time.Millisecond)
+			return looked
+		}
+		c, ok := o.find(js, p, machines, now)
+		if !ok {
+			js.blocked = now.Add(400 * time.Millisecond)
+			return looked
+		}
+		o.start(js, index, o.newAttempt(), c, false, rq)
+	}
+	return looked
+}
+
+// find finds a machine with room, or one where room may be made.
+func (o *Owner) find(js *jobState, p *placing, machines []*boardMachine, now time.Time) (choice, bool) {
+	if c, ok := p.bestFit(machines); ok {
+		return c, true
+	}
+	rank := js.job.Spec.Priority.Rank()
+	if rank < 2 || now.Sub(js.known) < time.Second {
+		return choice{}, false
+	}
+	return p.preempt(machines, o.price(rank, now))
+}
+
+// placeGang starts a gang when all its tasks have room: reserved first, so
+// that none waits in vain on its machine; one task alone needs no reservation.
+func (o *Owner) placeGang(js *jobState, now time.Time, rq requests) int {
+	s := js.job.Spec
+	if len(js.pending) > 0 {
+		return 0
+	}
+	tasks := o.board.tasks[s.ID]
+	live, reserved, begun, present := 0, 0, 0, 0
+	var attempt uint64
+	same := true
+	for _, list := range tasks {
+		for _, i := range list {
+			present++
+			if i.exited() {
+				continue
+			}
+			live++
+			if attempt != 0 && attempt != i.Attempt {
+				same = false
+			}
+			attempt = i.Attempt
+			switch i.State {
+			case taskReserved:
+				reserved++
+			case protocol.TaskRunning, protocol.TaskFlushing:
+				begun++
+			}
+		}
+	}
+	switch {
+	case live == 0 && present > 0:
+		return 0 // exited attempts are being cleared away
+	case live == 0:
+		return o.gatherGang(js, now, rq)
+	case reserved == s.Tasks && same:
+		for index, list := range tasks {
+			o.start(js, index, attempt, choice{machine: list[0].machine}, false, rq)
+		}
+		return s.Tasks
+	case reserved == live || !same:
+		o.stopGang(js, 0, now, rq)
+		js.blocked = now.Add(time.Second)
+		return 1
+	case live < s.Tasks && begun == 0 && reserved == 0 && present == live:
+		// Not started yet: a replacement with the same attempt completes it.
+		return o.completeGang(js, attempt, now, rq)
+	case live < s.Tasks && begun > 0:
+		// The rest notices by itself; make sure of it after a while.
+		if js.waitFrom.IsZero() {
+			js.waitFrom = now
+		} else if now.Sub(js.waitFrom) > 2*o.cfg.GangPeer() {
+			o.stopGang(js, 0, now, rq)
+		}
+		return 1
+	}
+	js.waitFrom = time.Time{}
+	return 0
+}
+
+func (o *Owner) stopGang(js *jobState, grace float64, now time.Time, rq requests) {
+	for _, list := range o.board.tasks[js.job.Spec.ID] {
+		for _, i := range list {
+			if !i.exited() {
+				o.askStop(i, grace, now, rq)
+			}
+		}
+	}
+}
+
+// gatherGang looks for room for all tasks at once, in each zone in turn if
+// they must share one.
+func (o *Owner) gatherGang(js *jobState, now time.Time, rq requests) int {
+	s := js.job.Spec
+	for _, at := range js.retryAt {
+		if now.Before(at) {
+			return 0
+		}
+	}
+	clear(js.retryAt)
+	js.waitFrom = time.Time{}
+	if !o.teamRoom(js, s.Tasks) {
+		js.blocked = now.Add(500 * time.Millisecond)
+		return 1
+	}
+	machines := o.machinesNow()
+	if s.Tasks == 1 {
+		if c, ok := o.find(js, o.placingFor(js), machines, now); ok {
+			o.start(js, 0, o.newAttempt(), c, false, rq)
+		} else {
+			js.blocked = now.Add(400 * time.Millisecond)
+		}
+		return 1
+	}
+	zones := []string{""}
+	if s.OneZone {
+		zones = nil
+		for _, m := range machines {
+			if !slices.Contains(zones, m.Zone) {
+				zones = append(zones, m.Zone)
+			}
+		}
+		rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
+	}
+	for _, zone := range zones {
+		if picks := o.pickGang(js, zone, machines, now); picks != nil {
+			attempt := o.newAttempt()
+			for index, c := range picks {
+				c.machine.promised = c.machine.promised.Sub(s.Need()) // start promises it again
+				o.start(js, index, attempt, c, true, rq)
+			}
+			return s.Tasks
+		}
+	}
+	js.blocked = now.Add(time.Second)
+	return s.Tasks
+}
+
+func (o *Owner) pickGang(js *jobState, zone string, machines []*boardMachine, now time.Time) []choice {
+	s := js.job.Spec
+	count := map[string]int{}
+	p := o.placingFor(js)
+	p.zoneOK = func(z string) bool {
+		return (zone == "" || z == zone) && (!s.Scatter || count[z] < s.ZoneShare())
+	}
+	var picks []choice
+	for range s.Tasks {
+		c, ok := o.find(js, p, machines, now)
+		if !ok || len(c.evict) > 0 {
+			for _, c := range picks {
+				c.machine.promised = c.machine.promised.Sub(s.Need())
+			}
+			return nil
+		}
+		count[c.machine.Zone]++
+		c.machine.promised = c.machine.promised.Add(s.Need())
+		picks = append(picks, c)
+	}
+	return picks
+}
+
+func (o *Owner) completeGang(js *jobState, attempt uint64, now time.Time, rq requests) int {
+	s := js.job.Spec
+	machines := o.machinesNow()
+	looked := 0
+	for index := 0; index < s.Tasks && looked < 32; index++ {
+		if len(o.board.tasks[s.ID][index]) > 0 || js.pending[index] != nil {
+			continue
+		}
+		looked++
+		if !o.teamRoom(js, 1) {
+			break
+		}
+		if c, ok := o.find(js, o.placingFor(js), machines, now); ok {
+			o.start(js, index, attempt, c, false, rq)
+		}
+	}
+	return looked
+}
+
+// bornBy is a revision after which created jobs are new to everyone, for jobs
+// that are ours since the window given; 0 if none is known yet.
+func (o *Owner) bornBy(gain uint64) uint64 {
+	best := uint64(0)
+	for g, rev := range o.born {
+		if g >= gain && (best == 0 || rev < best) {
+			best = rev
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/session.go
@@ -0,0 +1,99 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
+	"daledyke/internal/transport"
+)
+
+// Session keeps a controller's lease in the state service. The controller
+// may act while the lease surely lives: counted on its own steady clock from
+// when the last good renewal was sent, less drift and a margin (invariant 2).
+type Session struct {
+	name  string
+	ttl   time.Duration
+	store *bookkeeping.Store
+	base  time.Time
+	// until is the end of validity as nanoseconds after base.
+	until atomic.Int64
+	term  atomic.Uint64
+	lease atomic.Uint64
+	deaf  atomic.Bool
+	// lost is called after a session ended and before the next one begins.
+	lost func()
+}
+
+// NewSession makes a session; Run opens it.
+func NewSession(c *config.Config, store *bookkeeping.Store, lost func()) *Session {
+	return &Session{name: c.Name, ttl: c.SessionTTL(), store: store, base: time.Now(), lost: lost}
+}
+
+// Valid tells whether the controller may act now.
+func (s *Session) Valid() bool { return int64(time.Since(s.base)) < s.until.Load() }
+
+// Term is the incarnation of this controller, 0 before its first session.
+func (s *Session) Term() uint64 { return s.term.Load() }
+
+// Lease is the lease that the session lives by.
+func (s *Session) Lease() uint64 { return s.lease.Load() }
+
+func (s *Session) extend(sent time.Time) {
+	s.until.Store(int64(sent.Add(config.SurelyWithin(s.ttl)).Sub(s.base)))
+}
+
+// Run opens sessions and renews them until ctx ends.
+func (s *Session) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		term, lease, sent, err := s.store.Join(ctx, s.name, s.ttl)
+		if err != nil {
+			slog.Info("cannot open a session", "err", err)
+			pause(ctx, 400*time.Millisecond)
+			continue
+		}
+		s.lease.Store(lease)
+		s.term.Store(term)
+		s.extend(sent)
+		slog.Info("session opened", "term", term)
+		s.renew(ctx, lease)
+		s.until.Store(0)
+		s.lost()
+		slog.Info("session lost", "term", term)
+	}
+}
+
+// renew returns once the lease is known to have ended.
+func (s *Session) renew(ctx context.Context, lease uint64) {
+	every := s.ttl / 6
+	wait := every
+	for ctx.Err() == nil {
+		pause(ctx, wait)
+		sent := time.Now()
+		err := s.store.Renew(ctx, time.Second, lease)
+		switch {
+		case err == nil:
+			s.extend(sent)
+			wait = every
+		case errors.Is(err, transport.ErrNoLease):
+			return
+		default:
+			slog.Debug("renewal failed", "err", err)
+			wait = min(every, 500*time.Millisecond)
+		}
+	}
+}
+
+// SetDeaf tells the others whether workers can reach this controller.
+func (s *Session) SetDeaf(ctx context.Context, deaf bool) {
+	if s.deaf.Load() == deaf || !s.Valid() {
+		return
+	}
+	if err := s.store.UpdateMember(ctx, s.name, bookkeeping.Member{Term: s.Term(), Deaf: deaf}, s.Lease()); err == nil {
+		s.deaf.Store(deaf)
+	}
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,109 @@
+// Package transport carries messages: clients of the state service, the cloud
+// and the workers, the listeners for users and workers, and net/rpc between
+// the controllers. Every call is bounded in time and in rate.
+package transport
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// ErrRefused: the other side answered that it did not do it.
+var ErrRefused = errors.New("refused, not executed")
+
+// ErrUnknown: no answer; it may have been done, or may yet be done later.
+var ErrUnknown = errors.New("no answer, outcome unknown")
+
+// Dialer opens connections; tests put in-memory pipes in its place.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// NetDialer dials TCP with a bounded wait.
+func NetDialer() Dialer {
+	d := &net.Dialer{Timeout: 1500 * time.Millisecond, KeepAlive: -1}
+	return d.DialContext
+}
+
+func newHTTPClient(dial Dialer, perHost int, idle time.Duration) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: perHost, MaxConnsPerHost: perHost,
+			IdleConnTimeout: idle, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// maxAnswer bounds what is read of any answer.
+const maxAnswer = 16 << 20
+
+// call makes one request. A nil error means that an answer came whole.
+func call(ctx context.Context, c *http.Client, method, url string, body any) (int, []byte, error) {
+	var rd io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil, err
+		}
+		rd = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, rd)
+	if err != nil {
+		return 0, nil, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+		// net/http would send the request again on a stale connection only
+		// for methods that may be repeated; POST is left alone.
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	return resp.StatusCode, raw, nil
+}
+
+// Urgency of a request among those that share a budget.
+type Urgency int
+
+const (
+	Background Urgency = iota
+	Ordinary
+	Urgent
+)
+
+// budget shares a rate: the less urgent a request, the smaller the part of
+// the rate that it may use.
+type budget struct {
+	tiers [3]*rate.Limiter
+}
+
+func newBudget(perSecond float64) *budget {
+	b := &budget{}
+	for i, part := range [3]float64{0.4, 0.7, 1} {
+		r := perSecond * part
+		b.tiers[i] = rate.NewLimiter(rate.Limit(r), max(1, int(r)))
+	}
+	return b
+}
+
+// wait blocks until n requests of this urgency fit, or ctx ends.
+func (b *budget) wait(ctx context.Context, u Urgency, n int) error {
+	for t := u; t <= Urgent; t++ {
+		if l := b.tiers[t]; l.WaitN(ctx, min(n, l.Burst())) != nil {
+			return fmt.Errorf("%w: no budget in time", ErrRefused)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/transport/cloud.go
@@ -0,0 +1,79 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// ErrNoCapacity: the cloud has none of what was asked for.
+var ErrNoCapacity = errors.New("no capacity")
+
+// Cloud is the client of the cloud's interface.
+type Cloud struct {
+	http   *http.Client
+	base   string
+	budget *budget
+}
+
+// NewCloud makes a client that uses a share of the cloud's budget.
+func NewCloud(dial Dialer, addr string, rps float64) *Cloud {
+	return &Cloud{http: newHTTPClient(dial, 8, time.Minute), base: "http://" + addr, budget: newBudget(rps)}
+}
+
+func (c *Cloud) call(ctx context.Context, u Urgency, method, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
+	defer cancel()
+	if err := c.budget.wait(ctx, u, 1); err != nil {
+		return err
+	}
+	code, raw, err := call(ctx, c.http, method, c.base+path, body)
+	if err != nil {
+		return err
+	}
+	if code != http.StatusOK {
+		var e struct {
+			Error string `json:"error"`
+		}
+		if decode(raw, &e) == nil && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return fmt.Errorf("%w: cloud answers %d %.80s", ErrRefused, code, raw)
+	}
+	if into == nil {
+		return nil
+	}
+	return decode(raw, into)
+}
+
+// Catalog reads the machine types and their current prices.
+func (c *Cloud) Catalog(ctx context.Context) (cat protocol.Catalog, err error) {
+	err = c.call(ctx, Urgent, http.MethodGet, "/catalog", nil, &cat)
+	return cat, err
+}
+
+// Rent asks for machines.
+func (c *Cloud) Rent(ctx context.Context, r protocol.RentRequest) (names protocol.MachineNames, err error) {
+	err = c.call(ctx, Urgent, http.MethodPost, "/rentals", r, &names)
+	return names, err
+}
+
+// Return gives machines back; once it succeeds they are gone.
+func (c *Cloud) Return(ctx context.Context, names []string) error {
+	return c.call(ctx, Urgent, http.MethodPost, "/rentals/return", protocol.MachineNames{Machines: names}, nil)
+}
+
+// List reads a page of the machine list.
+func (c *Cloud) List(ctx context.Context, from string) (l protocol.MachineList, err error) {
+	path := "/rentals?limit=500"
+	if from != "" {
+		path += "&from=" + url.QueryEscape(from)
+	}
+	err = c.call(ctx, Ordinary, http.MethodGet, path, nil, &l)
+	return l, err
+}
--- /dev/null
+++ b/internal/transport/front.go
@@ -0,0 +1,162 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"golang.org/x/net/netutil"
+
+	"daledyke/internal/protocol"
+)
+
+// Service is what the front door needs of a controller.
+type Service interface {
+	Healthy() bool
+	Submit(ctx context.Context, body []byte) (status int, answer any)
+	Status(ctx context.Context, id string) (*protocol.JobStatus, error)
+	Cancel(ctx context.Context, id string) (status int, answer any)
+	Report(ctx context.Context, rep *protocol.Report) (status int, answer any)
+}
+
+// answerWithin bounds how long a user's request may take here.
+const answerWithin = 4 * time.Second
+
+type front struct{ s Service }
+
+// Front is the handler for users, workers and health checks.
+func Front(s Service) http.Handler {
+	f := front{s}
+	r := httprouter.New()
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	r.GET("/healthz", f.health)
+	r.POST("/v1/jobs", f.submit)
+	r.GET("/v1/jobs/:id", f.status)
+	r.POST("/v1/jobs/:id/cancel", f.cancel)
+	r.POST("/checkin", f.report)
+	r.PanicHandler = func(w http.ResponseWriter, _ *http.Request, p any) {
+		slog.Error("request failed", "panic", p)
+		reply(w, http.StatusInternalServerError, nil)
+	}
+	return r
+}
+
+// ServeFront serves the front door until the listener closes. The number of
+// connections is bounded, and so is how long a slow client may take.
+func ServeFront(l net.Listener, s Service, connections int) error {
+	srv := &http.Server{Handler: Front(s), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
+		WriteTimeout: 15 * time.Second, IdleTimeout: 5 * time.Minute, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
+	return srv.Serve(netutil.LimitListener(l, connections))
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	if err, ok := body.(error); ok {
+		body = map[string]string{"error": err.Error()}
+	}
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	if body == nil {
+		w.WriteHeader(status)
+		return
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		slog.Error("answer not encoded", "err", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(raw)
+}
+
+var errBody = errors.New("the body is too large or did not come whole")
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxBody))
+	if err != nil {
+		reply(w, http.StatusBadRequest, errBody)
+		return nil, false
+	}
+	return body, true
+}
+
+func (f front) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if f.s.Healthy() {
+		reply(w, http.StatusOK, nil)
+	} else {
+		reply(w, http.StatusServiceUnavailable, nil)
+	}
+}
+
+func (f front) submit(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	status, answer := f.s.Submit(ctx, body)
+	reply(w, status, answer)
+}
+
+var errNoJob = errors.New("no such job")
+
+func (f front) status(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	id := p.ByName("id")
+	if !protocol.ValidJobID(id) {
+		reply(w, http.StatusNotFound, errNoJob)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	st, err := f.s.Status(ctx, id)
+	switch {
+	case err != nil:
+		reply(w, http.StatusServiceUnavailable, errors.New("cannot be told now"))
+	case st == nil:
+		reply(w, http.StatusNotFound, errNoJob)
+	default:
+		reply(w, http.StatusOK, st)
+	}
+}
+
+func (f front) cancel(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	id := p.ByName("id")
+	if !protocol.ValidJobID(id) {
+		reply(w, http.StatusNotFound, errNoJob)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	status, answer := f.s.Cancel(ctx, id)
+	reply(w, status, answer)
+}
+
+func (f front) report(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 4<<20))
+	var rep protocol.Report
+	if err == nil {
+		err = json.Unmarshal(body, &rep)
+	}
+	if err == nil {
+		err = rep.Validate()
+	}
+	if err != nil {
+		slog.Debug("senseless report", "err", err)
+		reply(w, http.StatusBadRequest, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+	defer cancel()
+	status, answer := f.s.Report(ctx, &rep)
+	reply(w, status, answer)
+}
--- /dev/null
+++ b/internal/transport/state.go
@@ -0,0 +1,163 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// ErrTooOld: the watch asked for changes that are no longer kept.
+var ErrTooOld = errors.New("changes no longer kept")
+
+// ErrNoLease: the lease has ended.
+var ErrNoLease = errors.New("no such lease")
+
+// State is the client of the state service.
+type State struct {
+	http   *http.Client
+	base   string
+	reads  *budget
+	writes *budget
+}
+
+// NewState makes a client that uses a share of the service's budgets.
+func NewState(dial Dialer, addr string, rps, writeRPS float64) *State {
+	return &State{http: newHTTPClient(dial, 32, time.Minute), base: "http://" + addr,
+		reads: newBudget(rps), writes: newBudget(writeRPS)}
+}
+
+func (s *State) call(ctx context.Context, u Urgency, timeout time.Duration, method, path string, body any) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := s.reads.wait(ctx, u, 1); err != nil {
+		return 0, nil, err
+	}
+	code, raw, err := call(ctx, s.http, method, s.base+path, body)
+	if err == nil && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
+		return code, raw, fmt.Errorf("%w: state service answers %d", ErrRefused, code)
+	}
+	return code, raw, err
+}
+
+func decode(raw []byte, into any) error {
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("%w: senseless answer: %v", ErrUnknown, err)
+	}
+	return nil
+}
+
+func unexpected(code int, raw []byte) error {
+	return fmt.Errorf("%w: status %d %.80s", ErrUnknown, code, raw)
+}
+
+// Get reads a key; found is false if it does not exist.
+func (s *State) Get(ctx context.Context, u Urgency, timeout time.Duration, key string) (p protocol.Pair, found bool, err error) {
+	code, raw, err := s.call(ctx, u, timeout, http.MethodGet, "/keys/"+key, nil)
+	switch {
+	case err != nil:
+		return p, false, err
+	case code == http.StatusNotFound:
+		return p, false, nil
+	case code != http.StatusOK:
+		return p, false, unexpected(code, raw)
+	}
+	return p, true, decode(raw, &p)
+}
+
+// List reads a page of the keys with a prefix.
+func (s *State) List(ctx context.Context, u Urgency, prefix, from string) (page protocol.Page, err error) {
+	q := "?prefix=" + url.QueryEscape(prefix) + "&limit=1000"
+	if from != "" {
+		q += "&from=" + url.QueryEscape(from)
+	}
+	code, raw, err := s.call(ctx, u, 5*time.Second, http.MethodGet, "/keys"+q, nil)
+	if err == nil && code != http.StatusOK {
+		err = unexpected(code, raw)
+	}
+	if err != nil {
+		return page, err
+	}
+	return page, decode(raw, &page)
+}
+
+// Commit tries a transaction; ok tells whether its conditions held.
+func (s *State) Commit(ctx context.Context, u Urgency, timeout time.Duration, txn protocol.Txn) (ans protocol.TxnAnswer, ok bool, err error) {
+	if txn.If == nil {
+		txn.If = []protocol.Condition{}
+	}
+	if txn.Then == nil {
+		txn.Then = []protocol.Change{}
+	}
+	if n := len(txn.Then); n > 0 {
+		wctx, cancel := context.WithTimeout(ctx, timeout)
+		err := s.writes.wait(wctx, u, n)
+		cancel()
+		if err != nil {
+			return ans, false, err
+		}
+	}
+	code, raw, err := s.call(ctx, u, timeout, http.MethodPost, "/multi", txn)
+	switch {
+	case err != nil:
+		return ans, false, err
+	case code == http.StatusOK || code == http.StatusConflict:
+		return ans, code == http.StatusOK, decode(raw, &ans)
+	case code == http.StatusBadRequest:
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(raw, &e) == nil && e.Error == "no such lease" {
+			return ans, false, ErrNoLease
+		}
+	}
+	return ans, false, unexpected(code, raw)
+}
+
+// OpenLease opens a lease.
+func (s *State) OpenLease(ctx context.Context, ttl time.Duration) (uint64, error) {
+	code, raw, err := s.call(ctx, Urgent, 3*time.Second, http.MethodPost, "/leases", protocol.LeaseRequest{TTLMs: ttl.Milliseconds()})
+	if err == nil && code != http.StatusOK {
+		err = unexpected(code, raw)
+	}
+	if err != nil {
+		return 0, err
+	}
+	var a protocol.LeaseAnswer
+	return a.Lease, decode(raw, &a)
+}
+
+// TouchLease renews a lease; ErrNoLease means that it has ended.
+func (s *State) TouchLease(ctx context.Context, timeout time.Duration, lease uint64) error {
+	code, raw, err := s.call(ctx, Urgent, timeout, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/touch", nil)
+	switch {
+	case err != nil:
+		return err
+	case code == http.StatusNotFound:
+		return ErrNoLease
+	case code != http.StatusOK:
+		return unexpected(code, raw)
+	}
+	return nil
+}
+
+// Watch waits for changes after a revision.
+func (s *State) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (ev protocol.Events, err error) {
+	path := fmt.Sprintf("/changes?prefix=%s&from=%d&blockMs=%d", url.QueryEscape(prefix), from, block.Milliseconds())
+	code, raw, err := s.call(ctx, Urgent, block+2*time.Second, http.MethodGet, path, nil)
+	switch {
+	case err != nil:
+		return ev, err
+	case code == http.StatusGone:
+		return ev, ErrTooOld
+	case code != http.StatusOK:
+		return ev, unexpected(code, raw)
+	}
+	return ev, decode(raw, &ev)
+}
