--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,80 @@
+package protocol
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+const sound = `{"id":"wk-000412","laneClass":"train","crew":"vision","shape":"ensemble","urgency":"high","passes":16,
+ "cores":8.0,"accelerators":1.0,"ramGb":64.0,"build":"img-07","pullGb":6.2,"rigs":["g8"],"plaza":null,"oneZone":true,
+ "scatter":false,"standby":true,"expectedS":240.0,"snapshotS":30.0,"flushS":4.0,"dueS":900.0}`
+
+func TestSubmissionsAreJudged(t *testing.T) {
+	if s, err := ParseJob([]byte(sound)); err != nil || s.Tasks != 16 || s.Shape != Gang || !s.Spot {
+		t.Fatalf("a sound submission was read as %+v, %v", s, err)
+	}
+	for name, change := range map[string][2]string{
+		"no tasks":         {`"passes":16`, `"passes":0`},
+		"too many tasks":   {`"passes":16`, `"passes":100001`},
+		"half a task":      {`"passes":16`, `"passes":1.5`},
+		"wrong id":         {`wk-000412`, `job-1`},
+		"missing field":    {`"cores":8.0,`, ``},
+		"null field":       {`"cores":8.0`, `"cores":null`},
+		"negative amount":  {`"cores":8.0`, `"cores":-1`},
+		"endless amount":   {`"cores":8.0`, `"cores":1e400`},
+		"unknown shape":    {`ensemble`, `heap`},
+		"unknown urgency":  {`"high"`, `"urgent"`},
+		"text for a truth": {`"oneZone":true`, `"oneZone":"yes"`},
+		"not an object":    {sound, `[1]`},
+		"not JSON":         {sound, `{"id":`},
+	} {
+		if _, err := ParseJob([]byte(strings.Replace(sound, change[0], change[1], 1))); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+	for _, optional := range []string{`"rigs":["g8"],`, `"plaza":null,`} {
+		if _, err := ParseJob([]byte(strings.Replace(sound, optional, "", 1))); err != nil {
+			t.Errorf("without %s: %v", optional, err)
+		}
+	}
+	if id := PeekID([]byte(`{"id":"wk-7","passes":"many"}`)); id != "wk-7" {
+		t.Errorf("the id of a malformed submission was read as %q", id)
+	}
+}
+
+func TestRingIsSharedEqually(t *testing.T) {
+	if RingShare(math.MinInt64, 3) != 0 || RingShare(math.MaxInt64, 3) != 2 || RingShare(0, 2) != 1 || RingShare(-1, 2) != 0 {
+		t.Error("the ends of the shares are wrong")
+	}
+	count := [3]int{}
+	for i := range 30000 {
+		count[RingShare(RingToken(TaskName("wk-1", i)), 3)]++
+	}
+	for _, n := range count {
+		if n < 9500 || n > 10500 {
+			t.Errorf("shares are uneven: %v", count)
+		}
+	}
+	// Known value of the 128-bit Murmur3 hash: its first half for an empty
+	// text is 0.
+	if RingToken("") != 0 {
+		t.Error("the ring's hash is not Murmur3")
+	}
+}
+
+func TestTokensOrderTermsThenSequences(t *testing.T) {
+	if !(NewToken(2, 0) > NewToken(1, 1<<32-1)) || !(NewToken(1, 2) > NewToken(1, 1)) || NewToken(7, 9).Term() != 7 {
+		t.Error("tokens are out of order")
+	}
+}
+
+func FuzzParseJob(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte(`{"id":"wk-1","passes":1e99}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if s, err := ParseJob(body); err == nil && (s.Validate() != nil || s.ID != PeekID(body)) {
+			t.Errorf("taken, but senseless: %q", body)
+		}
+	})
+}
