Preempt only when the aim leaves no time to wait; count shared image fetches

Cause: high-priority tasks stopped idle work at once although room often came free in time, and several images were fetched at once on one machine, where they share its rate.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -78,7 +78,8 @@
 	notice    bool
 	entries   map[string]*entry
 	images    []image // most recently used last
-	busy      bool    // a direct command is under way
+	ready     map[string]bool
+	busy      bool // a direct command is under way
 	holdOff   time.Time
 	drainTill time.Time
 	silent    bool
@@ -366,7 +367,7 @@
 	}
 	w := h.byID[rep.Machine]
 	if w == nil {
-		w = &worker{id: rep.Machine, slot: s, seq: 1, entries: map[string]*entry{}, errorsBy: map[string]bool{}}
+		w = &worker{id: rep.Machine, slot: s, seq: 1, entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
 		h.byID[rep.Machine] = w
 	}
 	if !h.hear(w, rep) {
@@ -456,6 +457,9 @@
 func (h *Holder) noteState(w *worker, e *entry, t protocol.TaskReport) {
 	if j := h.jobs[e.job]; j != nil && t.State != protocol.TaskExited {
 		w.useImage(image{j.Spec.Image, j.Spec.ImageGB}, h.types[w.rig].CacheGB)
+		if t.State != protocol.TaskPulling {
+			w.ready[j.Spec.Image] = true
+		}
 	}
 	if t.State != protocol.TaskExited {
 		return
@@ -480,6 +484,9 @@
 	for i := len(w.images) - 1; i >= 0; i-- {
 		total += w.images[i].gb
 		if total > cache && i < len(w.images)-1 {
+			for _, old := range w.images[:i+1] {
+				delete(w.ready, old.name)
+			}
 			w.images = slices.Clone(w.images[i+1:])
 			return
 		}
@@ -821,6 +828,9 @@
 		v.Images = append(v.Images, i.name)
 	}
 	for _, e := range w.entries {
+		if j := h.jobs[e.job]; j != nil && (e.state == protocol.TaskPulling || e.unconfirmed()) && !slices.Contains(v.Pulling, j.Spec.Image) && !w.ready[j.Spec.Image] {
+			v.Pulling = append(v.Pulling, j.Spec.Image)
+		}
 		v.Tasks = append(v.Tasks, TaskView{Task: e.task, Attempt: e.attempt, State: e.state, Cause: e.cause, Saved: e.saved})
 	}
 	return v
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -42,7 +42,9 @@
 	Leaving bool
 	// Drained: draining was asked for and nothing can be on it.
 	Drained bool
+	// Images are cached, or being fetched as Pulling says.
 	Images  []string
+	Pulling []string
 	Tasks   []TaskView
 }
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -64,9 +65,7 @@
 	t := p.types[m.Type]
 	whole := t.Room()
 	c := 0.0
-	if !slices.Contains(m.Images, p.spec.Image) && t.FetchRate > 0 {
-		c += p.spec.ImageGB / t.FetchRate
-	}
+	c += p.fetch(m).Seconds()
 	left := m.Free.Sub(m.promised).Sub(p.spec.Need())
 	c += 8 * left.Share(whole)
 	if p.scarce[t.Name] {
@@ -84,6 +83,23 @@
 	return c
 }
 
+// fetch is how long a machine will take to have the task's image. Images that
+// are fetched at the same time share the machine's rate.
+func (p *placing) fetch(m *boardMachine) time.Duration {
+	t := p.types[m.Type]
+	if t.FetchRate <= 0 {
+		return 0
+	}
+	whole := protocol.Seconds(p.spec.ImageGB / t.FetchRate)
+	switch {
+	case slices.Contains(m.Pulling, p.spec.Image):
+		return whole / 2 * time.Duration(len(m.Pulling))
+	case slices.Contains(m.Images, p.spec.Image):
+		return 0
+	}
+	return whole * time.Duration(1+len(m.Pulling))
+}
+
 // evictable is what preemption needs to know of a task on a machine.
 type evictable struct {
 	name  string
@@ -94,9 +110,10 @@
 // preempt finds the machine on which the least is lost by stopping work of
 // lower priority. price gives what stopping a task would cost, or false if it
 // may not be stopped.
-func (p *placing) preempt(machines []*boardMachine, price func(*inst) (evictable, bool)) (choice, bool) {
+// The machine must be worth more than what else there is, if anything.
+func (p *placing) preempt(machines []*boardMachine, orElse float64, price func(*inst) (evictable, bool)) (choice, bool) {
 	var best choice
-	bestPrice := 0.0
+	bestPrice := orElse
 	need := p.spec.Need()
 	for _, m := range machines {
 		if !p.allowed(m) {
@@ -122,7 +139,7 @@
 			evict = append(evict, e.name)
 			total += e.price
 		}
-		if room.Fits(need) && (best.machine == nil || total < bestPrice) {
+		if len(evict) > 0 && room.Fits(need) && total < bestPrice {
 			best, bestPrice = choice{m, evict}, total
 		}
 	}
@@ -295,14 +312,38 @@
 
 // find finds a machine with room, or one where room may be made.
 func (o *Owner) find(js *jobState, p *placing, machines []*boardMachine, now time.Time) (choice, bool) {
-	if c, ok := p.bestFit(machines); ok {
-		return c, true
-	}
-	rank := js.job.Spec.Priority.Rank()
-	if rank < 2 || now.Sub(js.known) < time.Second {
-		return choice{}, false
+	s := js.job.Spec
+	c, ok := p.bestFit(machines)
+	rank := s.Priority.Rank()
+	if rank < 2 || now.Sub(js.known) < 500*time.Millisecond {
+		return c, ok
+	}
+	other := math.Inf(1)
+	within := o.within(s.Class)
+	if ok {
+		other = p.cost(c.machine)
+	}
+	waited := now.Sub(js.job.Accepted)
+	if e, found := p.preempt(machines, other, o.price(rank, now)); found {
+		// Stopping other work is the last resort: as long as the aim leaves
+		// time, room may come free by itself.
+		left := within - waited - p.fetch(e.machine) - 10*time.Second
+		if !ok && left < within/5 || ok && p.fetch(c.machine) > within-waited {
+			return e, true
+		}
+	}
+	return c, ok
+}
+
+// within is how soon the users want tasks of a class to start.
+func (o *Owner) within(class string) time.Duration {
+	within := time.Minute
+	for _, a := range o.cfg.Deployment.Objectives {
+		if a.Class == class && a.Kind == "wait" && a.WithinS > 0 {
+			within = protocol.Seconds(a.WithinS)
+		}
 	}
-	return p.preempt(machines, o.price(rank, now))
+	return within
 }
 
 // placeGang starts a gang when all its tasks have room: reserved first, so
