--- a/internal/coordination/board.go
+++ b/internal/coordination/board.go
@@ -30,6 +30,7 @@
 	term     uint64
 	holder   string
 	complete bool
+	awaited  []string
 	// window is the newest window that the holder obeyed when it last said
 	// that the slot is complete.
 	window uint64
@@ -69,7 +70,7 @@
 				}
 			}
 		}
-		s.holder, s.complete = holder, sv.Complete
+		s.holder, s.complete, s.awaited = holder, sv.Complete, sv.Awaited
 		if sv.Complete {
 			s.window = max(s.window, r.Window)
 		}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -144,10 +144,10 @@
 
 func (h *Holder) touch(w *worker) { w.version = h.bump() }
 
-// silentAfter is when a worker's silence tells of trouble: later than any
-// regular report and before its lease ends.
+// silentAfter is when a worker's silence tells of trouble: two regular reports
+// and the time to find another controller have passed.
 func (h *Holder) silentAfter() time.Duration {
-	return max(3*h.cfg.ReportEvery(), h.cfg.WorkerLease()/2)
+	return min(h.cfg.ReportEvery()*8/3, h.cfg.WorkerLease()/2)
 }
 
 // ---- the wanted state: which slots to hold
@@ -806,7 +806,13 @@
 		r.Full, since = true, 0
 	}
 	for _, s := range h.slots {
-		r.Slots = append(r.Slots, SlotView{Slot: s.slot, Term: s.term, Complete: s.complete})
+		sv := SlotView{Slot: s.slot, Term: s.term, Complete: s.complete}
+		if time.Since(s.adopted) > h.silentAfter()+2*time.Second {
+			for id := range s.awaited {
+				sv.Awaited = append(sv.Awaited, id)
+			}
+		}
+		r.Slots = append(r.Slots, sv)
 	}
 	for _, w := range h.byID {
 		if w.version > since && (w.verified || w.lapsed) {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -259,7 +259,7 @@
 		boots[id] = b
 		st.in.machines = append(st.in.machines, b)
 	}
-	if len(st.silent) <= max(2, len(st.seen)/3) {
+	if len(st.silent) <= max(2, len(st.reg)/3) {
 		gone = append(gone, st.silent...)
 	}
 	for _, id := range st.suspect {
@@ -435,6 +435,12 @@
 		for id, m := range o.machReg {
 			st.reg[id] = m
 		}
+		for _, s := range o.board.slots {
+			if p := o.peers[s.holder]; p != nil && p.valid {
+				// Jobs whose tasks may be there wait until they are gone.
+				st.silent = append(st.silent, s.awaited...)
+			}
+		}
 		for id, m := range o.board.machines {
 			st.seen[id] = true
 			st.holder[id] = m.holder
@@ -445,7 +451,9 @@
 				st.drained[id] = true
 			}
 			if p := o.peers[m.holder]; m.Silent && m.current && p != nil && p.valid {
-				st.silent = append(st.silent, id)
+				if !slices.Contains(st.silent, id) {
+					st.silent = append(st.silent, id)
+				}
 				continue
 			}
 			if m.Suspect {
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -53,6 +53,9 @@
 	Slot     int
 	Term     uint64
 	Complete bool
+	// Awaited machines may have tasks and have been silent since the slot
+	// was taken, for longer than a healthy worker would let pass.
+	Awaited []string
 }
 
 // FeedArgs ask a holder for all that changed since a version, and promise it
