Refuse requests of owners that go by a window from before they lost a range

Holders now demand a window at least as new as the first with the present owners, and owners adopt what holders obey.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -37,7 +37,9 @@
 
 	window *bookkeeping.Window // whose owners are obeyed
 	latest *bookkeeping.Window // newest known, may start later
-	fences map[string]protocol.Token
+	// ownersSince is the first window of those in a row with the same owners.
+	ownersSince uint64
+	fences      map[string]protocol.Token
 
 	syncedAt time.Time
 	adopting bool
@@ -325,10 +327,14 @@
 
 // obey adopts a window: from now on only its owners' requests count.
 func (h *Holder) obey(w *bookkeeping.Window) {
-	if w != nil && (h.window == nil || w.Number > h.window.Number) {
-		h.window = w
-		h.bump()
+	if w == nil || h.window != nil && w.Number <= h.window.Number {
+		return
+	}
+	if h.window == nil || w.Number != h.window.Number+1 || !slices.Equal(w.Owners, h.window.Owners) {
+		h.ownersSince = w.Number
 	}
+	h.window = w
+	h.bump()
 }
 
 // obeyUpTo adopts the newest window if a caller has adopted one that is
@@ -638,6 +644,12 @@
 	if a.ID < h.fences[a.Caller] || h.window == nil || a.Window > h.window.Number || !h.session.Valid() {
 		return r, false
 	}
+	if a.Window < h.ownersSince {
+		// A caller that was cut off may still go by a window from before it
+		// lost its range, and have got the range back since: what it knows
+		// leaves out what others started in between.
+		return r, false
+	}
 	for _, st := range a.Stops {
 		h.stop(a, st)
 	}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -165,6 +165,9 @@
 func (o *Owner) feed(name string, a *FeedArgs, r *FeedReply, sent time.Time) {
 	p := o.peers[name]
 	p.incarnation, p.version, p.valid, p.heard, p.window = r.Incarnation, r.Version, r.Valid, time.Now(), r.Window
+	if w := o.window(); o.latest != nil && r.Window == o.latest.Number && w != nil && w.Number < r.Window {
+		o.obey(o.latest) // the holder obeys it already and refuses older ones
+	}
 	kept := r.Machines[:0]
 	for _, m := range r.Machines {
 		if !o.gone[m.ID] {
