--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const sound = `host_name = "n0"
+front = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+unknown = "is ignored"
+[[siblings]]
+host_name = "n1"
+peer_addr = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+size = 2
+[deployment.workers]
+report_s = 3.0
+lease_s = 26.0
+gang_wait_s = 35.0
+gang_peer_s = 6.0
+cancel_s = 51.0
+[deployment.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 8.0
+txn_ops = 12
+[deployment.cloud]
+rps = 6.0
+list_lag_s = 5.0
+[deployment.machine_limits]
+mem_mb = 125.0
+fd_limit = 1800
+`
+
+func load(t *testing.T, platform string) (*Config, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(file, []byte(platform), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(file, "")
+}
+
+func TestPlatformSettings(t *testing.T) {
+	c, err := load(t, sound)
+	if err != nil || c.WorkerLease() != 26*time.Second || c.Window != 10*time.Second || len(c.Names()) != 2 {
+		t.Fatalf("sound settings were read as %+v, %v", c, err)
+	}
+	for named, change := range map[string][2]string{
+		"host_name":      {`host_name = "n0"`, ``},
+		"services.state": {`state = "10.2.0.1:2379"`, `state = "nowhere"`},
+		"lease_s":        {`lease_s = 26.0`, `lease_s = -1.0`},
+		"txn_ops":        {`txn_ops = 12`, ``},
+		"n0":             {`host_name = "n1"`, `host_name = "n0"`},
+		"line":           {`[deployment]`, `[deployment`},
+	} {
+		_, err := load(t, strings.Replace(sound, change[0], change[1], 1))
+		if err == nil || !strings.Contains(err.Error(), named) || strings.Contains(err.Error(), "\n\n") {
+			t.Errorf("%q in place of %q: %v", change[1], change[0], err)
+		}
+	}
+}
+
+func TestOperatorSettings(t *testing.T) {
+	o := Defaults()
+	if err := o.parse([]byte("; ours\n(daledyke (window-s 20) (publish-offset-s 7.5) (sample 3) (spare 0))")); err != nil ||
+		o.Window != 20*time.Second || o.PublishOffset != 7500*time.Millisecond || o.Sample != 3 || o.Spare != 0 {
+		t.Fatalf("read as %+v, %v", o, err)
+	}
+	for text, named := range map[string]string{
+		`(daledyke (windw-s 20))`:                        "windw-s",
+		`(daledyke (window-s soon))`:                     "window-s",
+		`(daledyke (sample 2.5))`:                        "sample",
+		`(daledyke (window-s 4) (publish-offset-s 4))`:   "publish-offset-s",
+		`(other (window-s 20))`:                          "daledyke",
+		`(daledyke window-s 20)`:                         "window-s",
+		`(daledyke (window-s 20`:                         "list",
+		`(daledyke (idle-after-s -3))`:                   "idle-after-s",
+		`(daledyke (window-s 1e999))`:                    "window-s",
+		`(daledyke (summary-s 2) (spare "much"))`:        "spare",
+		`(daledyke (publish-offset-s 5) (window-s 5.0))`: "publish-offset-s",
+	} {
+		o := Defaults()
+		if err := o.parse([]byte(text)); err == nil || !strings.Contains(err.Error(), named) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+func FuzzOperatorSettings(f *testing.F) {
+	f.Add([]byte("(daledyke (window-s 20))"))
+	f.Add([]byte("(daledyke (sample \"x\") #{1 2})"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		o := Defaults()
+		if o.parse(raw) == nil && (o.Window <= 0 || o.PublishOffset >= o.Window || o.Sample < 1) {
+			t.Errorf("taken, but senseless: %q gives %+v", raw, o)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/decisions_test.go
@@ -0,0 +1,174 @@
+package coordination
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/protocol"
+)
+
+// The pure decisions, each on a snapshot written down by hand.
+
+var controllers = []string{"c0", "c1", "c2"}
+
+func members(names ...string) map[string]*bookkeeping.Member {
+	out := map[string]*bookkeeping.Member{}
+	for i, n := range names {
+		out[n] = &bookkeeping.Member{Term: uint64(i + 1)}
+	}
+	return out
+}
+
+func TestNextWindow(t *testing.T) {
+	const every, offset = 10 * time.Second, 5 * time.Second
+	at := time.UnixMilli(1_000_000)
+	next := func(cur *bookkeeping.Window, m map[string]*bookkeeping.Member, now time.Time) *bookkeeping.Window {
+		return nextWindow(cur, m, controllers, now, every, offset)
+	}
+	first := next(nil, members("c0", "c1", "c2"), at)
+	if first == nil || first.Number != 1 || !slices.Equal(first.Owners, controllers) || len(first.Deal) != 6 {
+		t.Fatalf("first window: %+v", first)
+	}
+	if w := next(first, members("c0", "c1", "c2"), at.Add(4*time.Second)); w != nil {
+		t.Errorf("published before the middle: %+v", w)
+	}
+	w := next(first, members("c0", "c1", "c2"), at.Add(5*time.Second))
+	if w == nil || w.Number != 2 || w.StartMs != first.StartMs+every.Milliseconds() {
+		t.Errorf("published in the middle: %+v", w)
+	}
+	lost := next(first, members("c0", "c2"), at.Add(time.Second))
+	if lost == nil || !slices.Equal(lost.Owners, []string{"c0", "c2"}) || slices.Contains(lost.Deal, "c1") {
+		t.Errorf("a lost controller must be replaced at once: %+v", lost)
+	}
+	if !slices.Contains(lost.Deal[1:2], "c0") && !slices.Contains(lost.Deal[4:5], "c0") || lost.Deal[1] == lost.Deal[4] {
+		t.Errorf("the workers of the lost controller go to one heir alone: %v", lost.Deal)
+	}
+	deaf := members("c0", "c1", "c2")
+	deaf["c1"].Deaf = true
+	if w := next(first, deaf, at); w == nil || slices.Contains(w.Deal, "c1") || len(w.Owners) != 3 {
+		t.Errorf("a deaf controller keeps its range but gets no workers: %+v", w)
+	}
+}
+
+// A controller was cut off, lost its range and got it back in a later window
+// that it has not seen yet. What it asks by the old window must be refused:
+// its picture leaves out what others started in between.
+func TestOwnersMustKnowTheWindowThatMadeThemOwners(t *testing.T) {
+	h := &Holder{actor: newActor(context.Background()), changed: make(chan struct{}), fences: map[string]protocol.Token{},
+		session: &Session{base: time.Now()}}
+	h.session.until.Store(int64(time.Hour))
+	window := func(n uint64, owners ...string) *bookkeeping.Window {
+		return &bookkeeping.Window{Number: n, Owners: owners}
+	}
+	asks := func(by uint64) bool {
+		_, ok := h.serve(&AskArgs{Caller: "c0", ID: protocol.NewToken(1, 1), Window: by})
+		return ok
+	}
+	h.obey(window(1, "c0", "c1"))
+	h.obey(window(2, "c0", "c1"))
+	if !asks(1) || !asks(2) || asks(3) {
+		t.Error("equal windows in a row hand over without a pause, later ones are not obeyed yet")
+	}
+	h.obey(window(3, "c1"))
+	h.obey(window(4, "c0", "c1"))
+	if asks(2) || !asks(4) {
+		t.Error("an owner that goes by a window from before it lost its range was served")
+	}
+	h.obey(window(6, "c0", "c1"))
+	if asks(4) {
+		t.Error("a window was skipped: its owners are not known")
+	}
+	h.fences["c0"] = protocol.NewToken(2, 0)
+	if asks(6) {
+		t.Error("a request from before the fence was served")
+	}
+}
+
+func spec(mod func(*protocol.JobSpec)) *protocol.JobSpec {
+	s := &protocol.JobSpec{ID: "wk-1", Class: "batch", Team: "free", Shape: protocol.Array, Priority: "normal", Tasks: 4, Cores: 4, Accels: 1,
+		RAM: 16, Image: "img", ImageGB: 10, EstimateS: 60}
+	if mod != nil {
+		mod(s)
+	}
+	return s
+}
+
+var machineTypes = map[string]protocol.MachineType{
+	"small": {Name: "small", Cores: 8, Accels: 2, RAM: 64, CacheGB: 50, FetchRate: 1, Price: 2, SpotPrice: 0.5, BootS: 10, Zones: []string{"a", "b"}},
+	"large": {Name: "large", Cores: 32, Accels: 8, RAM: 256, CacheGB: 50, FetchRate: 1, Price: 9, SpotPrice: 2, BootS: 20, Zones: []string{"a", "b"}},
+}
+
+func machine(id, rig string, free protocol.Room, images ...string) *boardMachine {
+	return &boardMachine{current: true, MachineView: MachineView{ID: id, Type: rig, Zone: "a", Usable: true, Free: free, Images: images}}
+}
+
+func TestBestFit(t *testing.T) {
+	p := &placing{spec: spec(nil), types: machineTypes, scarce: map[string]bool{"large": true}, sample: 8, rng: rand.New(rand.NewPCG(1, 2))}
+	small, large := protocol.Room{Cores: 8, Accels: 2, RAM: 64}, protocol.Room{Cores: 32, Accels: 8, RAM: 256}
+	half := protocol.Room{Cores: 4, Accels: 1, RAM: 32}
+	away := machine("m9", "small", small, "img")
+	away.Usable = false
+	for name, c := range map[string]struct {
+		machines []*boardMachine
+		want     string
+	}{
+		"the fuller machine":                {[]*boardMachine{machine("m1", "small", small), machine("m2", "small", half)}, "m2"},
+		"the image at hand":                 {[]*boardMachine{machine("m1", "small", small, "img"), machine("m2", "small", half)}, "m1"},
+		"large ones are kept whole":         {[]*boardMachine{machine("m1", "large", large), machine("m2", "small", small)}, "m2"},
+		"one that can't be used is no good": {[]*boardMachine{away, machine("m2", "small", small)}, "m2"},
+	} {
+		got, ok := p.bestFit(c.machines)
+		if !ok || got.machine.ID != c.want {
+			t.Errorf("%s: %v, %v", name, got.machine, ok)
+		}
+	}
+	if _, ok := p.bestFit([]*boardMachine{machine("m1", "small", protocol.Room{Cores: 3, Accels: 2, RAM: 64})}); ok {
+		t.Error("placed where there is no room")
+	}
+}
+
+func TestPlanFleet(t *testing.T) {
+	refusedZone := ""
+	plan := func(machines []*fleetMachine, ds ...demand) ([]rental, []string) {
+		return planFleet(&fleetInput{types: machineTypes, machines: machines, demands: ds, idleAfter: 20 * time.Second,
+			refused: func(_, zone string, _ bool) bool { return zone == refusedZone }})
+	}
+	total := func(rs []rental) (n int) {
+		for _, r := range rs {
+			n += r.count
+		}
+		return n
+	}
+	if rent, _ := plan(nil, demand{spec: spec(nil), count: 4}); total(rent) != 2 || rent[0].rig != "small" || rent[0].spot {
+		t.Errorf("four tasks need two small machines: %+v", rent)
+	}
+	if rent, _ := plan(nil, demand{spec: spec(func(s *protocol.JobSpec) { s.Spot = true }), count: 4}); total(rent) != 2 || !rent[0].spot {
+		t.Errorf("cheap machines for work that may use them: %+v", rent)
+	}
+	booting := &fleetMachine{id: "m1", rig: "small", zone: "a", booting: true, free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
+	if rent, _ := plan([]*fleetMachine{booting}, demand{spec: spec(nil), count: 2}); total(rent) != 0 {
+		t.Errorf("machines that boot count: %+v", rent)
+	}
+	refusedZone = "a"
+	if rent, _ := plan(nil, demand{spec: spec(nil), count: 2}); total(rent) != 1 || rent[0].zone != "b" {
+		t.Errorf("refused kinds are left alone for a while: %+v", rent)
+	}
+	refusedZone = ""
+	idle := func() *fleetMachine {
+		return &fleetMachine{id: "m2", rig: "small", zone: "a", free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}, idle: time.Minute}
+	}
+	if _, back := plan([]*fleetMachine{idle()}); !slices.Equal(back, []string{"m2"}) {
+		t.Errorf("idle machines are returned: %v", back)
+	}
+	if _, back := plan([]*fleetMachine{idle()}, demand{spec: spec(nil), count: 1, spare: true}); len(back) != 0 {
+		t.Errorf("but not those kept ready: %v", back)
+	}
+	gang := spec(func(s *protocol.JobSpec) { s.Cores, s.Shape = 20, protocol.Gang })
+	if rent, _ := plan(nil, demand{spec: gang, count: 1}, demand{spec: spec(nil), count: 2}); total(rent) != 1 || rent[0].rig != "large" {
+		t.Errorf("small work goes beside the large: %+v", rent)
+	}
+}
