--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -44,8 +45,9 @@
 	syncedAt time.Time
 	adopting bool
 	enlist   bool // a registry write is under way
-	deafTill time.Time
-	heardAt  time.Time // last report of any worker
+	// probing: most workers went silent together, so it is this controller
+	// that they can't reach.
+	probing bool
 }
 
 type goneMachine struct {
@@ -399,7 +401,7 @@
 	}
 	w.session, w.ticket = rep.Session, rep.Ticket
 	w.addr, w.rig, w.zone, w.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
-	w.lastHeard, h.heardAt = now, now
+	w.lastHeard = now
 	w.lapsed, w.silent = false, false
 	w.notice = rep.NoticeS != nil
 	news = news || !was
@@ -894,6 +896,7 @@
 	h.adopt()
 	h.release()
 	h.enroll()
+	h.listen(now)
 	lease := config.Surely(h.cfg.WorkerLease())
 	for _, s := range h.slots {
 		if s.ready && !s.complete && now.Sub(s.adopted) > lease {
@@ -927,6 +930,60 @@
 	}
 }
 
+// probeEvery is how often a controller that lost its workers tries whether
+// they can be reached again; mostDeaf is when it asks for workers all the
+// same, since those it knew may be gone.
+const (
+	probeEvery = 5 * time.Second
+	mostDeaf   = 4 * time.Minute
+)
+
+// listen finds out whether workers can still reach this controller. One that
+// has lost them alone would let their leases run out, all the while answering
+// to the state service and its siblings as if nothing were wrong.
+func (h *Holder) listen(now time.Time) {
+	if h.session.Deaf() || !h.session.Valid() {
+		return
+	}
+	total, quiet := 0, 0
+	for _, s := range h.slots {
+		total += len(s.awaited)
+		if now.Sub(s.adopted) > h.silentAfter() {
+			quiet += len(s.awaited)
+		}
+	}
+	var addrs []string
+	for _, w := range h.byID {
+		if !w.verified || w.lapsed {
+			continue
+		}
+		total++
+		if now.Sub(w.lastHeard) > h.cfg.ReportEvery()*5/3 && now.Sub(w.slot.adopted) > h.cfg.ReportEvery()*3 {
+			quiet++
+			addrs = append(addrs, w.addr)
+		}
+	}
+	if total < 3 || 3*quiet <= 2*total || h.probing {
+		return
+	}
+	slog.Info("workers can't reach this controller", "silent", quiet, "of", total)
+	h.probing = true
+	go func() {
+		h.session.SetDeaf(h.ctx, true)
+		for end := now.Add(mostDeaf); h.ctx.Err() == nil && time.Now().Before(end); {
+			pause(h.ctx, probeEvery)
+			if len(addrs) > 0 && h.workers.Reachable(h.ctx, addrs[rand.IntN(len(addrs))]) {
+				break
+			}
+		}
+		for h.session.Deaf() && h.ctx.Err() == nil {
+			h.session.SetDeaf(h.ctx, false)
+			pause(h.ctx, time.Second)
+		}
+		h.tell(func() { h.probing = false })
+	}()
+}
+
 // enroll registers machines before tasks are started on them.
 func (h *Holder) enroll() {
 	if h.enlist || !h.session.Valid() {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -223,6 +223,26 @@
 	ready   bool
 }
 
+// lost are the silent machines that should be returned: not if a great part
+// of the fleet, or of one holder's machines, is silent at once. Then the fault
+// lies between them and the controllers, and they are probably well.
+func (st *fleetState) lost() []string {
+	if len(st.silent) > max(2, len(st.reg)/3) {
+		return nil
+	}
+	all, quiet := map[string]int{}, map[string]int{}
+	for _, h := range st.holder {
+		all[h]++
+	}
+	for _, id := range st.silent {
+		quiet[st.holder[id]]++
+	}
+	return slices.DeleteFunc(st.silent, func(id string) bool {
+		h := st.holder[id]
+		return h != "" && quiet[h] > 2 && 2*quiet[h] > all[h]
+	})
+}
+
 // round runs on a goroutine of its own; only one round runs at a time, and it
 // alone touches what the leader keeps of the fleet.
 func (l *Leader) round(leadFrom time.Time) {
@@ -259,9 +279,7 @@
 		boots[id] = b
 		st.in.machines = append(st.in.machines, b)
 	}
-	if len(st.silent) <= max(2, len(st.reg)/3) {
-		gone = append(gone, st.silent...)
-	}
+	gone = append(gone, st.lost()...)
 	for _, id := range st.suspect {
 		if first, ok := l.draining[id]; !ok {
 			l.draining[id] = now
@@ -439,11 +457,16 @@
 			if p := o.peers[s.holder]; p != nil && p.valid {
 				// Jobs whose tasks may be there wait until they are gone.
 				st.silent = append(st.silent, s.awaited...)
+				for _, id := range s.awaited {
+					st.holder[id] = s.holder
+				}
 			}
 		}
 		for id, m := range o.board.machines {
 			st.seen[id] = true
-			st.holder[id] = m.holder
+			if st.holder[id] == "" {
+				st.holder[id] = m.holder
+			}
 			if st.reg[id] == nil {
 				st.reg[id] = &bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 			}
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		s.lease.Store(lease)
+		s.deaf.Store(false) // a new record says nothing of it
 		s.term.Store(term)
 		s.extend(sent)
 		slog.Info("session opened", "term", term)
@@ -88,12 +89,15 @@
 	}
 }
 
+// Deaf tells what the others were told.
+func (s *Session) Deaf() bool { return s.deaf.Load() }
+
 // SetDeaf tells the others whether workers can reach this controller.
 func (s *Session) SetDeaf(ctx context.Context, deaf bool) {
-	if s.deaf.Load() == deaf || !s.Valid() {
+	if !s.Valid() || !s.deaf.CompareAndSwap(!deaf, deaf) {
 		return
 	}
-	if err := s.store.UpdateMember(ctx, s.name, bookkeeping.Member{Term: s.Term(), Deaf: deaf}, s.Lease()); err == nil {
-		s.deaf.Store(deaf)
+	if err := s.store.UpdateMember(ctx, s.name, bookkeeping.Member{Term: s.Term(), Deaf: deaf}, s.Lease()); err != nil {
+		s.deaf.Store(!deaf)
 	}
 }
--- a/internal/coordination/standin_test.go
+++ b/internal/coordination/standin_test.go
@@ -605,6 +605,10 @@
 		time.Sleep(100 * time.Millisecond) // resumes later, with what came meanwhile
 	}
 	defer m.mu.Unlock()
+	if r.URL.Path == "/inspect" {
+		answer(w, 200, m.snapshot())
+		return
+	}
 	var o protocol.Orders
 	if json.Unmarshal(body, &o) != nil {
 		answer(w, 400, nil)
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -39,3 +39,11 @@
 	}
 	return rep, code == http.StatusOK, rep.Validate()
 }
+
+// Reachable tells whether a worker answers.
+func (w *Workers) Reachable(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	code, _, err := call(ctx, w.http, http.MethodGet, "http://"+addr+"/inspect", nil)
+	return err == nil && code == http.StatusOK
+}
