Keep starts pending when their holder gives up the slot before showing them

A start is now resolved only by news that still has the slot under the same term, or by the next holder once its picture is complete.

--- a/internal/coordination/board.go
+++ b/internal/coordination/board.go
@@ -31,6 +31,8 @@
 	holder   string
 	complete bool
 	awaited  []string
+	// version is that of the holder's last reply that had the slot.
+	version uint64
 	// window is the newest window that the holder obeyed when it last said
 	// that the slot is complete.
 	window uint64
@@ -70,7 +72,7 @@
 				}
 			}
 		}
-		s.holder, s.complete, s.awaited = holder, sv.Complete, sv.Awaited
+		s.holder, s.complete, s.awaited, s.version = holder, sv.Complete, sv.Awaited, r.Version
 		if sv.Complete {
 			s.window = max(s.window, r.Window)
 		}
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -172,3 +172,40 @@
 		t.Errorf("small work goes beside the large: %+v", rent)
 	}
 }
+
+// A holder took a start on and gave the slot up before its news showed it.
+// The start must stay pending until the slot's next holder knows all: once it
+// was taken for void, and the task ran twice.
+func TestStartsOutliveTheHolderThatTookThem(t *testing.T) {
+	o := &Owner{board: newBoard()}
+	news := func(holder string, inc, version, term uint64, complete bool, slots ...int) *FeedReply {
+		r := &FeedReply{Incarnation: inc, Version: version, Window: 1, Valid: true}
+		for _, s := range slots {
+			r.Slots = append(r.Slots, SlotView{Slot: s, Term: term, Complete: complete})
+		}
+		o.board.apply(holder, r, time.Now())
+		return r
+	}
+	open := func(ps *pendingStart, holder string, r *FeedReply) bool {
+		return !o.resolved(ps, holder, &FeedArgs{Fence: protocol.NewToken(1, 100)}, r)
+	}
+	news("c0", 1, 10, 5, true, 0, 3)
+	acked := &pendingStart{machine: "m", holder: "c0", inc: 1, slot: 3, term: 5, id: protocol.NewToken(1, 7), acked: true, ackInc: 1, version: 12}
+	lost := &pendingStart{machine: "m", holder: "c0", inc: 1, slot: 3, term: 5, id: protocol.NewToken(1, 8), unknown: true}
+	if r := news("c0", 1, 11, 5, true, 0, 3); !open(acked, "c0", r) {
+		t.Error("resolved by news from before the start")
+	}
+	if r := news("c0", 1, 13, 5, true, 0); !open(acked, "c0", r) || !open(lost, "c0", r) {
+		t.Error("resolved by news of a holder that had given the slot up")
+	}
+	if r := news("c1", 2, 4, 6, false, 3); !open(acked, "c1", r) {
+		t.Error("resolved while the new holder does not know all yet")
+	}
+	if r := news("c1", 2, 5, 6, true, 3); open(acked, "c1", r) || open(lost, "c1", r) {
+		t.Error("still open although the new holder knows all")
+	}
+	held := &pendingStart{machine: "m", holder: "c1", inc: 2, slot: 3, term: 6, id: protocol.NewToken(1, 9), acked: true, ackInc: 2, version: 6}
+	if r := news("c1", 2, 6, 6, true, 3); open(held, "c1", r) {
+		t.Error("still open although the holder's news covers it")
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -198,17 +198,26 @@
 // resolved tells whether a start that was asked for shows on the board by
 // now, or never will.
 func (o *Owner) resolved(ps *pendingStart, name string, a *FeedArgs, r *FeedReply) bool {
-	if s := o.board.slots[ps.slot]; s != nil && s.term > ps.term && s.complete {
+	s := o.board.slots[ps.slot]
+	if s != nil && s.term > ps.term && s.complete {
 		return true // a new holder knows all that is there
 	}
-	if name != ps.holder {
+	if name != ps.holder || !o.shown(ps, name, r.Incarnation, r.Version) {
 		return false
 	}
-	if ps.acked {
-		return r.Incarnation == ps.ackInc && r.Version >= ps.version
-	}
 	// Outcome unknown: void once the holder has promised so, unless shown.
-	return ps.unknown && a.Fence > ps.id && r.Incarnation == ps.inc
+	return ps.acked || ps.unknown && a.Fence > ps.id
+}
+
+// shown tells whether the holder's news, of a time when it still held the
+// machine, covers what it said of the start. A holder that takes a start on
+// and then gives the slot up never shows it: only its successor will.
+func (o *Owner) shown(ps *pendingStart, name string, incarnation, version uint64) bool {
+	s := o.board.slots[ps.slot]
+	if s == nil || s.holder != name || s.term != ps.term || s.version != version {
+		return false
+	}
+	return ps.acked && incarnation == ps.ackInc && version >= ps.version || !ps.acked && incarnation == ps.inc
 }
 
 // ---- windows
@@ -679,7 +688,7 @@
 		default:
 			mine[k].acked, mine[k].ackInc, mine[k].version = true, r.Incarnation, r.Version
 			// The feed may have shown it before the answer came.
-			if p := o.peers[name]; p.incarnation == r.Incarnation && p.version >= r.Version {
+			if p := o.peers[name]; o.shown(mine[k], name, p.incarnation, p.version) {
 				delete(js.pending, index)
 			}
 		}
