Heirs of a range come to know all of it, so that limited teams go on

Cause: a controller asked for the revision after which jobs are new only for the token in the middle of its range, which it had owned before; a team with a limit whose place it inherited was never granted anything again.

--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
 	"daledyke/internal/protocol"
 )
 
@@ -209,3 +210,24 @@
 		t.Error("still open although the holder's news covers it")
 	}
 }
+
+// Whatever part of the ring a controller inherits, it must come to know that
+// it knows all: once it looked at one token of its range alone, which it had
+// owned before, and a team with a limit that it had inherited waited for ever.
+func TestHeirsComeToKnowAll(t *testing.T) {
+	o := &Owner{actor: newActor(context.Background()), cfg: &config.Config{}}
+	o.cfg.Name = "c0"
+	for n, owners := range [][]string{controllers, controllers, {"c0", "c1"}, {"c0", "c1"}, {"c0", "c1"}} {
+		o.obey(&bookkeeping.Window{Number: uint64(n + 1), Owners: owners})
+	}
+	if o.presentSince() != 3 {
+		t.Fatalf("present owners since %d", o.presentSince())
+	}
+	o.born = map[uint64]uint64{o.presentSince(): 77}
+	for i := range 2000 {
+		token := protocol.RingToken(protocol.TaskName("wk-1", i))
+		if g := o.gainOf(token); (g != 0) != (o.window().Owner(token) == "c0") || g != 0 && o.bornBy(g) != 77 {
+			t.Fatalf("token %d gained at %d, born by %d", token, g, o.bornBy(g))
+		}
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -285,43 +285,37 @@
 	js.settled = gain != 0 && born != 0 && js.job.Created > born
 }
 
+// presentSince is the first window in a row with the present owners, 0 if
+// there is none yet.
+func (o *Owner) presentSince() uint64 {
+	since := uint64(0)
+	for i := len(o.windows) - 1; i >= 0 && slices.Equal(o.windows[i].Owners, o.window().Owners); i-- {
+		since = o.windows[i].Number
+	}
+	return since
+}
+
 // learnBorn finds out from which revision on jobs are surely new to all: all
-// holders had promised to obey only windows that make us their owner.
+// holders had promised to obey only the present owners. It does so for the
+// first window with these owners, since no part of a range was gained later.
 func (o *Owner) learnBorn() {
-	gains := map[uint64]bool{}
-	for _, w := range o.windows {
-		for i, name := range w.Owners {
-			if name == o.cfg.Name {
-				// any token in the middle of the share will do
-				width := ^uint64(0)/uint64(len(w.Owners)) + 1
-				if len(w.Owners) == 1 {
-					width = 1 << 62
-				}
-				tok := int64((uint64(i)*width + width/2) ^ (1 << 63))
-				if g := o.gainOf(tok); g != 0 {
-					gains[g] = true
-				}
-			}
-		}
+	g := o.presentSince()
+	if g == 0 || o.born[g] != 0 || o.asking[g] || !o.board.allComplete(o.slots, g) {
+		return
 	}
-	for g := range gains {
-		if o.born[g] != 0 || o.asking[g] || !o.board.allComplete(o.slots, g) {
-			continue
-		}
-		o.asking[g] = true
-		go func() {
-			rev, err := o.store.Revision(o.ctx)
-			o.tell(func() {
-				delete(o.asking, g)
-				if err == nil {
-					if len(o.born) > 64 {
-						clear(o.born)
-					}
-					o.born[g] = rev
+	o.asking[g] = true
+	go func() {
+		rev, err := o.store.Revision(o.ctx)
+		o.tell(func() {
+			delete(o.asking, g)
+			if err == nil {
+				if len(o.born) > 64 {
+					clear(o.born)
 				}
-			})
-		}()
-	}
+				o.born[g] = rev
+			}
+		})
+	}()
 }
 
 // ---- records
