--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -112,7 +112,6 @@
 	stop  bool
 	grace float64
 	sent  time.Time // when the last stop or forget was sent
-	hard  bool      // a second stop without grace is wanted
 	reap  bool
 }
 
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -58,7 +58,6 @@
 
 type peerState struct {
 	incarnation, version uint64
-	window               uint64
 	fence                uint64 // sequence below which requests are void
 	valid                bool
 	heard                time.Time
@@ -77,27 +76,23 @@
 	retryAt map[int]time.Time
 	errors  int
 	badOn   map[string]bool // machines on which tasks of the job failed
-	// stopping is the attempt of a gang that is being taken down.
-	stopping uint64
-	// reserving gang: the attempt and the machines chosen.
+	// waitFrom is since when a running gang lacks a task.
 	waitFrom time.Time
 	blocked  time.Time // no room was found; look again then
 }
 
 type pendingStart struct {
-	machine  string
-	holder   string
-	inc      uint64
-	slot     int
-	term     uint64
-	id       protocol.Token
-	need     protocol.Room
-	acked    bool
-	unknown  bool
-	ackInc   uint64
-	version  uint64
-	attempt  uint64
-	reserved bool
+	machine string
+	holder  string
+	inc     uint64
+	slot    int
+	term    uint64
+	id      protocol.Token
+	need    protocol.Room
+	acked   bool
+	unknown bool
+	ackInc  uint64
+	version uint64
 }
 
 // NewOwner makes the actor.
@@ -164,7 +159,7 @@
 // feed takes in a holder's reply to a request that was sent at the time.
 func (o *Owner) feed(name string, a *FeedArgs, r *FeedReply, sent time.Time) {
 	p := o.peers[name]
-	p.incarnation, p.version, p.valid, p.heard, p.window = r.Incarnation, r.Version, r.Valid, time.Now(), r.Window
+	p.incarnation, p.version, p.valid, p.heard = r.Incarnation, r.Version, r.Valid, time.Now()
 	if w := o.window(); o.latest != nil && r.Window == o.latest.Number && w != nil && w.Number < r.Window {
 		o.obey(o.latest) // the holder obeys it already and refuses older ones
 	}
@@ -259,7 +254,7 @@
 		o.windows = slices.Clone(o.windows[len(o.windows)-16:])
 	}
 	for _, js := range o.active {
-		o.place1(js)
+		o.settle(js)
 	}
 	o.dirty = true
 }
@@ -274,8 +269,8 @@
 	return gain
 }
 
-// place1 brings up to date whether, and since when, a job is ours.
-func (o *Owner) place1(js *jobState) {
+// settle brings up to date whether, and since when, a job is ours.
+func (o *Owner) settle(js *jobState) {
 	gain := o.gainOf(js.job.Token)
 	if gain == js.gain || gain != 0 && js.gain != 0 && gain > js.gain && len(o.windows) > 1 {
 		return // unchanged, or only the memory of windows was cut
@@ -328,7 +323,7 @@
 		o.jobs[id] = js
 		if !j.Final() {
 			o.active[id] = js
-			o.place1(js)
+			o.settle(js)
 			o.countArrival(js)
 		}
 	}
@@ -628,7 +623,7 @@
 	a := o.to(rq, m)
 	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.evict, Reserve: reserve})
 	ps := &pendingStart{machine: m.ID, holder: m.holder, inc: o.peers[m.holder].incarnation, slot: m.Slot, term: m.Term,
-		need: js.job.Spec.Need(), attempt: attempt, reserved: reserve}
+		need: js.job.Spec.Need()}
 	js.pending[index] = ps
 	m.promised = m.promised.Add(ps.need)
 }
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -116,8 +116,7 @@
 	return p.ID
 }
 
-var mayBeNull = map[string]bool{"rigs": true, "plaza": true, "dueS": true}
-
+// jobFields must be there; rigs, plaza and dueS may be null, and so absent.
 var jobFields = []string{"id", "laneClass", "crew", "shape", "urgency", "passes", "cores", "accelerators", "ramGb",
 	"build", "pullGb", "oneZone", "scatter", "standby", "expectedS", "snapshotS", "flushS"}
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -37,8 +37,8 @@
 	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
 	r.GET("/healthz", f.health)
 	r.POST("/v1/jobs", f.submit)
-	r.GET("/v1/jobs/:id", f.status)
-	r.POST("/v1/jobs/:id/cancel", f.cancel)
+	r.GET("/v1/jobs/:id", aboutJob(f.status))
+	r.POST("/v1/jobs/:id/cancel", aboutJob(s.Cancel))
 	r.POST("/checkin", f.report)
 	r.PanicHandler = func(w http.ResponseWriter, _ *http.Request, p any) {
 		slog.Error("request failed", "panic", p)
@@ -108,37 +108,36 @@
 	reply(w, status, answer)
 }
 
-var errNoJob = errors.New("no such job")
+var (
+	errNoJob  = errors.New("no such job")
+	errUntold = errors.New("cannot be told now")
+)
 
-func (f front) status(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	id := p.ByName("id")
-	if !protocol.ValidJobID(id) {
-		reply(w, http.StatusNotFound, errNoJob)
-		return
+// aboutJob gives the id in the path to a handler, with a bounded time; ids of
+// a wrong form name no job.
+func aboutJob(h func(ctx context.Context, id string) (status int, answer any)) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		id := p.ByName("id")
+		if !protocol.ValidJobID(id) {
+			reply(w, http.StatusNotFound, errNoJob)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+		defer cancel()
+		status, answer := h(ctx, id)
+		reply(w, status, answer)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
-	defer cancel()
+}
+
+func (f front) status(ctx context.Context, id string) (int, any) {
 	st, err := f.s.Status(ctx, id)
 	switch {
 	case err != nil:
-		reply(w, http.StatusServiceUnavailable, errors.New("cannot be told now"))
+		return http.StatusServiceUnavailable, errUntold
 	case st == nil:
-		reply(w, http.StatusNotFound, errNoJob)
-	default:
-		reply(w, http.StatusOK, st)
+		return http.StatusNotFound, errNoJob
 	}
-}
-
-func (f front) cancel(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	id := p.ByName("id")
-	if !protocol.ValidJobID(id) {
-		reply(w, http.StatusNotFound, errNoJob)
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
-	defer cancel()
-	status, answer := f.s.Cancel(ctx, id)
-	reply(w, status, answer)
+	return http.StatusOK, st
 }
 
 func (f front) report(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
