--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,13 @@
 	return (t.CoresMax <= 0 || use.Cores <= t.CoresMax+slack) && (t.AccelsMax <= 0 || use.Accels <= t.AccelsMax+slack)
 }
 
+// Guarantees tells whether as much as this lies within the team's guarantee; a
+// guarantee of 0 is none.
+func (t *Team) Guarantees(use protocol.Room) bool {
+	const slack = 1e-6
+	return (t.Cores > 0 || t.Accels > 0) && use.Cores <= t.Cores+slack && use.Accels <= t.Accels+slack
+}
+
 // Objective is one of the aims that the users stated.
 type Objective struct {
 	Kind    string  `toml:"kind"`
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -211,6 +215,47 @@
 	}
 }
 
+// Work of a team beyond its guarantee may be stopped for a team within its
+// own, whatever the priorities; otherwise only lower priorities go.
+func TestWhatMayBeStopped(t *testing.T) {
+	c, err := config.Load(settingsWith(t, "cpus = 8.0\n", "cpus = 4.0\n"), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &Owner{cfg: c}
+	use := map[string]protocol.Room{"free": {Cores: 4}, "bound": {Cores: 8}}
+	job := func(team string, p protocol.Priority) *protocol.JobSpec {
+		return spec(func(s *protocol.JobSpec) { s.Team, s.Priority, s.Accels = team, p, 0 })
+	}
+	if !o.guaranteed(job("free", "idle"), use) || o.guaranteed(job("bound", "idle"), use) {
+		t.Error("4 of 8 cores leave room for 4 more; 8 of 4 don't")
+	}
+	for _, x := range []struct {
+		victim, by *protocol.JobSpec
+		want       bool
+	}{
+		{job("bound", "high"), job("free", "idle"), true},
+		{job("free", "high"), job("bound", "idle"), false},
+		{job("free", "idle"), job("bound", "high"), true},
+		{job("free", "high"), job("free", "high"), false},
+	} {
+		if got := o.mayStop(x.victim, x.by, o.guaranteed(x.by, use), use); got != x.want {
+			t.Errorf("%s of %s for %s of %s: %v", x.victim.Priority, x.victim.Team, x.by.Priority, x.by.Team, got)
+		}
+	}
+}
+
+// settingsWith writes the traces' settings with guarantees for both teams.
+func settingsWith(t *testing.T, free, bound string) string {
+	text := strings.Replace(fmt.Sprintf(settingsText, "c0", "c0", "c0", "", "1"), "name = \"free\"\n", "name = \"free\"\n"+free, 1)
+	text = strings.Replace(text, "name = \"bound\"\n", "name = \"bound\"\n"+bound, 1)
+	file := filepath.Join(t.TempDir(), "c0.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
 // Whatever part of the ring a controller inherits, it must come to know that
 // it knows all: once it looked at one token of its range alone, which it had
 // owned before, and a team with a limit that it had inherited waited for ever.
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -209,23 +209,61 @@
 	return out
 }
 
-// price is what stopping a task for one of the given priority costs.
-func (o *Owner) price(rank int, now time.Time) func(*inst) (evictable, bool) {
+// teamUse is what each team's tasks take, as far as the board shows.
+func (o *Owner) teamUse() map[string]protocol.Room {
+	use := map[string]protocol.Room{}
+	for job, tasks := range o.board.tasks {
+		js := o.jobs[job]
+		if js == nil {
+			continue
+		}
+		s := js.job.Spec
+		for _, list := range tasks {
+			for _, i := range list {
+				if !i.exited() {
+					use[s.Team] = use[s.Team].Add(s.Need())
+				}
+			}
+		}
+	}
+	return use
+}
+
+// guaranteed tells whether one more task of the job lies within its team's
+// guarantee.
+func (o *Owner) guaranteed(s *protocol.JobSpec, use map[string]protocol.Room) bool {
+	t := o.cfg.Team(s.Team)
+	return t != nil && t.Guarantees(use[s.Team].Add(s.Need()))
+}
+
+// mayStop tells whether a task of victim may be stopped for one of s: it has a
+// lower priority, or its team runs it beyond its guarantee and s is within its
+// own.
+func (o *Owner) mayStop(victim, s *protocol.JobSpec, guaranteed bool, use map[string]protocol.Room) bool {
+	if victim.Priority.Rank() < s.Priority.Rank() {
+		return true
+	}
+	t := o.cfg.Team(victim.Team)
+	return guaranteed && t != nil && victim.Team != s.Team && !t.Guarantees(use[victim.Team])
+}
+
+// price is what stopping a task for one of the given job costs.
+func (o *Owner) price(s *protocol.JobSpec, guaranteed bool, use map[string]protocol.Room, now time.Time) func(*inst) (evictable, bool) {
 	return func(i *inst) (evictable, bool) {
 		js := o.jobs[i.job]
-		if js == nil || js.job.Spec.Priority.Rank() >= rank || i.exited() || i.State == protocol.TaskFlushing ||
+		if js == nil || !o.mayStop(js.job.Spec, s, guaranteed, use) || i.exited() || i.State == protocol.TaskFlushing ||
 			i.State == taskQueued || i.State == taskReserved || i.State == taskStarting || js.job.Spec.Shape == protocol.Gang && js.job.Spec.Tasks > 1 {
 			return evictable{}, false
 		}
-		s := js.job.Spec
-		price := 10 + 10*float64(s.Priority.Rank())
-		if !s.Saves() {
+		v := js.job.Spec
+		price := 10 + 10*float64(v.Priority.Rank())
+		if !v.Saves() {
 			price += min(60, now.Sub(i.since).Seconds())
 		}
 		if now.Sub(i.since) < 30*time.Second {
 			price += 10
 		}
-		return evictable{i.Task, s.Need(), price}, true
+		return evictable{i.Task, v.Need(), price}, true
 	}
 }
 
@@ -240,20 +278,7 @@
 	if o.bornBy(js.gain) == 0 {
 		return false // not everything that runs is known yet
 	}
-	use := protocol.Room{}
-	for job, tasks := range o.board.tasks {
-		x := o.jobs[job]
-		if x == nil || x.job.Spec.Team != t.Name {
-			continue
-		}
-		for _, list := range tasks {
-			for _, i := range list {
-				if !i.exited() {
-					use = use.Add(x.job.Spec.Need())
-				}
-			}
-		}
-	}
+	use := o.teamUse()[t.Name]
 	for _, x := range o.active {
 		if x.job.Spec.Team == t.Name {
 			for range x.pending {
@@ -314,8 +339,12 @@
 func (o *Owner) find(js *jobState, p *placing, machines []*boardMachine, now time.Time) (choice, bool) {
 	s := js.job.Spec
 	c, ok := p.bestFit(machines)
-	rank := s.Priority.Rank()
-	if rank < 2 || now.Sub(js.known) < 500*time.Millisecond {
+	var use map[string]protocol.Room
+	if t := o.cfg.Team(s.Team); t != nil && t.Guarantees(protocol.Room{}) {
+		use = o.teamUse()
+	}
+	guaranteed := o.guaranteed(s, use)
+	if s.Priority.Rank() < 2 && !guaranteed || now.Sub(js.known) < 500*time.Millisecond {
 		return c, ok
 	}
 	other := math.Inf(1)
@@ -324,7 +353,7 @@
 		other = p.cost(c.machine)
 	}
 	waited := now.Sub(js.job.Accepted)
-	if e, found := p.preempt(machines, other, o.price(rank, now)); found {
+	if e, found := p.preempt(machines, other, o.price(s, guaranteed, use, now)); found {
 		// Stopping other work is the last resort: as long as the aim leaves
 		// time, room may come free by itself.
 		left := within - waited - p.fetch(e.machine) - 10*time.Second
