--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"encoding/json"
 	"math"
 	"strings"
 	"testing"
@@ -78,3 +79,19 @@
 		}
 	})
 }
+
+func FuzzReport(f *testing.F) {
+	f.Add([]byte(`{"bollard":"host-1","address":"10.1.0.1:9000","shift":1,"ticket":2,"baton":4294967297,"passes":[{"pass":"wk-1/3","try":2,"status":"running"}]}`))
+	f.Add([]byte(`{"bollard":"host-1","shift":-1,"passes":[{"pass":"wk-1/x"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var r Report
+		if json.Unmarshal(body, &r) != nil || r.Validate() != nil {
+			return
+		}
+		for _, task := range r.Tasks {
+			if job, index, ok := SplitTask(task.Task); !ok || !ValidJobID(job) || index >= MaxTasks {
+				t.Errorf("taken, but senseless: %q", body)
+			}
+		}
+	})
+}
