One piece each for fetch times, waiting aims and unconfirmed states; guard the member record

Read through the whole change: three small computations stood twice. Found on the way: a controller's note that its workers can't reach it was written without a condition, so that one applied late, after a restart, could have put the dead process's session in place of the living one's. It is now written only over the record of the same process.

--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -207,9 +207,19 @@
 	return s.state.TouchLease(ctx, timeout, lease)
 }
 
-// UpdateMember rewrites this controller's own member record.
+// UpdateMember rewrites this controller's own member record, if it is still
+// that of the same process: applied late, after a restart, it must not put a
+// dead process's session in place of the living one's.
 func (s *Store) UpdateMember(ctx context.Context, name string, m Member, lease uint64) error {
-	return s.commit(ctx, transport.Ordinary, 3*time.Second, nil, set(memberKey(name), m, lease))
+	seen, version, err := get[Member](ctx, s, transport.Ordinary, 3*time.Second, memberKey(name))
+	if err != nil {
+		return err
+	}
+	if seen == nil || seen.Term != m.Term {
+		return ErrConflict
+	}
+	return s.commit(ctx, transport.Ordinary, 3*time.Second, []protocol.Condition{{Key: memberKey(name), Version: version}},
+		set(memberKey(name), m, lease))
 }
 
 // Lead tries to become leader, in place of the record last seen (nil: none).
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -115,9 +115,7 @@
 	reap  bool
 }
 
-func (e *entry) unconfirmed() bool {
-	return e.state == taskReserved || e.state == taskQueued || e.state == taskStarting
-}
+func (e *entry) unconfirmed() bool { return unconfirmed(e.state) }
 
 // NewHolder makes the actor.
 func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -572,19 +572,11 @@
 // as come, give or take, while a machine boots, if the users' aims leave no
 // time to wait for one.
 func (o *Owner) spare(name string, c *classStats, now, started time.Time) (n int, preempt bool) {
-	within := time.Duration(math.MaxInt64)
-	for _, a := range o.cfg.Deployment.Objectives {
-		if a.Class == name && a.Kind == "wait" && a.WithinS > 0 {
-			within = min(within, protocol.Seconds(a.WithinS))
-		}
-	}
+	within := o.within(name, math.MaxInt64)
 	ready, fetch := time.Duration(math.MaxInt64), time.Duration(0)
 	for _, t := range o.types {
 		if c.spec.AllowsType(t.Name) && t.Room().Fits(c.spec.Need()) {
-			f := time.Duration(0)
-			if t.FetchRate > 0 {
-				f = protocol.Seconds(c.image / t.FetchRate)
-			}
+			f := t.FetchTime(c.image)
 			if r := protocol.Seconds(1.3*t.BootS) + f; r < ready {
 				ready, fetch = r, f
 			}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -20,6 +20,11 @@
 	taskStarting = "starting" // the command is on its way
 )
 
+// unconfirmed tells whether a state is one of the holder's own.
+func unconfirmed(state string) bool {
+	return state == taskReserved || state == taskQueued || state == taskStarting
+}
+
 func (t *TaskView) exited() bool { return t.State == protocol.TaskExited }
 
 func (t *TaskView) running() bool { return t.State == protocol.TaskRunning }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -64,8 +64,7 @@
 func (p *placing) cost(m *boardMachine) float64 {
 	t := p.types[m.Type]
 	whole := t.Room()
-	c := 0.0
-	c += p.fetch(m).Seconds()
+	c := p.fetch(m).Seconds()
 	left := m.Free.Sub(m.promised).Sub(p.spec.Need())
 	c += 8 * left.Share(whole)
 	if p.scarce[t.Name] {
@@ -87,10 +86,7 @@
 // are fetched at the same time share the machine's rate.
 func (p *placing) fetch(m *boardMachine) time.Duration {
 	t := p.types[m.Type]
-	if t.FetchRate <= 0 {
-		return 0
-	}
-	whole := protocol.Seconds(p.spec.ImageGB / t.FetchRate)
+	whole := t.FetchTime(p.spec.ImageGB)
 	switch {
 	case slices.Contains(m.Pulling, p.spec.Image):
 		return whole / 2 * time.Duration(len(m.Pulling))
@@ -252,7 +248,7 @@
 	return func(i *inst) (evictable, bool) {
 		js := o.jobs[i.job]
 		if js == nil || !o.mayStop(js.job.Spec, s, guaranteed, use) || i.exited() || i.State == protocol.TaskFlushing ||
-			i.State == taskQueued || i.State == taskReserved || i.State == taskStarting || js.job.Spec.Shape == protocol.Gang && js.job.Spec.Tasks > 1 {
+			unconfirmed(i.State) || js.job.Spec.Shape == protocol.Gang && js.job.Spec.Tasks > 1 {
 			return evictable{}, false
 		}
 		v := js.job.Spec
@@ -348,7 +344,7 @@
 		return c, ok
 	}
 	other := math.Inf(1)
-	within := o.within(s.Class)
+	within := o.within(s.Class, time.Minute)
 	if ok {
 		other = p.cost(c.machine)
 	}
@@ -364,14 +360,17 @@
 	return c, ok
 }
 
-// within is how soon the users want tasks of a class to start.
-func (o *Owner) within(class string) time.Duration {
-	within := time.Minute
+// within is how soon the users want tasks of a class to start, if they say.
+func (o *Owner) within(class string, otherwise time.Duration) time.Duration {
+	within := time.Duration(math.MaxInt64)
 	for _, a := range o.cfg.Deployment.Objectives {
 		if a.Class == class && a.Kind == "wait" && a.WithinS > 0 {
-			within = protocol.Seconds(a.WithinS)
+			within = min(within, protocol.Seconds(a.WithinS))
 		}
 	}
+	if within == math.MaxInt64 {
+		return otherwise
+	}
 	return within
 }
 
--- a/internal/protocol/machine.go
+++ b/internal/protocol/machine.go
@@ -1,6 +1,9 @@
 package protocol
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // Room is an amount of what machines have and tasks take.
 type Room struct {
@@ -49,6 +52,14 @@
 // Room is what an empty machine of the type offers.
 func (t *MachineType) Room() Room { return Room{t.Cores, t.Accels, t.RAM} }
 
+// FetchTime is how long a machine of the type takes to fetch so much alone.
+func (t *MachineType) FetchTime(gb float64) time.Duration {
+	if t.FetchRate <= 0 {
+		return 0
+	}
+	return Seconds(gb / t.FetchRate)
+}
+
 // Catalog is the cloud's list of machine types.
 type Catalog struct {
 	Types []MachineType `json:"rigs"`
