--- a/internal/coordination/board.go
+++ b/internal/coordination/board.go
@@ -36,6 +36,10 @@
 	// window is the newest window that the holder obeyed when it last said
 	// that the slot is complete.
 	window uint64
+	// machines are those of the slot; stale tells that some of them were last
+	// shown under an older term.
+	machines map[string]*boardMachine
+	stale    bool
 }
 
 // inst is a task that may be on a machine.
@@ -58,18 +62,16 @@
 	for _, sv := range r.Slots {
 		s := b.slots[sv.Slot]
 		if s == nil {
-			s = &boardSlot{}
+			s = &boardSlot{machines: map[string]*boardMachine{}}
 			b.slots[sv.Slot] = s
 		}
 		if sv.Term < s.term {
 			continue
 		}
 		if sv.Term > s.term {
-			*s = boardSlot{term: sv.Term}
-			for _, m := range b.machines {
-				if m.Slot == sv.Slot {
-					m.current = false
-				}
+			*s = boardSlot{term: sv.Term, machines: s.machines, stale: len(s.machines) > 0}
+			for _, m := range s.machines {
+				m.current = false
 			}
 		}
 		s.holder, s.complete, s.awaited, s.version = holder, sv.Complete, sv.Awaited, r.Version
@@ -77,13 +79,18 @@
 			s.window = max(s.window, r.Window)
 		}
 	}
-	inReply := map[string]bool{}
+	var inReply map[string]bool
+	if r.Full {
+		inReply = make(map[string]bool, len(r.Machines))
+	}
 	for _, v := range r.Machines {
 		s := b.slots[v.Slot]
 		if s == nil || v.Term < s.term {
 			continue
 		}
-		inReply[v.ID] = true
+		if r.Full {
+			inReply[v.ID] = true
+		}
 		b.put(holder, v, now, touched)
 	}
 	for _, id := range r.Gone {
@@ -91,15 +98,16 @@
 	}
 	for _, sv := range r.Slots {
 		s := b.slots[sv.Slot]
-		if !sv.Complete || sv.Term != s.term {
+		if !sv.Complete || sv.Term != s.term || !r.Full && !s.stale {
 			continue
 		}
 		// All that may be there is known: what is not is gone.
-		for id, m := range b.machines {
-			if m.Slot == sv.Slot && (!m.current || r.Full && !inReply[id]) {
+		for id, m := range s.machines {
+			if !m.current || r.Full && !inReply[id] {
 				b.remove(id, touched)
 			}
 		}
+		s.stale = false
 	}
 	return touched
 }
@@ -109,6 +117,7 @@
 	if m == nil {
 		m = &boardMachine{known: now}
 		b.machines[v.ID] = m
+		b.slots[v.Slot].machines[v.ID] = m
 	}
 	old := m.insts
 	for _, i := range old {
@@ -174,6 +183,7 @@
 		b.unlink(i, touched)
 	}
 	delete(b.machines, id)
+	delete(b.slots[m.Slot].machines, id)
 }
 
 // allComplete tells whether every slot is fully known from holders that obey
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -126,12 +126,14 @@
 		"large ones are kept whole":         {[]*boardMachine{machine("m1", "large", large), machine("m2", "small", small)}, "m2"},
 		"one that can't be used is no good": {[]*boardMachine{away, machine("m2", "small", small)}, "m2"},
 	} {
-		got, ok := p.bestFit(c.machines)
+		p.gather(c.machines)
+		got, ok := p.bestFit()
 		if !ok || got.machine.ID != c.want {
 			t.Errorf("%s: %v, %v", name, got.machine, ok)
 		}
 	}
-	if _, ok := p.bestFit([]*boardMachine{machine("m1", "small", protocol.Room{Cores: 3, Accels: 2, RAM: 64})}); ok {
+	p.gather([]*boardMachine{machine("m1", "small", protocol.Room{Cores: 3, Accels: 2, RAM: 64})})
+	if _, ok := p.bestFit(); ok {
 		t.Error("placed where there is no room")
 	}
 }
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -24,17 +24,18 @@
 	store   *bookkeeping.Store
 	workers *transport.Workers
 
-	types    map[string]protocol.MachineType
-	jobs     map[string]*bookkeeping.Job
-	members  map[string]*bookkeeping.Member
-	records  map[int]*bookkeeping.Slot
-	registry map[string]*bookkeeping.Machine
-	slots    map[int]*heldSlot
-	byID     map[string]*worker
-	gone     []goneMachine // bounded
-	retired  map[string]bool
-	version  uint64
-	changed  chan struct{} // closed and renewed when version rises
+	types       map[string]protocol.MachineType
+	jobs        map[string]*bookkeeping.Job
+	members     map[string]*bookkeeping.Member
+	records     map[int]*bookkeeping.Slot
+	registry    map[string]*bookkeeping.Machine
+	slots       map[int]*heldSlot
+	byID        map[string]*worker
+	changedJobs map[string]bool // to be looked at in the next tick
+	gone        []goneMachine   // bounded
+	retired     map[string]bool
+	version     uint64
+	changed     chan struct{} // closed and renewed when version rises
 
 	window *bookkeeping.Window // whose owners are obeyed
 	latest *bookkeeping.Window // newest known, may start later
@@ -122,7 +123,7 @@
 	return &Holder{actor: newActor(ctx), cfg: c, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
-		byID: map[string]*worker{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
+		byID: map[string]*worker{}, changedJobs: map[string]bool{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
 }
 
 // Run runs the actor until its context ends.
@@ -794,8 +795,9 @@
 		if !news {
 			select {
 			case <-wait:
-				// Let what belongs together come together.
-				pause(h.ctx, 50*time.Millisecond)
+				// Let what belongs together come together, the more the more
+				// controllers ask.
+				pause(h.ctx, time.Duration(len(h.cfg.Siblings)+1)*feedPause)
 				continue
 			case <-deadline.C:
 			case <-h.ctx.Done():
@@ -807,6 +809,10 @@
 	}
 }
 
+// feedPause is how long a controller's news wait for more, for each controller
+// that they go to.
+const feedPause = 20 * time.Millisecond
+
 // summary is the reply to a feed request as things stand.
 func (h *Holder) summary(a FeedArgs) FeedReply {
 	r := FeedReply{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid()}
@@ -918,6 +924,9 @@
 			h.touch(w)
 		}
 		for name, e := range w.entries {
+			if h.changedJobs[e.job] {
+				e.sent = time.Time{} // what was sent may no longer be what is wanted
+			}
 			if (e.state == taskReserved || e.state == taskQueued) && now.After(e.until) {
 				delete(w.entries, name)
 				h.touch(w)
@@ -925,6 +934,7 @@
 		}
 		h.pump(w)
 	}
+	clear(h.changedJobs)
 }
 
 // probeEvery is how often a controller that lost its workers tries whether
@@ -1051,15 +1061,7 @@
 	if !j.Final() && len(j.Results) == 0 {
 		return
 	}
-	for _, w := range h.byID {
-		for _, e := range w.entries {
-			if e.job == j.Spec.ID {
-				e.sent = time.Time{}
-				h.pump(w)
-				break
-			}
-		}
-	}
+	h.changedJobs[j.Spec.ID] = true
 }
 
 func (h *Holder) machineChanged(id string, m *bookkeeping.Machine) {
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -29,6 +29,9 @@
 
 func (t *TaskView) running() bool { return t.State == protocol.TaskRunning }
 
+// begun: it runs, or did so until it was told to stop.
+func (t *TaskView) begun() bool { return t.running() || t.State == protocol.TaskFlushing }
+
 // MachineView is a machine as its holder sums it up.
 type MachineView struct {
 	ID, Type, Zone string
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -32,10 +33,13 @@
 	holders map[string]HolderCaller
 	slots   int
 
-	board   *board
-	types   map[string]protocol.MachineType
-	jobs    map[string]*jobState
-	active  map[string]*jobState // not final
+	board  *board
+	types  map[string]protocol.MachineType
+	jobs   map[string]*jobState
+	active map[string]*jobState // not final
+	// unclear are the active jobs of which a start's outcome, or what former
+	// owners started, is not known yet.
+	unclear map[string]*jobState
 	machReg map[string]*bookkeeping.Machine
 	gone    map[string]bool
 
@@ -51,6 +55,11 @@
 	dirty     bool
 	planned   time.Time
 	classes   map[string]*classStats
+	rng       *rand.Rand
+
+	// usable and scarceNow are worked out once a round.
+	usable    []*boardMachine
+	scarceNow map[string]bool
 
 	// othersValid: some sibling says that its session lives.
 	othersValid atomic.Bool
@@ -79,6 +88,12 @@
 	// waitFrom is since when a running gang lacks a task.
 	waitFrom time.Time
 	blocked  time.Time // no room was found; look again then
+
+	// stale: something changed since the last review; missing is how many
+	// tasks it found neither done nor begun nor asked for.
+	stale    bool
+	reviewed time.Time
+	missing  int
 }
 
 type pendingStart struct {
@@ -99,7 +114,8 @@
 func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller) *Owner {
 	return &Owner{actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders,
 		slots: SlotCount(len(c.Siblings) + 1), board: newBoard(), types: map[string]protocol.MachineType{},
-		jobs: map[string]*jobState{}, active: map[string]*jobState{}, machReg: map[string]*bookkeeping.Machine{}, gone: map[string]bool{},
+		jobs: map[string]*jobState{}, active: map[string]*jobState{}, unclear: map[string]*jobState{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{}, gone: map[string]bool{},
 		born: map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
 		recording: map[string]bool{}, classes: map[string]*classStats{}}
 }
@@ -170,15 +186,26 @@
 		}
 	}
 	r.Machines = kept
-	o.board.apply(name, r, time.Now())
+	for id := range o.board.apply(name, r, time.Now()) {
+		if js := o.active[id]; js != nil {
+			js.stale = true
+		}
+	}
 	o.dirty = true
-	for _, js := range o.active {
+	for id, js := range o.unclear {
 		for i, ps := range js.pending {
 			if o.resolved(ps, name, a, r) {
 				delete(js.pending, i)
+				js.stale = true
 			}
 		}
-		if js.gain == 0 || js.settled || !js.known.Before(sent) {
+		if js.gain == 0 || js.settled {
+			if len(js.pending) == 0 {
+				delete(o.unclear, id)
+			}
+			continue
+		}
+		if !js.known.Before(sent) {
 			continue
 		}
 		for _, s := range r.Slots {
@@ -275,9 +302,12 @@
 	if gain == js.gain || gain != 0 && js.gain != 0 && gain > js.gain && len(o.windows) > 1 {
 		return // unchanged, or only the memory of windows was cut
 	}
-	js.gain, js.seen = gain, map[int]bool{}
+	js.gain, js.seen, js.stale = gain, map[int]bool{}, true
 	born := o.bornBy(gain)
 	js.settled = gain != 0 && born != 0 && js.job.Created > born
+	if gain != 0 && !js.settled {
+		o.unclear[js.job.Spec.ID] = js
+	}
 }
 
 // presentSince is the first window in a row with the present owners, 0 if
@@ -327,9 +357,10 @@
 			o.countArrival(js)
 		}
 	}
-	js.job = j
+	js.job, js.stale = j, true
 	if j.Final() && o.active[id] != nil {
 		delete(o.active, id)
+		delete(o.unclear, id)
 		js.pending, js.retryAt, js.seen, js.badOn = nil, nil, nil, nil
 	}
 	o.dirty = true
@@ -366,11 +397,18 @@
 		clear(o.gone)
 	}
 	o.gone[id] = true
-	o.board.remove(id, map[string]bool{})
-	for _, js := range o.active {
+	touched := map[string]bool{}
+	o.board.remove(id, touched)
+	for job := range touched {
+		if js := o.active[job]; js != nil {
+			js.stale = true
+		}
+	}
+	for _, js := range o.unclear {
 		for i, ps := range js.pending {
 			if ps.machine == id {
 				delete(js.pending, i)
+				js.stale = true
 			}
 		}
 	}
@@ -396,7 +434,11 @@
 
 // ---- the loop
 
-const planEvery = 100 * time.Millisecond
+const (
+	planEvery = 100 * time.Millisecond
+	// reviewEvery is how often a job is looked at of which nothing new is known.
+	reviewEvery = time.Second
+)
 
 func (o *Owner) tick() {
 	now := time.Now()
@@ -440,10 +482,17 @@
 		if js.gain == 0 {
 			continue
 		}
-		if out := o.review(js, now, rq); len(out.Tasks) > 0 && !o.recording[id] && len(outcomes) < 64 {
-			outcomes = append(outcomes, out)
+		if js.stale || now.Sub(js.reviewed) >= reviewEvery {
+			js.stale, js.reviewed = false, now
+			if out := o.review(js, now, rq); len(out.Tasks) > 0 && !o.recording[id] {
+				if len(outcomes) < 64 {
+					outcomes = append(outcomes, out)
+				} else {
+					js.stale, o.dirty = true, true
+				}
+			}
 		}
-		if js.settled {
+		if js.settled && js.missing > 0 && !now.Before(js.blocked) {
 			ready = append(ready, js)
 		}
 	}
@@ -452,6 +501,7 @@
 		return cmp.Or(cmp.Compare(b.job.Spec.Priority.Rank(), a.job.Spec.Priority.Rank()), o.due(a).Compare(o.due(b)),
 			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
+	o.usable, o.scarceNow = nil, o.scarce()
 	o.promise()
 	budget := 64
 	for _, js := range ready {
@@ -459,9 +509,6 @@
 			o.dirty = true
 			break
 		}
-		if now.Before(js.blocked) {
-			continue
-		}
 		budget -= o.placeJob(js, now, rq)
 	}
 	for name, a := range rq {
@@ -493,6 +540,9 @@
 		o.tell(func() {
 			for _, out := range outcomes {
 				delete(o.recording, out.Job.Spec.ID)
+				if js := o.active[out.Job.Spec.ID]; js != nil {
+					js.stale = true
+				}
 			}
 			o.dirty = true
 		})
@@ -504,7 +554,11 @@
 func (o *Owner) review(js *jobState, now time.Time, rq requests) (out bookkeeping.Outcome) {
 	j := js.job
 	out.Job = j
+	js.missing = j.Spec.Tasks - j.DoneCount() - len(js.pending)
 	for index, list := range o.board.tasks[j.Spec.ID] {
+		if begun := j.Spec.Shape != protocol.Gang || list[0].begun(); begun && !j.TaskDone(index) && js.pending[index] == nil {
+			js.missing--
+		}
 		var keep *inst
 		for _, i := range list {
 			if i.exited() {
@@ -599,7 +653,7 @@
 	for _, m := range o.board.machines {
 		m.promised = protocol.Room{}
 	}
-	for _, js := range o.active {
+	for _, js := range o.unclear {
 		for _, ps := range js.pending {
 			if m := o.board.machines[ps.machine]; m != nil {
 				m.promised = m.promised.Add(ps.need)
@@ -625,6 +679,8 @@
 	ps := &pendingStart{machine: m.ID, holder: m.holder, inc: o.peers[m.holder].incarnation, slot: m.Slot, term: m.Term,
 		need: js.job.Spec.Need()}
 	js.pending[index] = ps
+	js.stale = true
+	o.unclear[js.job.Spec.ID] = js
 	m.promised = m.promised.Add(ps.need)
 }
 
@@ -665,6 +721,7 @@
 		if js == nil || js.pending[index] != mine[k] {
 			continue
 		}
+		js.stale = true
 		switch {
 		case refused:
 			delete(js.pending, index)
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -26,32 +26,55 @@
 	scarce map[string]bool
 	sample int
 	rng    *rand.Rand
+	// zones is how many tasks of the job each zone has.
+	zones map[string]int
+	// with and without hold the machines that had room when they were
+	// gathered, by whether they have the image.
+	with, without []*boardMachine
 }
 
 func (p *placing) allowed(m *boardMachine) bool {
 	return m.current && m.Usable && !p.avoid[m.ID] && p.spec.Allows(m.Type, m.Zone, m.Spot) && (p.zoneOK == nil || p.zoneOK(m.Zone))
 }
 
-// bestFit draws a few of the machines that have room, as many again of those
-// that have the task's image, and takes the best of the draw.
-func (p *placing) bestFit(machines []*boardMachine) (choice, bool) {
-	var with, without []*boardMachine
-	need := p.spec.Need()
+// gather finds the machines with room for a task; several tasks of a job can
+// be placed on what was gathered once.
+func (p *placing) gather(machines []*boardMachine) {
+	p.with, p.without = nil, nil
 	for _, m := range machines {
-		if !p.allowed(m) || !m.Free.Sub(m.promised).Fits(need) {
+		if !p.fits(m) {
 			continue
 		}
 		if slices.Contains(m.Images, p.spec.Image) {
-			with = append(with, m)
+			p.with = append(p.with, m)
 		} else {
-			without = append(without, m)
+			p.without = append(p.without, m)
 		}
 	}
+}
+
+func (p *placing) fits(m *boardMachine) bool {
+	return m.Free.Sub(m.promised).Fits(p.spec.Need()) && p.allowed(m)
+}
+
+// bestFit draws a few of the machines that have room, as many again of those
+// that have the task's image, and takes the best of the draw.
+func (p *placing) bestFit() (choice, bool) {
 	var best *boardMachine
 	var bestCost float64
-	for _, pool := range [][]*boardMachine{with, without} {
-		p.rng.Shuffle(len(pool), func(i, k int) { pool[i], pool[k] = pool[k], pool[i] })
-		for _, m := range pool[:min(len(pool), p.sample)] {
+	for _, pool := range []*[]*boardMachine{&p.with, &p.without} {
+		for k := 0; k < min(p.sample, len(*pool)); {
+			l := *pool
+			i := k + p.rng.IntN(len(l)-k)
+			l[k], l[i] = l[i], l[k]
+			m := l[k]
+			if !p.fits(m) { // room only shrinks while a job is placed
+				last := len(l) - 1
+				l[k] = l[last]
+				*pool = l[:last]
+				continue
+			}
+			k++
 			if c := p.cost(m); best == nil || c < bestCost {
 				best, bestCost = m, c
 			}
@@ -144,45 +167,55 @@
 
 // ---- the owner's side of it
 
+// machinesNow are the machines on which tasks may be started, as this round
+// sees them.
 func (o *Owner) machinesNow() []*boardMachine {
-	out := make([]*boardMachine, 0, len(o.board.machines))
+	if o.usable != nil {
+		return o.usable
+	}
+	heard := map[string]bool{}
+	for name, p := range o.peers {
+		heard[name] = p.valid && time.Since(p.heard) < 6*time.Second
+	}
+	o.usable = make([]*boardMachine, 0, len(o.board.machines))
 	for _, m := range o.board.machines {
-		if p := o.peers[m.holder]; p != nil && p.valid && time.Since(p.heard) < 6*time.Second {
-			out = append(out, m)
+		if m.current && m.Usable && heard[m.holder] {
+			o.usable = append(o.usable, m)
 		}
 	}
-	slices.SortFunc(out, func(a, b *boardMachine) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return o.usable
 }
 
-func (o *Owner) placingFor(js *jobState) *placing {
+// placingFor prepares to place tasks of a job on machines of a zone, or of any
+// if it is empty.
+func (o *Owner) placingFor(js *jobState, zone string) *placing {
 	s := js.job.Spec
-	p := &placing{spec: s, avoid: js.badOn, types: o.types, scarce: o.scarce(), sample: o.cfg.Sample,
-		rng: rand.New(rand.NewPCG(rand.Uint64(), o.seq))}
+	p := &placing{spec: s, avoid: js.badOn, types: o.types, scarce: o.scarceNow, sample: o.cfg.Sample, rng: o.rng}
 	if len(js.badOn) >= 3 {
 		p.avoid = nil // it fails everywhere: no machine is to blame
 	}
+	p.zones = map[string]int{}
 	if s.OneZone || s.Scatter {
-		zones := map[string]int{}
 		for _, list := range o.board.tasks[s.ID] {
 			for _, i := range list {
 				if !i.exited() {
-					zones[i.machine.Zone]++
+					p.zones[i.machine.Zone]++
 				}
 			}
 		}
 		for _, ps := range js.pending {
 			if m := o.board.machines[ps.machine]; m != nil {
-				zones[m.Zone]++
+				p.zones[m.Zone]++
 			}
 		}
-		p.zoneOK = func(z string) bool {
-			if s.OneZone && len(zones) > 0 && zones[z] == 0 {
-				return false
-			}
-			return !s.Scatter || zones[z] < s.ZoneShare()
+	}
+	p.zoneOK = func(z string) bool {
+		if zone != "" && z != zone || s.OneZone && len(p.zones) > 0 && p.zones[z] == 0 {
+			return false
 		}
+		return !s.Scatter || p.zones[z] < s.ZoneShare()
 	}
+	p.gather(o.machinesNow())
 	return p
 }
 
@@ -296,11 +329,7 @@
 	}
 	s := js.job.Spec
 	tasks := o.board.tasks[s.ID]
-	if len(tasks)+len(js.pending)+js.job.DoneCount() >= s.Tasks && len(js.pending) > 0 && len(tasks) == 0 {
-		return 0
-	}
 	looked := 0
-	var machines []*boardMachine
 	var p *placing
 	for index := 0; index < s.Tasks && looked < 32; index++ {
 		if js.job.TaskDone(index) || len(tasks[index]) > 0 || js.pending[index] != nil {
@@ -312,29 +341,29 @@
 			}
 			delete(js.retryAt, index)
 		}
-		if machines == nil {
-			machines = o.machinesNow()
+		if p == nil {
+			p = o.placingFor(js, "")
 		}
-		p = o.placingFor(js)
 		looked++
 		if !o.teamRoom(js, 1) {
 			js.blocked = now.Add(500 * time.Millisecond)
 			return looked
 		}
-		c, ok := o.find(js, p, machines, now)
+		c, ok := o.find(js, p, now)
 		if !ok {
 			js.blocked = now.Add(400 * time.Millisecond)
 			return looked
 		}
 		o.start(js, index, o.newAttempt(), c, false, rq)
+		p.zones[c.machine.Zone]++
 	}
 	return looked
 }
 
 // find finds a machine with room, or one where room may be made.
-func (o *Owner) find(js *jobState, p *placing, machines []*boardMachine, now time.Time) (choice, bool) {
+func (o *Owner) find(js *jobState, p *placing, now time.Time) (choice, bool) {
 	s := js.job.Spec
-	c, ok := p.bestFit(machines)
+	c, ok := p.bestFit()
 	var use map[string]protocol.Room
 	if t := o.cfg.Team(s.Team); t != nil && t.Guarantees(protocol.Room{}) {
 		use = o.teamUse()
@@ -345,15 +374,18 @@
 	}
 	other := math.Inf(1)
 	within := o.within(s.Class, time.Minute)
+	waited := now.Sub(js.job.Accepted)
 	if ok {
+		if p.fetch(c.machine) <= within-waited {
+			return c, true
+		}
 		other = p.cost(c.machine)
 	}
-	waited := now.Sub(js.job.Accepted)
-	if e, found := p.preempt(machines, other, o.price(s, guaranteed, use, now)); found {
+	if e, found := p.preempt(o.machinesNow(), other, o.price(s, guaranteed, use, now)); found {
 		// Stopping other work is the last resort: as long as the aim leaves
 		// time, room may come free by itself.
 		left := within - waited - p.fetch(e.machine) - 10*time.Second
-		if !ok && left < within/5 || ok && p.fetch(c.machine) > within-waited {
+		if ok || left < within/5 {
 			return e, true
 		}
 	}
@@ -459,9 +491,8 @@
 		js.blocked = now.Add(500 * time.Millisecond)
 		return 1
 	}
-	machines := o.machinesNow()
 	if s.Tasks == 1 {
-		if c, ok := o.find(js, o.placingFor(js), machines, now); ok {
+		if c, ok := o.find(js, o.placingFor(js, ""), now); ok {
 			o.start(js, 0, o.newAttempt(), c, false, rq)
 		} else {
 			js.blocked = now.Add(400 * time.Millisecond)
@@ -471,7 +502,7 @@
 	zones := []string{""}
 	if s.OneZone {
 		zones = nil
-		for _, m := range machines {
+		for _, m := range o.machinesNow() {
 			if !slices.Contains(zones, m.Zone) {
 				zones = append(zones, m.Zone)
 			}
@@ -479,7 +510,7 @@
 		rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
 	}
 	for _, zone := range zones {
-		if picks := o.pickGang(js, zone, machines, now); picks != nil {
+		if picks := o.pickGang(js, zone, now); picks != nil {
 			attempt := o.newAttempt()
 			for index, c := range picks {
 				c.machine.promised = c.machine.promised.Sub(s.Need()) // start promises it again
@@ -492,23 +523,19 @@
 	return s.Tasks
 }
 
-func (o *Owner) pickGang(js *jobState, zone string, machines []*boardMachine, now time.Time) []choice {
+func (o *Owner) pickGang(js *jobState, zone string, now time.Time) []choice {
 	s := js.job.Spec
-	count := map[string]int{}
-	p := o.placingFor(js)
-	p.zoneOK = func(z string) bool {
-		return (zone == "" || z == zone) && (!s.Scatter || count[z] < s.ZoneShare())
-	}
+	p := o.placingFor(js, zone)
 	var picks []choice
 	for range s.Tasks {
-		c, ok := o.find(js, p, machines, now)
+		c, ok := o.find(js, p, now)
 		if !ok || len(c.evict) > 0 {
 			for _, c := range picks {
 				c.machine.promised = c.machine.promised.Sub(s.Need())
 			}
 			return nil
 		}
-		count[c.machine.Zone]++
+		p.zones[c.machine.Zone]++
 		c.machine.promised = c.machine.promised.Add(s.Need())
 		picks = append(picks, c)
 	}
@@ -517,7 +544,7 @@
 
 func (o *Owner) completeGang(js *jobState, attempt uint64, now time.Time, rq requests) int {
 	s := js.job.Spec
-	machines := o.machinesNow()
+	p := o.placingFor(js, "")
 	looked := 0
 	for index := 0; index < s.Tasks && looked < 32; index++ {
 		if len(o.board.tasks[s.ID][index]) > 0 || js.pending[index] != nil {
@@ -527,8 +554,9 @@
 		if !o.teamRoom(js, 1) {
 			break
 		}
-		if c, ok := o.find(js, o.placingFor(js), machines, now); ok {
+		if c, ok := o.find(js, p, now); ok {
 			o.start(js, index, attempt, c, false, rq)
+			p.zones[c.machine.Zone]++
 		}
 	}
 	return looked
