Rentals in lots, rosters in the slots' records, fleet packed by job

All slots were claimed in one transaction, 21 changes of 12 allowed, for a controller that is alone.

A rental is one record now; what a successor must await stands in the slot's own record, as steps between numbers; slots are claimed as many as fit; the fleet is packed job by job. The first window waits 2 s for all controllers.

--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -3,7 +3,10 @@
 package bookkeeping
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"daledyke/internal/protocol"
@@ -21,14 +24,14 @@
 	resultPrefix = Root + "r/"
 	memberPrefix = Root + "m/"
 	slotPrefix   = Root + "s/"
-	machPrefix   = Root + "w/"
+	lotPrefix    = Root + "l/"
 )
 
 func jobKey(id string) string               { return jobPrefix + id }
 func resultKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", resultPrefix, id, chunk) }
 func memberKey(name string) string          { return memberPrefix + name }
 func slotKey(slot int) string               { return fmt.Sprintf("%s%d", slotPrefix, slot) }
-func machineKey(id string) string           { return machPrefix + id }
+func lotKey(name string) string             { return lotPrefix + name }
 
 func under(key, prefix string) (string, bool) { return strings.CutPrefix(key, prefix) }
 
@@ -61,7 +64,38 @@
 	// tokens carry.
 	Incarnation uint64 `json:"inc"`
 	Term        uint64 `json:"term"`
-	Version     uint64 `json:"-"`
+	// Roster are the slot's machines on which tasks may have been started.
+	Roster  Roster `json:"up,omitempty"`
+	Version uint64 `json:"-"`
+}
+
+// Roster is a set of machines by their numbers. In a record it is the list of
+// the steps between them, which keeps even a large fleet within a value.
+type Roster map[uint64]bool
+
+// MarshalJSON writes the steps.
+func (r Roster) MarshalJSON() ([]byte, error) {
+	numbers := slices.Sorted(maps.Keys(r))
+	last := uint64(0)
+	for i, n := range numbers {
+		numbers[i], last = n-last, n
+	}
+	return json.Marshal(numbers)
+}
+
+// UnmarshalJSON reads the steps.
+func (r *Roster) UnmarshalJSON(raw []byte) error {
+	var steps []uint64
+	if err := json.Unmarshal(raw, &steps); err != nil {
+		return err
+	}
+	*r = make(Roster, len(steps))
+	last := uint64(0)
+	for _, s := range steps {
+		last += s
+		(*r)[last] = true
+	}
+	return nil
 }
 
 // Window is one numbered division of the ring and one deal of the workers.
@@ -84,16 +118,49 @@
 	return w.Owners[protocol.RingShare(token, len(w.Owners))]
 }
 
-// Machine is the registry's entry of a rented machine. It is there before
-// the first task is started on the machine, and goes once the machine is
-// known to be gone for good.
+// Machine is a rented machine in the registry. It is there before the first
+// task is started on the machine, and goes once the machine is known to be
+// gone for good.
 type Machine struct {
-	ID       string `json:"-"`
-	Type     string `json:"type"`
-	Zone     string `json:"zone"`
-	Spot     bool   `json:"spot,omitempty"`
-	RentedMs int64  `json:"at"`
-	// Up: tasks may have been started on it.
-	Up      bool   `json:"up,omitempty"`
-	Version uint64 `json:"-"`
+	ID, Type, Zone string
+	Spot           bool
+	RentedMs       int64
+}
+
+// Number is the machine's number, which deals it to a slot.
+func (m *Machine) Number() uint64 { return protocol.MachineNumber(m.ID) }
+
+// Lot is a registry record: machines that were rented, or found, together.
+// One record for a whole rental keeps a large fleet within the state
+// service's budget of writes.
+type Lot struct {
+	Type     string   `json:"type"`
+	Zone     string   `json:"zone"`
+	Spot     bool     `json:"spot,omitempty"`
+	RentedMs int64    `json:"at"`
+	Machines []string `json:"ids"`
+	Version  uint64   `json:"-"`
+}
+
+// Machine is one of the lot's machines.
+func (l *Lot) Machine(id string) *Machine {
+	return &Machine{ID: id, Type: l.Type, Zone: l.Zone, Spot: l.Spot, RentedMs: l.RentedMs}
+}
+
+// Lots sorts machines into lots of those that are alike, none larger than a
+// rental can be.
+func Lots(ms []Machine) []Lot {
+	var out []Lot
+	open := map[Machine]int{}
+	for _, m := range ms {
+		kind := Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		i, ok := open[kind]
+		if !ok || len(out[i].Machines) >= protocol.MaxRent {
+			i = len(out)
+			open[kind] = i
+			out = append(out, Lot{Type: m.Type, Zone: m.Zone, Spot: m.Spot, RentedMs: m.RentedMs})
+		}
+		out[i].Machines = append(out[i].Machines, m.ID)
+	}
+	return out
 }
--- /dev/null
+++ b/internal/bookkeeping/records_test.go
@@ -0,0 +1,92 @@
+package bookkeeping
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"testing"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// A roster stands in one value, so a thousand machines must go well into the
+// smallest that is known (8 KiB), however high their numbers are.
+func TestRosterIsSmallAndComesBack(t *testing.T) {
+	r := Roster{}
+	for n := range uint64(1000) {
+		r[4_000_000+n*42] = true
+	}
+	raw, err := json.Marshal(Slot{Holder: "c0", Roster: r})
+	if err != nil || len(raw) > 4096 {
+		t.Fatalf("%d bytes, %v", len(raw), err)
+	}
+	var back Slot
+	if err := json.Unmarshal(raw, &back); err != nil || !maps.Equal(back.Roster, r) {
+		t.Errorf("%d machines came back, %v", len(back.Roster), err)
+	}
+}
+
+func TestLotsAreOfOneKindAndBounded(t *testing.T) {
+	var ms []Machine
+	for n := range 120 {
+		ms = append(ms, Machine{ID: fmt.Sprintf("host-%03d", n), Type: "small", Zone: []string{"a", "b"}[n%2]})
+	}
+	total := 0
+	for _, l := range Lots(ms) {
+		total += len(l.Machines)
+		if len(l.Machines) > protocol.MaxRent {
+			t.Errorf("a lot of %d", len(l.Machines))
+		}
+	}
+	if total != len(ms) {
+		t.Errorf("%d of %d machines are in lots", total, len(ms))
+	}
+}
+
+// heard is a listener that only hears of machines.
+type heard struct {
+	Listener
+	machines map[string]bool
+}
+
+func (h *heard) LotChanged(string, *Lot) {}
+func (h *heard) MachineChanged(id string, m *Machine) {
+	if m == nil {
+		delete(h.machines, id)
+	} else {
+		h.machines[id] = true
+	}
+}
+
+// A machine that two controllers found at once stands in two lots. It is gone
+// only when both have dropped it: a machine told to be gone is never awaited.
+func TestMachinesGoWithTheirLastLot(t *testing.T) {
+	h := &heard{machines: map[string]bool{}}
+	r := NewReplica(nil, nil, h)
+	lot := func(name string, version uint64, ids ...string) {
+		raw, _ := json.Marshal(Lot{Type: "small", Zone: "a", Machines: ids, RentedMs: time.Now().UnixMilli()})
+		r.apply(lotKey(name), len(ids) == 0, raw, version)
+	}
+	for i, step := range []struct {
+		do   func()
+		want []string
+	}{
+		{func() { lot("b-1-1", 1, "h1", "h2") }, []string{"h1", "h2"}},
+		{func() { lot("h-2-1", 2, "h2", "h3") }, []string{"h1", "h2", "h3"}},
+		{func() { lot("b-1-1", 3, "h1") }, []string{"h1", "h2", "h3"}},
+		{func() { lot("b-1-1", 1, "h1", "h2") }, []string{"h1", "h2", "h3"}}, // an old event
+		{func() { lot("h-2-1", 4, "h3") }, []string{"h1", "h3"}},
+		{func() { lot("b-1-1", 5) }, []string{"h3"}},
+	} {
+		step.do()
+		want := map[string]bool{}
+		for _, id := range step.want {
+			want[id] = true
+		}
+		if !reflect.DeepEqual(h.machines, want) {
+			t.Errorf("step %d: %v, want %v", i, h.machines, step.want)
+		}
+	}
+}
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,7 @@
 	LeaderChanged(*Leader)
 	WindowChanged(*Window)
 	SlotChanged(slot int, s *Slot)
+	LotChanged(name string, l *Lot)
 	MachineChanged(id string, m *Machine)
 	CatalogChanged(*protocol.Catalog)
 	// Synced: the replica held all changes up to now, where now is when the
@@ -34,6 +36,10 @@
 	to    Listener
 	jobs  map[string]*Job
 	known map[string]bool // other keys that exist
+	lots  map[string]*Lot
+	// homes is in how many lots a machine stands: more than one if it was
+	// found by several at once.
+	homes map[string]int
 	early map[string]map[int]Chunk
 	// tokenOf gives a job its place on the ring.
 	tokenOf func(*protocol.JobSpec) int64
@@ -41,7 +47,7 @@
 
 // NewReplica makes a replica.
 func NewReplica(s *transport.State, tokenOf func(*protocol.JobSpec) int64, to Listener) *Replica {
-	return &Replica{state: s, to: to, jobs: map[string]*Job{}, known: map[string]bool{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf}
+	return &Replica{state: s, to: to, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{}, homes: map[string]int{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf}
 }
 
 // watchBlock bounds one wait for changes, and so how stale a replica can be
@@ -130,15 +136,6 @@
 	return v
 }
 
-func parseMachine(key string, raw json.RawMessage, version uint64) *Machine {
-	m := parse[Machine](key, raw, false)
-	if m != nil {
-		m.ID, _ = under(key, machPrefix)
-		m.Version = version
-	}
-	return m
-}
-
 func (r *Replica) apply(key string, dropped bool, raw json.RawMessage, version uint64) {
 	if id, ok := under(key, jobPrefix); ok {
 		if rec := parse[jobRecord](key, raw, dropped); rec != nil && rec.Spec != nil {
@@ -170,11 +167,13 @@
 			s.Version = version
 			r.to.SlotChanged(slot, s)
 		}
-	} else if id, ok := under(key, machPrefix); ok {
-		if dropped {
-			r.to.MachineChanged(id, nil)
-		} else if m := parseMachine(key, raw, version); m != nil {
-			r.to.MachineChanged(id, m)
+	} else if name, ok := under(key, lotPrefix); ok {
+		l := parse[Lot](key, raw, dropped)
+		if l != nil {
+			l.Version = version
+		}
+		if l != nil || dropped {
+			r.lot(name, l)
 		}
 	} else if key == keyLeader {
 		l := parse[Leader](key, raw, dropped)
@@ -194,6 +193,38 @@
 	}
 }
 
+// lot publishes a lot, and which machines came or went with it.
+func (r *Replica) lot(name string, l *Lot) {
+	old := r.lots[name]
+	if l != nil && old != nil && l.Version <= old.Version {
+		return
+	}
+	r.to.LotChanged(name, l)
+	if l == nil {
+		delete(r.lots, name)
+	} else {
+		r.lots[name] = l
+		for _, id := range l.Machines {
+			if old == nil || !slices.Contains(old.Machines, id) {
+				r.homes[id]++
+				r.to.MachineChanged(id, l.Machine(id))
+			}
+		}
+	}
+	if old == nil {
+		return
+	}
+	for _, id := range old.Machines {
+		if l != nil && slices.Contains(l.Machines, id) {
+			continue
+		}
+		if r.homes[id]--; r.homes[id] <= 0 {
+			delete(r.homes, id)
+			r.to.MachineChanged(id, nil)
+		}
+	}
+}
+
 // put publishes a job. Results may have been listed before their job.
 func (r *Replica) put(id string, j *Job) {
 	if j == r.jobs[id] {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -261,7 +262,11 @@
 	FormerVersion uint64
 }
 
-// TakeSlots takes slots under one new term.
+// MostClaims is how many slots can be taken at once: a transaction holds no
+// more, beside the term's counter.
+func (s *Store) MostClaims() int { return s.txnOps - 1 }
+
+// TakeSlots takes slots under one new term, with their rosters.
 func (s *Store) TakeSlots(ctx context.Context, name string, incarnation uint64, claims []Claim) (uint64, error) {
 	var conds []protocol.Condition
 	guarded := map[string]bool{}
@@ -279,17 +284,33 @@
 	return s.TakeTerm(ctx, conds, func(term uint64) []protocol.Change {
 		var then []protocol.Change
 		for _, c := range claims {
-			then = append(then, set(slotKey(c.Slot), Slot{Holder: name, Incarnation: incarnation, Term: term}, 0))
+			rec := Slot{Holder: name, Incarnation: incarnation, Term: term}
+			if c.Seen != nil {
+				rec.Roster = c.Seen.Roster
+			}
+			then = append(then, set(slotKey(c.Slot), rec, 0))
 		}
 		return then
 	})
 }
 
-// ReleaseSlot gives up a slot that this controller holds and has stopped
-// acting for.
-func (s *Store) ReleaseSlot(ctx context.Context, slot int, seen *Slot) error {
-	return s.commit(ctx, transport.Urgent, 3*time.Second, []protocol.Condition{{Key: slotKey(slot), Version: seen.Version}},
-		set(slotKey(slot), Slot{Term: seen.Term}, 0))
+// SlotChange is a new value for a slot's record as it was last seen.
+type SlotChange struct {
+	Slot int
+	Seen uint64 // its version
+	To   Slot
+}
+
+// ChangeSlots rewrites records of slots that this controller holds, or has
+// held and stopped acting for; no more of them than a transaction takes.
+func (s *Store) ChangeSlots(ctx context.Context, u transport.Urgency, changes []SlotChange) error {
+	var conds []protocol.Condition
+	var then []protocol.Change
+	for _, c := range changes {
+		conds = append(conds, protocol.Condition{Key: slotKey(c.Slot), Version: c.Seen})
+		then = append(then, set(slotKey(c.Slot), c.To, 0))
+	}
+	return s.commit(ctx, u, 3*time.Second, conds, then...)
 }
 
 // Revision asks for the present revision.
@@ -301,17 +322,19 @@
 // ---- machines
 
 // Machines reads the registry afresh.
-func (s *Store) Machines(ctx context.Context) ([]Machine, error) {
-	var out []Machine
+func (s *Store) Machines(ctx context.Context) ([]*Machine, error) {
+	var out []*Machine
 	from := ""
 	for {
-		page, err := s.state.List(ctx, transport.Urgent, machPrefix, from)
+		page, err := s.state.List(ctx, transport.Urgent, lotPrefix, from)
 		if err != nil {
 			return nil, err
 		}
 		for _, p := range page.Pairs {
-			if m := parseMachine(p.Key, p.Value, p.Version); m != nil {
-				out = append(out, *m)
+			if l := parse[Lot](p.Key, p.Value, false); l != nil {
+				for _, id := range l.Machines {
+					out = append(out, l.Machine(id))
+				}
 			}
 			from = p.Key
 		}
@@ -321,32 +344,33 @@
 	}
 }
 
-// RegisterMachines writes registry entries.
-func (s *Store) RegisterMachines(ctx context.Context, u transport.Urgency, ms []Machine) error {
-	for chunk := range slices.Chunk(ms, s.txnOps) {
-		var then []protocol.Change
-		for _, m := range chunk {
-			then = append(then, set(machineKey(m.ID), m, 0))
-		}
-		if err := s.commit(ctx, u, 4*time.Second, nil, then...); err != nil {
-			return err
-		}
-	}
-	return nil
+// AddLot registers machines under a lot's name that was never used.
+func (s *Store) AddLot(ctx context.Context, u transport.Urgency, name string, l Lot) error {
+	return s.commit(ctx, u, 4*time.Second, []protocol.Condition{{Key: lotKey(name)}}, set(lotKey(name), l, 0))
 }
 
-// DropMachines removes registry entries of machines that are gone.
-func (s *Store) DropMachines(ctx context.Context, ids []string) error {
-	for chunk := range slices.Chunk(ids, s.txnOps) {
+// DropMachines takes machines that are gone out of the lots given, as these
+// were last seen. A lot that changed meanwhile fails only those written with it.
+func (s *Store) DropMachines(ctx context.Context, ids map[string]bool, lots map[string]*Lot) error {
+	var failed error
+	for names := range slices.Chunk(slices.Sorted(maps.Keys(lots)), s.txnOps) {
+		var conds []protocol.Condition
 		var then []protocol.Change
-		for _, id := range chunk {
-			then = append(then, protocol.Change{Drop: machineKey(id)})
+		for _, name := range names {
+			l := *lots[name]
+			conds = append(conds, protocol.Condition{Key: lotKey(name), Version: l.Version})
+			l.Machines = slices.DeleteFunc(slices.Clone(l.Machines), func(id string) bool { return ids[id] })
+			if len(l.Machines) == 0 {
+				then = append(then, protocol.Change{Drop: lotKey(name)})
+			} else {
+				then = append(then, set(lotKey(name), l, 0))
+			}
 		}
-		if err := s.commit(ctx, transport.Ordinary, 4*time.Second, nil, then...); err != nil {
-			return err
+		if err := s.commit(ctx, transport.Ordinary, 4*time.Second, conds, then...); err != nil {
+			failed = err
 		}
 	}
-	return nil
+	return failed
 }
 
 // SaveCatalog records the catalogue, so that a controller that starts while
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -206,6 +206,9 @@
 			return fmt.Errorf("%s must be positive, not %v", name, v)
 		}
 	}
+	if d.State.TxnOps < 3 {
+		return fmt.Errorf("deployment.state.txn_ops must be at least 3, not %d: a term, a slot and a result go with other changes", d.State.TxnOps)
+	}
 	if d.Workers.LeaseS < 2*d.Workers.ReportS {
 		return errors.New("deployment.workers.lease_s must be at least twice report_s")
 	}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -119,6 +119,17 @@
 
 func (k *Controller) SlotChanged(slot int, s *bookkeeping.Slot) {
 	k.holder.tell(func() { k.holder.records[slot] = s })
+	k.owner.tell(func() { k.owner.rosters[slot] = s.Roster })
+}
+
+func (k *Controller) LotChanged(name string, l *bookkeeping.Lot) {
+	k.leader.tell(func() {
+		if l == nil {
+			delete(k.leader.lots, name)
+		} else {
+			k.leader.lots[name] = l
+		}
+	})
 }
 
 func (k *Controller) MachineChanged(id string, m *bookkeeping.Machine) {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -100,9 +100,6 @@
 	count     int
 }
 
-// maxPacked bounds how many tasks one round of renting looks at.
-const maxPacked = 300
-
 // planFleet packs what has no machine into the room there is and will be,
 // and says what to rent for the rest and which machines nothing needs.
 func planFleet(in *fleetInput) (rent []rental, idle []string) {
@@ -116,40 +113,36 @@
 		return cmp.Or(cmp.Compare(b.spec.Priority.Rank(), a.spec.Priority.Rank()), cmp.Compare(b.spec.Accels, a.spec.Accels),
 			cmp.Compare(b.spec.Cores, a.spec.Cores))
 	})
-	slices.SortStableFunc(in.machines, func(a, b *fleetMachine) int {
-		if a.booting != b.booting {
-			if b.booting {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.id, b.id)
-	})
+	slices.SortFunc(in.machines, func(a, b *fleetMachine) int { return cmp.Compare(a.id, b.id) })
 	bins := in.machines
-	packed := 0
-	for di := range in.demands {
-		d := &in.demands[di]
-		for left := d.count; left > 0 && packed < maxPacked; left-- {
-			packed++
-			if b := bestBin(in, bins, d); b != nil {
-				b.take(d)
-				continue
-			}
-			b := newBin(in, bins, d, left)
+	perZone := map[string]int{}
+	for _, b := range bins {
+		perZone[b.zone]++
+	}
+	for i := range in.demands {
+		d := &in.demands[i]
+		if d.spec.OneZone && d.count > 1 && !d.spare {
+			d.chooseZone(in, bins)
+		}
+		for left := d.fill(in, bins); left > 0; {
+			b := newBin(in, perZone, len(bins), d, left)
 			if b == nil {
 				break
 			}
-			b.take(d)
+			left -= b.take(d, left)
 			bins = append(bins, b)
+			perZone[b.zone]++
 		}
 	}
 	for _, b := range bins[len(in.machines):] {
-		k := slices.IndexFunc(rent, func(r rental) bool { return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot })
+		k := slices.IndexFunc(rent, func(r rental) bool {
+			return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot && r.count < protocol.MaxRent
+		})
 		if k < 0 {
 			rent = append(rent, rental{b.rig, b.zone, b.spot, 0})
 			k = len(rent) - 1
 		}
-		rent[k].count = min(rent[k].count+1, protocol.MaxRent)
+		rent[k].count++
 	}
 	for _, m := range in.machines {
 		if !m.used && !m.booting && m.idle > in.idleAfter {
@@ -159,6 +152,54 @@
 	return rent, idle
 }
 
+// chooseZone settles on one zone for tasks that must share one: that which
+// takes most of them as it is.
+func (d *demand) chooseZone(in *fleetInput, bins []*fleetMachine) {
+	fit := map[string]int{}
+	for _, b := range bins {
+		if !b.drains && d.allows(b) {
+			fit[b.zone] += times(b.room(d), d.spec.Need(), d.count)
+		}
+	}
+	best, most := "", -1
+	for zone, left := range d.zoneLeft {
+		n := min(fit[zone], d.count)
+		if n < d.count && !d.rentable(in, zone) {
+			n = 0
+		}
+		if left > 0 && (n > most || n == most && zone < best) {
+			best, most = zone, n
+		}
+	}
+	for zone := range d.zoneLeft {
+		if zone != best {
+			d.zoneLeft[zone] = 0
+		}
+	}
+}
+
+// rentable tells whether the cloud may have machines for the demand in a zone.
+func (d *demand) rentable(in *fleetInput, zone string) bool {
+	for _, t := range in.types {
+		for _, spot := range []bool{false, true} {
+			if slices.Contains(t.Zones, zone) && d.spec.Allows(t.Name, zone, spot) && !in.refused(t.Name, zone, spot) && t.Room().Fits(d.spec.Need()) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// times is how often a need goes into a room, up to a bound.
+func times(r, need protocol.Room, most int) int {
+	n := 0
+	for n < most && r.Fits(need) {
+		r = r.Sub(need)
+		n++
+	}
+	return n
+}
+
 func (b *fleetMachine) room(d *demand) protocol.Room {
 	r := b.free
 	if d.spare && d.preempt {
@@ -169,13 +210,23 @@
 	return r
 }
 
-func (b *fleetMachine) take(d *demand) {
+// take packs up to so many tasks into the machine and tells how many fit.
+func (b *fleetMachine) take(d *demand, left int) int {
+	if zone, bound := d.zoneLeft[b.zone]; bound {
+		left = min(left, zone)
+	}
+	n := times(b.room(d), d.spec.Need(), left)
+	if n == 0 {
+		return 0
+	}
 	b.used = true
-	need := d.spec.Need()
-	b.free = b.free.Sub(need)
+	for range n {
+		b.free = b.free.Sub(d.spec.Need())
+	}
 	if d.zoneLeft != nil {
-		d.zoneLeft[b.zone]--
+		d.zoneLeft[b.zone] -= n
 	}
+	return n
 }
 
 func (d *demand) allows(b *fleetMachine) bool {
@@ -186,13 +237,18 @@
 	return !bound || left > 0
 }
 
-func bestBin(in *fleetInput, bins []*fleetMachine, d *demand) *fleetMachine {
-	var best *fleetMachine
-	bestLeft := math.Inf(1)
+// fill packs as many tasks as fit into the machines, the tightest fit first,
+// and tells how many are left.
+func (d *demand) fill(in *fleetInput, bins []*fleetMachine) int {
+	type fit struct {
+		bin  *fleetMachine
+		left float64
+	}
+	var fits []fit
 	need := d.spec.Need()
 	for _, b := range bins {
 		room := b.room(d)
-		if b.drains || !d.allows(b) || !room.Fits(need) {
+		if b.drains || !room.Fits(need) || !d.allows(b) {
 			continue
 		}
 		t := in.types[b.rig]
@@ -203,22 +259,24 @@
 		if b.booting {
 			left += 0.5
 		}
-		if left < bestLeft {
-			best, bestLeft = b, left
+		fits = append(fits, fit{b, left})
+	}
+	slices.SortStableFunc(fits, func(a, b fit) int { return cmp.Compare(a.left, b.left) })
+	left := d.count
+	for _, f := range fits {
+		if left == 0 {
+			break
 		}
+		left -= f.bin.take(d, left)
 	}
-	return best
+	return left
 }
 
 // newBin chooses what to rent for a demand with so many tasks left: the kind
 // of which the room that is of use costs least.
-func newBin(in *fleetInput, bins []*fleetMachine, d *demand, left int) *fleetMachine {
+func newBin(in *fleetInput, perZone map[string]int, total int, d *demand, left int) *fleetMachine {
 	var best *fleetMachine
 	bestPrice := math.Inf(1)
-	perZone := map[string]int{}
-	for _, b := range bins {
-		perZone[b.zone]++
-	}
 	for _, t := range in.types {
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
@@ -226,10 +284,7 @@
 				if !d.allows(b) || in.refused(t.Name, zone, spot) {
 					continue
 				}
-				fit := 0
-				for r := t.Room(); fit < left && r.Fits(d.spec.Need()); fit++ {
-					r = r.Sub(d.spec.Need())
-				}
+				fit := times(t.Room(), d.spec.Need(), left)
 				if fit == 0 {
 					continue
 				}
@@ -243,7 +298,7 @@
 				if in.scarce[t.Name] && fit < left {
 					price *= 1.1
 				}
-				price *= 1 + 0.002*float64(perZone[zone])
+				price *= 1 + 0.1*float64(perZone[zone])/float64(total+1)
 				if price < bestPrice {
 					best, bestPrice = b, price
 				}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -45,7 +47,11 @@
 
 	syncedAt time.Time
 	adopting bool
-	enlist   bool // a registry write is under way
+	// releasing are slots given up whose records don't say so yet.
+	releasing    map[int]*heldSlot
+	writingSlots bool
+	found        uint64 // lots of machines that nobody had registered
+	finding      bool
 	// probing: most workers went silent together, so it is this controller
 	// that they can't reach.
 	probing bool
@@ -62,6 +68,9 @@
 	adopted  time.Time
 	ready    bool // the registry was read after the adoption
 	complete bool
+	// roster is what the slot's record says at least: tasks are started only
+	// on machines that stand in it, so that a successor awaits them.
+	roster bookkeeping.Roster
 	// awaited are machines that may have tasks and have not reported under
 	// this term yet.
 	awaited map[string]bool
@@ -75,6 +84,7 @@
 	seq                 uint64
 	// verified: a report under this slot's term has come (invariant 3).
 	verified   bool
+	firstHeard time.Time
 	lastHeard  time.Time
 	lastAnswer time.Time
 	// lapsed: the lease of session lapsedIn and all before surely ended.
@@ -123,7 +133,7 @@
 	return &Holder{actor: newActor(ctx), cfg: c, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
-		byID: map[string]*worker{}, changedJobs: map[string]bool{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
+		byID: map[string]*worker{}, changedJobs: map[string]bool{}, releasing: map[int]*heldSlot{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
 }
 
 // Run runs the actor until its context ends.
@@ -134,7 +144,12 @@
 func SlotCount(controllers int) int { return max(1, controllers*(controllers-1)) }
 
 func (h *Holder) slotOf(machine string) int {
-	return int(protocol.MachineNumber(machine) % uint64(SlotCount(len(h.cfg.Siblings)+1)))
+	return slotOf(machine, SlotCount(len(h.cfg.Siblings)+1))
+}
+
+// slotOf deals a machine to one of the slots.
+func slotOf(machine string, slots int) int {
+	return int(protocol.MachineNumber(machine) % uint64(slots))
 }
 
 func (h *Holder) bump() uint64 {
@@ -195,7 +210,9 @@
 				c.FormerVersion = m.Version
 			}
 		}
-		claims = append(claims, c)
+		if claims = append(claims, c); len(claims) == h.store.MostClaims() {
+			break // the rest in the next round
+		}
 	}
 	if len(claims) == 0 {
 		return
@@ -216,7 +233,11 @@
 				return
 			}
 			for _, c := range claims {
-				h.slots[c.Slot] = &heldSlot{slot: c.Slot, term: term, adopted: time.Now(), awaited: map[string]bool{}}
+				s := &heldSlot{slot: c.Slot, term: term, adopted: time.Now(), awaited: map[string]bool{}, roster: bookkeeping.Roster{}}
+				if c.Seen != nil {
+					maps.Copy(s.roster, c.Seen.Roster)
+				}
+				h.slots[c.Slot] = s
 			}
 			slog.Info("took slots", "count", len(claims), "term", term)
 			h.bump()
@@ -246,8 +267,7 @@
 				// also one that has not begun by this clock.
 				h.learnWindow(win)
 				h.obey(win)
-				for i := range machines {
-					m := &machines[i]
+				for _, m := range machines {
 					s := h.slots[h.slotOf(m.ID)]
 					if s == nil || s.term != term {
 						continue
@@ -255,7 +275,7 @@
 					if h.registry[m.ID] == nil && !h.retired[m.ID] {
 						h.registry[m.ID] = m
 					}
-					if w := h.byID[m.ID]; m.Up && !(w != nil && w.verified) {
+					if w := h.byID[m.ID]; s.roster[m.Number()] && !(w != nil && w.verified) {
 						s.awaited[m.ID] = true
 					}
 				}
@@ -303,20 +323,45 @@
 			}
 		}
 		h.bump()
-		go func() {
-			for h.ctx.Err() == nil {
-				ctx, cancel := context.WithTimeout(h.ctx, 4*time.Second)
-				err := h.store.ReleaseSlot(ctx, slot, rec)
-				cancel()
-				if err == nil || errors.Is(err, bookkeeping.ErrConflict) {
-					return
-				}
-				pause(h.ctx, 500*time.Millisecond)
-			}
-		}()
+		h.releasing[slot] = s
+	}
+	if len(h.releasing) == 0 || h.writingSlots {
+		return
+	}
+	var changes []bookkeeping.SlotChange
+	for slot, s := range h.releasing {
+		rec := h.records[slot]
+		if rec.Term != s.term || rec.Holder == "" {
+			delete(h.releasing, slot) // said, or taken already
+		} else if len(changes) < h.store.MostClaims() {
+			changes = append(changes, bookkeeping.SlotChange{Slot: slot, Seen: rec.Version, To: bookkeeping.Slot{Term: rec.Term, Roster: rec.Roster}})
+		}
+	}
+	h.changeSlots(transport.Urgent, changes, nil)
+}
+
+// changeSlots writes slots' records, one transaction at a time. What was
+// written for certain is passed on; anything else is tried again by the loop,
+// once the replica shows the records as they are.
+func (h *Holder) changeSlots(u transport.Urgency, changes []bookkeeping.SlotChange, written func()) {
+	if len(changes) == 0 {
+		return
 	}
+	h.writingSlots = true
+	go func() {
+		err := h.store.ChangeSlots(h.ctx, u, changes)
+		if err == nil && written != nil {
+			h.tell(written)
+		}
+		pause(h.ctx, rosterEvery)
+		h.tell(func() { h.writingSlots = false })
+	}()
 }
 
+// rosterEvery is how often rosters are written at most; machines that come up
+// at about the same time share a write.
+const rosterEvery = 250 * time.Millisecond
+
 // ---- windows
 
 func (h *Holder) learnWindow(w *bookkeeping.Window) {
@@ -373,7 +418,7 @@
 	}
 	w := h.byID[rep.Machine]
 	if w == nil {
-		w = &worker{id: rep.Machine, slot: s, seq: 1, entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
+		w = &worker{id: rep.Machine, slot: s, seq: 1, firstHeard: time.Now(), entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
 		h.byID[rep.Machine] = w
 	}
 	if !h.hear(w, rep) {
@@ -629,8 +674,8 @@
 
 // startable tells whether tasks may be started on a machine.
 func (h *Holder) startable(w *worker) bool {
-	m := h.registry[w.id]
-	return w.verified && w.slot.ready && !w.lapsed && !w.silent && !w.notice && !w.suspect && m != nil && m.Up && time.Now().After(w.drainTill)
+	return w.verified && w.slot.ready && !w.lapsed && !w.silent && !w.notice && !w.suspect && h.registry[w.id] != nil &&
+		w.slot.roster[protocol.MachineNumber(w.id)] && time.Now().After(w.drainTill)
 }
 
 // ---- requests of owners
@@ -991,42 +1036,93 @@
 	}()
 }
 
-// enroll registers machines before tasks are started on them.
+// enroll puts machines into their slots' rosters before tasks are started on
+// them, and takes those out that are gone.
 func (h *Holder) enroll() {
-	if h.enlist || !h.session.Valid() {
+	if h.writingSlots || !h.session.Valid() {
 		return
 	}
-	var fresh []bookkeeping.Machine
+	h.registerFound()
+	rosters := map[*heldSlot]bookkeeping.Roster{}
+	roster := func(s *heldSlot) bookkeeping.Roster {
+		if rosters[s] == nil && len(rosters) < h.store.MostClaims() {
+			rosters[s] = maps.Clone(s.roster)
+		}
+		return rosters[s]
+	}
 	for _, w := range h.byID {
-		if m := h.registry[w.id]; w.verified && (m == nil || !m.Up) && len(fresh) < 12 {
-			n := bookkeeping.Machine{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, RentedMs: time.Now().UnixMilli(), Up: true}
-			if m != nil {
-				n.RentedMs = m.RentedMs
+		if n := protocol.MachineNumber(w.id); w.verified && w.slot.ready && h.registry[w.id] != nil && !w.slot.roster[n] {
+			if r := roster(w.slot); r != nil {
+				r[n] = true
+			}
+		}
+	}
+	registered := map[uint64]bool{}
+	if len(rosters) > 0 {
+		for id := range h.registry {
+			registered[protocol.MachineNumber(id)] = true
+		}
+	}
+	var changes []bookkeeping.SlotChange
+	for s, r := range rosters {
+		rec := h.records[s.slot]
+		if rec == nil || rec.Term != s.term || rec.Holder != h.cfg.Name {
+			delete(rosters, s) // our own record has not come back to us yet
+			continue
+		}
+		maps.DeleteFunc(r, func(n uint64, _ bool) bool { return !registered[n] })
+		changes = append(changes, bookkeeping.SlotChange{Slot: s.slot, Seen: rec.Version,
+			To: bookkeeping.Slot{Holder: rec.Holder, Incarnation: rec.Incarnation, Term: rec.Term, Roster: r}})
+	}
+	h.changeSlots(transport.Ordinary, changes, func() {
+		for s, r := range rosters {
+			if h.slots[s.slot] == s {
+				s.roster = r
+			}
+		}
+		for _, w := range h.byID {
+			if r := rosters[w.slot]; r != nil && h.slots[w.slot.slot] == w.slot {
+				h.touch(w)
 			}
-			fresh = append(fresh, n)
+		}
+	})
+}
+
+// foundAfter is how long a machine may report before it is registered by its
+// holder: the leader that rented it is about to do so itself.
+const foundAfter = 5 * time.Second
+
+// registerFound registers machines that report and that no record names: a
+// rental may be carried out late, or its leader may have ended.
+func (h *Holder) registerFound() {
+	if h.finding {
+		return
+	}
+	var fresh []bookkeeping.Machine
+	now := time.Now()
+	for _, w := range h.byID {
+		if w.verified && h.registry[w.id] == nil && now.Sub(w.firstHeard) > foundAfter {
+			fresh = append(fresh, bookkeeping.Machine{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, RentedMs: now.UnixMilli()})
 		}
 	}
 	if len(fresh) == 0 {
 		return
 	}
-	h.enlist = true
+	slog.Info("unexpected machines", "count", len(fresh))
+	h.finding = true
+	lots := map[string]bookkeeping.Lot{}
+	for _, l := range bookkeeping.Lots(fresh) {
+		h.found++
+		lots[fmt.Sprintf("h-%d-%d", h.session.Term(), h.found)] = l
+	}
 	go func() {
-		err := h.store.RegisterMachines(h.ctx, transport.Ordinary, fresh)
-		h.tell(func() {
-			h.enlist = false
-			if err != nil {
-				return
-			}
-			for _, m := range fresh {
-				if h.retired[m.ID] {
-					continue
-				}
-				h.registry[m.ID] = &m
-				if w := h.byID[m.ID]; w != nil {
-					h.touch(w)
-				}
+		for name, l := range lots {
+			if err := h.store.AddLot(h.ctx, transport.Ordinary, name, l); err != nil {
+				slog.Debug("found machines not registered", "err", err)
 			}
-		})
+		}
+		pause(h.ctx, time.Second) // they come back through the replica
+		h.tell(func() { h.finding = false })
 	}()
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -43,13 +44,14 @@
 	started  time.Time
 	leadFrom time.Time
 	draining map[string]time.Time
+	lots     map[string]*bookkeeping.Lot
 }
 
 // NewLeader makes the actor.
 func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
 	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
 		members: map[string]*bookkeeping.Member{}, refusals: map[string]time.Time{}, listed: map[string]protocol.Machine{},
-		draining: map[string]time.Time{}, started: time.Now()}
+		draining: map[string]time.Time{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
 }
 
 // Run runs the actor until its context ends.
@@ -97,6 +99,10 @@
 
 // ---- windows
 
+// firstWait is how long the very first window waits for controllers that are
+// not there yet.
+const firstWait = 2 * time.Second
+
 // nextWindow works out the window to publish, nil if it is not time yet: in
 // the middle of the present one, or at once when controllers came or went.
 func nextWindow(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string, now time.Time, every, offset time.Duration) *bookkeeping.Window {
@@ -145,6 +151,9 @@
 	if l.writing {
 		return
 	}
+	if l.window == nil && len(l.members) < len(l.cfg.Siblings)+1 && time.Since(l.leadFrom) < firstWait {
+		return // all start together: what was dealt now would soon change hands
+	}
 	w := nextWindow(l.window, l.members, l.cfg.Names(), time.Now(), l.cfg.Window, l.cfg.PublishOffset)
 	if w == nil {
 		return
@@ -220,7 +229,9 @@
 	holder  map[string]string
 	reg     map[string]*bookkeeping.Machine
 	seen    map[string]bool
-	ready   bool
+	// up are machines that are not seen and on which tasks may be.
+	up    map[string]bool
+	ready bool
 }
 
 // lost are the silent machines that should be returned: not if a great part
@@ -268,7 +279,7 @@
 			continue
 		}
 		age := now.Sub(time.UnixMilli(m.RentedMs))
-		if !m.Up && age > protocol.Seconds(2.6*t.BootS+15) || m.Up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
+		if up := st.up[id]; !up && age > protocol.Seconds(2.6*t.BootS+15) || up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
 			gone = append(gone, id) // never came up, or never came back
 			continue
 		}
@@ -338,13 +349,16 @@
 	l.listed = listed
 	var fresh []bookkeeping.Machine
 	for id, m := range listed {
-		if st.reg[id] == nil && !st.seen[id] && m.Status != "failed" && m.AgeS > 2 && !l.owner.isGone(l.ctx, id) {
+		if st.reg[id] == nil && !st.seen[id] && m.Status != "failed" && m.AgeS > 10 && !l.owner.isGone(l.ctx, id) {
 			fresh = append(fresh, bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, RentedMs: now.Add(-protocol.Seconds(m.AgeS)).UnixMilli()})
 		}
 	}
 	if len(fresh) > 0 {
 		slog.Info("unexpected machines", "count", len(fresh))
-		l.store.RegisterMachines(l.ctx, transport.Background, fresh)
+		for _, lot := range bookkeeping.Lots(fresh) {
+			l.bookings++
+			l.register(fmt.Sprintf("x-%d-%d", l.session.Term(), l.bookings), lot)
+		}
 	}
 }
 
@@ -370,13 +384,30 @@
 	}
 	slices.Sort(ids)
 	ids = slices.Compact(ids)
-	ids = ids[:min(len(ids), protocol.MaxReturn)]
+	// Only what a lot names: dropping it there is what tells everyone.
+	lots, named := map[string]*bookkeeping.Lot{}, map[string]bool{}
+	l.ask(l.ctx, func() {
+		wanted := make(map[string]bool, len(ids))
+		for _, id := range ids {
+			wanted[id] = true
+		}
+		for name, lot := range l.lots {
+			for _, id := range lot.Machines {
+				if wanted[id] && (named[id] || len(named) < protocol.MaxReturn) {
+					named[id], lots[name] = true, lot
+				}
+			}
+		}
+	})
+	if ids = slices.Sorted(maps.Keys(named)); len(ids) == 0 {
+		return
+	}
 	if err := l.cloud.Return(l.ctx, ids); err != nil {
 		slog.Info("return failed", "machines", len(ids), "err", err)
 		return
 	}
 	slog.Info("returned machines", "ids", ids)
-	if err := l.store.DropMachines(l.ctx, ids); err != nil {
+	if err := l.store.DropMachines(l.ctx, named, lots); err != nil {
 		slog.Info("registry not updated, will return again", "err", err)
 		return
 	}
@@ -389,8 +420,8 @@
 // rent rents machines. A booking's name is made of the controller's term,
 // which the state service gave once and for all, and a rising number.
 func (l *Leader) rent(rentals []rental) {
-	for k, r := range rentals {
-		if k >= 6 || !l.session.Valid() {
+	for _, r := range rentals {
+		if !l.session.Valid() {
 			return
 		}
 		l.bookings++
@@ -413,17 +444,27 @@
 			l.refusals[key] = time.Now().Add(15 * time.Second)
 		}
 		slog.Info("rented", "kind", key, "asked", r.count, "got", len(names.Machines))
-		var ms []bookkeeping.Machine
-		for _, id := range names.Machines {
-			ms = append(ms, bookkeeping.Machine{ID: id, Type: r.rig, Zone: r.zone, Spot: r.spot, RentedMs: time.Now().UnixMilli()})
-		}
-		l.owner.expect(ms)
-		if err := l.store.RegisterMachines(l.ctx, transport.Ordinary, ms); err != nil {
-			slog.Info("rented machines not registered", "err", err)
-		}
+		lot := bookkeeping.Lot{Type: r.rig, Zone: r.zone, Spot: r.spot, RentedMs: time.Now().UnixMilli(), Machines: names.Machines}
+		l.owner.expect(lot)
+		l.register(req.Booking, lot)
 	}
 }
 
+// register writes a lot, and goes on trying for a while; what stays without a
+// record is found by its holder or in the machine list.
+func (l *Leader) register(name string, lot bookkeeping.Lot) {
+	go func() {
+		for range 5 {
+			err := l.store.AddLot(l.ctx, transport.Ordinary, name, lot)
+			if err == nil || errors.Is(err, bookkeeping.ErrConflict) {
+				return // written, by this or by an earlier try
+			}
+			slog.Debug("machines not registered", "lot", name, "err", err)
+			pause(l.ctx, time.Second)
+		}
+	}()
+}
+
 // ---- the owner's side of it
 
 func (o *Owner) isGone(ctx context.Context, id string) (gone bool) {
@@ -432,11 +473,11 @@
 }
 
 // expect notes rented machines before the records show them.
-func (o *Owner) expect(ms []bookkeeping.Machine) {
-	o.tell(func() {
-		for _, m := range ms {
-			if o.machReg[m.ID] == nil && !o.gone[m.ID] {
-				o.machReg[m.ID] = &m
+func (o *Owner) expect(l bookkeeping.Lot) {
+	o.ask(o.ctx, func() {
+		for _, id := range l.Machines {
+			if o.machReg[id] == nil && !o.gone[id] {
+				o.machReg[id] = l.Machine(id)
 			}
 		}
 	})
@@ -444,7 +485,7 @@
 
 // fleet sums up the fleet for the leader.
 func (o *Owner) fleet(ctx context.Context, now, started time.Time) *fleetState {
-	st := &fleetState{drained: map[string]bool{}, holder: map[string]string{}, reg: map[string]*bookkeeping.Machine{}, seen: map[string]bool{}}
+	st := &fleetState{drained: map[string]bool{}, holder: map[string]string{}, reg: map[string]*bookkeeping.Machine{}, seen: map[string]bool{}, up: map[string]bool{}}
 	ok := o.ask(ctx, func() {
 		// Without every slot's news it is not known what is missing.
 		st.ready = o.window() != nil && o.board.allComplete(o.slots, 0)
@@ -452,6 +493,9 @@
 		st.in.scarce = o.scarce()
 		for id, m := range o.machReg {
 			st.reg[id] = m
+			if o.board.machines[id] == nil && o.rosters[slotOf(id, o.slots)][m.Number()] {
+				st.up[id] = true
+			}
 		}
 		for _, s := range o.board.slots {
 			if p := o.peers[s.holder]; p != nil && p.valid {
@@ -508,7 +552,6 @@
 // demands is what has no machine, and what is expected to come.
 func (o *Owner) demands(now, started time.Time) []demand {
 	var out []demand
-	total := 0
 	for id, js := range o.active {
 		s := js.job.Spec
 		missing := s.Tasks - js.job.DoneCount() - len(js.pending)
@@ -522,13 +565,12 @@
 				zones[i.machine.Zone]++
 			}
 		}
-		if missing <= 0 || js.errors > 6 || total > 4*maxPacked {
+		if missing <= 0 || js.errors > 6 {
 			continue
 		}
 		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
 			missing = min(missing, fits(s.Need(), protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}))
 		}
-		total += missing
 		d := demand{spec: s, count: missing}
 		if s.Scatter || s.OneZone {
 			d.zoneLeft = map[string]int{}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -41,6 +41,7 @@
 	// owners started, is not known yet.
 	unclear map[string]*jobState
 	machReg map[string]*bookkeeping.Machine
+	rosters map[int]bookkeeping.Roster
 	gone    map[string]bool
 
 	windows []*bookkeeping.Window // those obeyed in a row without a gap, bounded
@@ -115,7 +116,8 @@
 	return &Owner{actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders,
 		slots: SlotCount(len(c.Siblings) + 1), board: newBoard(), types: map[string]protocol.MachineType{},
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, unclear: map[string]*jobState{},
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{}, gone: map[string]bool{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
+		rosters: map[int]bookkeeping.Roster{}, gone: map[string]bool{},
 		born: map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
 		recording: map[string]bool{}, classes: map[string]*classStats{}}
 }
--- a/internal/coordination/standin_test.go
+++ b/internal/coordination/standin_test.go
@@ -278,7 +278,14 @@
 	}
 }
 
+// maxOps is the limit that the settings of the tests name.
+const maxOps = 12
+
 func (s *stateService) multi(w http.ResponseWriter, t protocol.Txn) {
+	if len(t.Then) > maxOps || len(t.If) > 4*maxOps {
+		answer(w, 400, map[string]string{"error": "too many operations"})
+		return
+	}
 	for _, c := range t.Then {
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
 			answer(w, 400, map[string]string{"error": "no such lease"})
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -47,9 +47,9 @@
 		t.Fatal(err)
 	}
 	defer f.Close()
-	w := newWorld(t)
-	defer w.end()
 	lines := bufio.NewScanner(f)
+	size := 3
+	var w *world
 	for number := 1; lines.Scan(); number++ {
 		words := strings.Fields(lines.Text())
 		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
@@ -59,6 +59,16 @@
 		if err != nil || len(words) < 2 {
 			t.Fatalf("line %d: %q is no step of a trace", number, lines.Text())
 		}
+		if words[1] == "controllers" { // before anything else: how many there are
+			if size, err = strconv.Atoi(words[2]); err != nil || w != nil {
+				t.Fatalf("line %d: %q", number, lines.Text())
+			}
+			continue
+		}
+		if w == nil {
+			w = newWorld(t, size)
+			defer w.end()
+		}
 		if wait := at - time.Since(w.since); wait > 0 {
 			time.Sleep(wait)
 		}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -39,12 +39,15 @@
 	stops []func()
 }
 
-func newWorld(t *testing.T) *world {
-	w := &world{t: t, net: newMemNet(), state: newStateService(), names: []string{"c0", "c1", "c2"}, lease: 20 * time.Second,
+func newWorld(t *testing.T, controllers int) *world {
+	w := &world{t: t, net: newMemNet(), state: newStateService(), lease: 20 * time.Second,
 		dir: t.TempDir(), nodes: map[string]context.CancelFunc{}, specs: map[string]*protocol.JobSpec{}, runs: map[string]time.Duration{}, since: time.Now(),
 		types: []protocol.MachineType{
 			{Name: "small", Cores: 8, Accels: 2, RAM: 64, CacheGB: 50, FetchRate: 1, Price: 2, SpotPrice: 0.5, BootS: 10, Zones: []string{"a", "b"}},
 			{Name: "large", Cores: 32, Accels: 8, RAM: 256, CacheGB: 50, FetchRate: 1, Price: 9, SpotPrice: 2, BootS: 20, Zones: []string{"a", "b"}}}}
+	for n := range controllers {
+		w.names = append(w.names, fmt.Sprintf("c%d", n))
+	}
 	w.rules = &rules{w: w, at: map[string]place{}, starts: map[string]int{}, cancelled: map[string]time.Time{}, struck: map[string]string{}}
 	w.cloud = &cloud{w: w, machines: map[string]*worker1{}, booked: map[string][]string{}, capacity: 30}
 	w.stops = append(w.stops, w.net.serve("cloud:1", w.cloud))
@@ -220,7 +223,7 @@
 // gives an answer that is final for the request.
 func (w *world) ask(method, path string, body any) (int, protocol.JobStatus) {
 	for try := range 60 {
-		status, raw, err := w.call("user", method, "front-"+w.names[try%3]+path, body, 5*time.Second)
+		status, raw, err := w.call("user", method, "front-"+w.names[try%len(w.names)]+path, body, 5*time.Second)
 		if err == nil && status < 429 {
 			var st protocol.JobStatus
 			json.Unmarshal(raw, &st)
