--- a/cmd/daledyke/main.go
+++ b/cmd/daledyke/main.go
@@ -98,6 +98,8 @@
 		ctx = context.Background()
 	}
 	limits := &c.Deployment.Limits
+	// Memory is there, processor is not: collect seldom while far from the limit.
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(limits.MemMB * 0.6 * (1 << 20)))
 	front, err := net.Listen("tcp", c.Front)
 	if err != nil {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -95,6 +95,7 @@
 	images    []image // most recently used last
 	ready     map[string]bool
 	busy      bool // a direct command is under way
+	settled   bool // nothing is wanted of it until something changes
 	holdOff   time.Time
 	drainTill time.Time
 	silent    bool
@@ -128,6 +129,8 @@
 
 func (e *entry) unconfirmed() bool { return unconfirmed(e.state) }
 
+func (e *entry) exited() bool { return e.state == protocol.TaskExited }
+
 // NewHolder makes the actor.
 func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
 	return &Holder{actor: newActor(ctx), cfg: c, session: session, store: store, workers: workers,
@@ -159,7 +162,7 @@
 	return h.version
 }
 
-func (h *Holder) touch(w *worker) { w.version = h.bump() }
+func (h *Holder) touch(w *worker) { w.version, w.settled = h.bump(), false }
 
 // silentAfter is when a worker's silence tells of trouble: two regular reports
 // and the time to find another controller have passed.
@@ -614,6 +617,17 @@
 	return out
 }
 
+// atRest tells whether no command to the worker is due, or will be before
+// something changes.
+func (w *worker) atRest() bool {
+	for _, e := range w.entries {
+		if e.stop || e.unconfirmed() || e.exited() {
+			return false
+		}
+	}
+	return true
+}
+
 // pump sends a worker the commands it needs. One direct command is under way
 // at a time; each has a token of its own, so that a report with a higher one
 // proves that it was carried out or never will be.
@@ -625,6 +639,7 @@
 	var cmds []protocol.Command
 	if w.verified {
 		if cmds = h.wanted(w, now); len(cmds) == 0 {
+			w.settled = w.atRest()
 			return
 		}
 	}
@@ -856,7 +871,7 @@
 
 // feedPause is how long a controller's news wait for more, for each controller
 // that they go to.
-const feedPause = 20 * time.Millisecond
+const feedPause = 40 * time.Millisecond
 
 // summary is the reply to a feed request as things stand.
 func (h *Holder) summary(a FeedArgs) FeedReply {
@@ -970,14 +985,16 @@
 		}
 		for name, e := range w.entries {
 			if h.changedJobs[e.job] {
-				e.sent = time.Time{} // what was sent may no longer be what is wanted
+				e.sent, w.settled = time.Time{}, false // what was sent may no longer be what is wanted
 			}
 			if (e.state == taskReserved || e.state == taskQueued) && now.After(e.until) {
 				delete(w.entries, name)
 				h.touch(w)
 			}
 		}
-		h.pump(w)
+		if !w.settled {
+			h.pump(w)
+		}
 	}
 	clear(h.changedJobs)
 }
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -528,8 +528,8 @@
 	p := o.placingFor(js, zone)
 	var picks []choice
 	for range s.Tasks {
-		c, ok := o.find(js, p, now)
-		if !ok || len(c.evict) > 0 {
+		c, ok := p.bestFit()
+		if !ok {
 			for _, c := range picks {
 				c.machine.promised = c.machine.promised.Sub(s.Need())
 			}
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -100,10 +99,12 @@
 	return s.Tasks
 }
 
-var jobID = regexp.MustCompile(`^wk-[0-9]{1,18}$`)
-
-// ValidJobID tells whether an id has the form that all job ids have.
-func ValidJobID(id string) bool { return jobID.MatchString(id) }
+// ValidJobID tells whether an id has the form that all job ids have: wk- and
+// up to 18 digits. It is asked for every task of every report.
+func ValidJobID(id string) bool {
+	number, ok := strings.CutPrefix(id, "wk-")
+	return ok && len(number) >= 1 && len(number) <= 18 && strings.Trim(number, "0123456789") == ""
+}
 
 // PeekID reads the id out of a submission that may otherwise be senseless.
 func PeekID(body []byte) string {
