Gangs of several tasks have other work make room for them

Ruled out: capacity (92 ordinary racks, some 40 needed).

Room is reserved on all machines with what must go; what was reserved is then started without asking for the room again. Machine types that are too small for the task are left out before prices are worked out.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -757,9 +757,10 @@
 	case !j.Spec.Allows(w.rig, w.zone, w.spot):
 		return "machine not allowed"
 	}
-	if e := w.entries[st.Task]; e != nil && !(e.state == taskReserved && e.attempt == st.Attempt) {
+	reserved := w.entries[st.Task]
+	if reserved != nil && !(reserved.state == taskReserved && reserved.attempt == st.Attempt) {
 		return "already there"
-	} else if e == nil {
+	} else if reserved == nil {
 		for _, o := range h.byID {
 			if x := o.entries[st.Task]; x != nil && x.state != protocol.TaskExited {
 				return "elsewhere here"
@@ -773,7 +774,9 @@
 			room = room.Add(h.need(v))
 		}
 	}
-	if !room.Fits(j.Spec.Need()) {
+	// What was reserved was granted; its room may still be in use by tasks that
+	// were told to make way.
+	if reserved == nil && !room.Fits(j.Spec.Need()) {
 		return "no room"
 	}
 	for _, name := range st.Evict {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -135,7 +135,7 @@
 	bestPrice := orElse
 	need := p.spec.Need()
 	for _, m := range machines {
-		if !p.allowed(m) {
+		if t := p.types[m.Type]; !t.Room().Fits(need) || !p.allowed(m) {
 			continue
 		}
 		var can []evictable
@@ -362,34 +362,40 @@
 
 // find finds a machine with room, or one where room may be made.
 func (o *Owner) find(js *jobState, p *placing, now time.Time) (choice, bool) {
-	s := js.job.Spec
 	c, ok := p.bestFit()
+	if ok && p.fetch(c.machine) <= o.within(js.job.Spec.Class, time.Minute)-now.Sub(js.job.Accepted) {
+		return c, true
+	}
+	if e, found := o.makeRoom(js, p, c.machine, now); found {
+		return e, true
+	}
+	return c, ok
+}
+
+// makeRoom finds a machine where stopping other work makes room for a task, if
+// that is better than what there is without (nil: nothing).
+func (o *Owner) makeRoom(js *jobState, p *placing, free *boardMachine, now time.Time) (choice, bool) {
+	s := js.job.Spec
 	var use map[string]protocol.Room
 	if t := o.cfg.Team(s.Team); t != nil && t.Guarantees(protocol.Room{}) {
 		use = o.teamUse()
 	}
 	guaranteed := o.guaranteed(s, use)
 	if s.Priority.Rank() < 2 && !guaranteed || now.Sub(js.known) < 500*time.Millisecond {
-		return c, ok
+		return choice{}, false
 	}
 	other := math.Inf(1)
-	within := o.within(s.Class, time.Minute)
-	waited := now.Sub(js.job.Accepted)
-	if ok {
-		if p.fetch(c.machine) <= within-waited {
-			return c, true
-		}
-		other = p.cost(c.machine)
+	if free != nil {
+		other = p.cost(free)
 	}
-	if e, found := p.preempt(o.machinesNow(), other, o.price(s, guaranteed, use, now)); found {
-		// Stopping other work is the last resort: as long as the aim leaves
-		// time, room may come free by itself.
-		left := within - waited - p.fetch(e.machine) - 10*time.Second
-		if ok || left < within/5 {
-			return e, true
-		}
+	e, found := p.preempt(o.machinesNow(), other, o.price(s, guaranteed, use, now))
+	// Stopping other work is the last resort: as long as the aim leaves time,
+	// room may come free by itself.
+	within := o.within(s.Class, time.Minute)
+	if !found || free == nil && within-now.Sub(js.job.Accepted)-p.fetch(e.machine)-10*time.Second >= within/5 {
+		return choice{}, false
 	}
-	return c, ok
+	return e, true
 }
 
 // within is how soon the users want tasks of a class to start, if they say.
@@ -509,8 +515,12 @@
 		}
 		rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
 	}
-	for _, zone := range zones {
-		if picks := o.pickGang(js, zone, now); picks != nil {
+	for _, evict := range []bool{false, true} {
+		for _, zone := range zones {
+			picks := o.pickGang(js, zone, evict, now)
+			if picks == nil {
+				continue
+			}
 			attempt := o.newAttempt()
 			for index, c := range picks {
 				c.machine.promised = c.machine.promised.Sub(s.Need()) // start promises it again
@@ -523,12 +533,17 @@
 	return s.Tasks
 }
 
-func (o *Owner) pickGang(js *jobState, zone string, now time.Time) []choice {
+// pickGang finds a machine for every task of a gang, if there is one; with
+// evict also such where other work has to make room.
+func (o *Owner) pickGang(js *jobState, zone string, evict bool, now time.Time) []choice {
 	s := js.job.Spec
 	p := o.placingFor(js, zone)
 	var picks []choice
 	for range s.Tasks {
 		c, ok := p.bestFit()
+		if !ok && evict {
+			c, ok = o.makeRoom(js, p, nil, now)
+		}
 		if !ok {
 			for _, c := range picks {
 				c.machine.promised = c.machine.promised.Sub(s.Need())
