Rent machines that are ready in time before cheaper ones that are not

A kind's price now grows by 1.5% for each second that its boot and fetch exceed what the aim leaves.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -65,6 +65,8 @@
 	// by preemption will do if preempt is set.
 	spare   bool
 	preempt bool
+	// left is how much time the users' aim leaves for the tasks to start.
+	left time.Duration
 	// zones that may not take more, and how many each may still take.
 	zoneLeft map[string]int
 }
@@ -298,6 +300,9 @@
 				if in.scarce[t.Name] && fit < left {
 					price *= 1.1
 				}
+				// A machine that is ready too late is worth less, however cheap.
+				late := protocol.Seconds(1.3*t.BootS) + t.FetchTime(d.spec.ImageGB) - d.left
+				price *= 1 + 0.015*max(0, late.Seconds())
 				price *= 1 + 0.1*float64(perZone[zone])/float64(total+1)
 				if price < bestPrice {
 					best, bestPrice = b, price
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -571,7 +571,7 @@
 		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
 			missing = min(missing, fits(s.Need(), protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}))
 		}
-		d := demand{spec: s, count: missing}
+		d := demand{spec: s, count: missing, left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
 		if s.Scatter || s.OneZone {
 			d.zoneLeft = map[string]int{}
 			for _, z := range o.cfg.Deployment.Zones {
@@ -585,7 +585,7 @@
 	}
 	for name, c := range o.classes {
 		if n, preempt := o.spare(name, c, now, started); n > 0 {
-			d := demand{spec: c.spec, count: n, spare: true, preempt: preempt}
+			d := demand{spec: c.spec, count: n, spare: true, preempt: preempt, left: time.Hour}
 			if c.spec.Scatter {
 				d.zoneLeft = map[string]int{}
 				for _, z := range o.cfg.Deployment.Zones {
