--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -97,8 +97,8 @@
 	Tasks []int
 }
 
-// finishes tells whether the job is complete with the outcome's results.
-func (o *Outcome) finishes() bool {
+// Finishes tells whether the job is complete with the outcome's results.
+func (o *Outcome) Finishes() bool {
 	n := o.Job.DoneCount()
 	for _, t := range o.Tasks {
 		if !o.Job.TaskDone(t) {
@@ -125,7 +125,7 @@
 	}
 	conds = append(conds, protocol.Condition{Key: jobKey(id), Version: o.Job.Version})
 	// All chunks must be the ones counted: guard those not written as well.
-	if o.finishes() {
+	if o.Finishes() {
 		for c, ch := range o.Job.Results {
 			if byChunk[c] == nil {
 				conds = append(conds, protocol.Condition{Key: resultKey(id, c), Version: ch.Version})
@@ -136,6 +136,9 @@
 	return conds, then
 }
 
+// MostOutcomes is for how many jobs results should be written at once.
+func (s *Store) MostOutcomes() int { return s.txnOps }
+
 // Record writes outcomes, as many in one transaction as it may hold. A
 // condition that fails fails all of them: then each is tried alone. It gives
 // back the jobs whose outcome is recorded for certain.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -52,7 +52,7 @@
 	seq       uint64
 	inFlight  map[string]bool // holders with a request under way
 	peers     map[string]*peerState
-	recording map[string]bool
+	recording bool // results are being written
 	dirty     bool
 	planned   time.Time
 	classes   map[string]*classStats
@@ -94,6 +94,7 @@
 	// tasks it found neither done nor begun nor asked for.
 	stale    bool
 	reviewed time.Time
+	recorded time.Time
 	missing  int
 }
 
@@ -119,7 +120,7 @@
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
 		rosters: map[int]bookkeeping.Roster{}, gone: map[string]bool{},
 		born: map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
-		recording: map[string]bool{}, classes: map[string]*classStats{}}
+		classes: map[string]*classStats{}}
 }
 
 // Run follows all holders' feeds and runs the actor until its context ends.
@@ -480,17 +481,16 @@
 	rq := requests{}
 	var ready []*jobState
 	var outcomes []bookkeeping.Outcome
-	for id, js := range o.active {
+	for _, js := range o.active {
 		if js.gain == 0 {
 			continue
 		}
 		if js.stale || now.Sub(js.reviewed) >= reviewEvery {
 			js.stale, js.reviewed = false, now
-			if out := o.review(js, now, rq); len(out.Tasks) > 0 && !o.recording[id] {
-				if len(outcomes) < 64 {
+			if out := o.review(js, now, rq); len(out.Tasks) > 0 {
+				js.stale = out.Finishes()
+				if js.stale || now.Sub(js.recorded) >= resultsEvery {
 					outcomes = append(outcomes, out)
-				} else {
-					js.stale, o.dirty = true, true
 				}
 			}
 		}
@@ -527,27 +527,35 @@
 	return js.job.Accepted.Add(time.Minute)
 }
 
-// record writes results; a worker may forget one only afterwards.
+// resultsEvery is how often results of a job are written that don't finish it:
+// only the last ones are waited for.
+const resultsEvery = time.Second
+
+// record writes results; a worker may forget one only afterwards. Those that
+// finish a job come first, then those of jobs with most to tell.
 func (o *Owner) record(outcomes []bookkeeping.Outcome) {
-	if len(outcomes) == 0 {
+	if len(outcomes) == 0 || o.recording {
 		return
 	}
+	slices.SortFunc(outcomes, func(a, b bookkeeping.Outcome) int {
+		if x, y := a.Finishes(), b.Finishes(); x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(len(b.Tasks), len(a.Tasks))
+	})
+	outcomes = outcomes[:min(len(outcomes), o.store.MostOutcomes())]
 	for _, out := range outcomes {
-		o.recording[out.Job.Spec.ID] = true
+		o.active[out.Job.Spec.ID].recorded = time.Now()
 	}
+	o.recording = true
 	go func() {
 		o.store.Record(o.ctx, outcomes)
 		// What was written comes back through the replica.
-		pause(o.ctx, 150*time.Millisecond)
-		o.tell(func() {
-			for _, out := range outcomes {
-				delete(o.recording, out.Job.Spec.ID)
-				if js := o.active[out.Job.Spec.ID]; js != nil {
-					js.stale = true
-				}
-			}
-			o.dirty = true
-		})
+		pause(o.ctx, 100*time.Millisecond)
+		o.tell(func() { o.recording, o.dirty = false, true })
 	}()
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -84,7 +84,10 @@
 )
 
 // budget shares a rate: the less urgent a request, the smaller the part of
-// the rate that it may use.
+// the rate that it may use. Urgent requests never queue behind others: a large
+// transaction of results would hold a user's submission up for a second. All
+// together may so ask for more than the share of one controller, of which the
+// others seldom use all; what is too much is refused and not executed.
 type budget struct {
 	tiers [3]*rate.Limiter
 }
@@ -100,7 +103,7 @@
 
 // wait blocks until n requests of this urgency fit, or ctx ends.
 func (b *budget) wait(ctx context.Context, u Urgency, n int) error {
-	for t := u; t <= Urgent; t++ {
+	for t := u; t <= max(u, Ordinary); t++ {
 		if l := b.tiers[t]; l.WaitN(ctx, min(n, l.Burst())) != nil {
 			return fmt.Errorf("%w: no budget in time", ErrRefused)
 		}
