Jobs that are over move out of a starting controller's way

The transaction that ends a job moves its record to a prefix that sorts last and drops its results. A starting controller stops reading there, keeps at most 2,000 that ended lately, and looks up those of which machines still have tasks; until they are known nothing is granted to a team with a limit. A job that is in neither place was never accepted: it is looked for in the order in which it moves.

--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -21,6 +21,7 @@
 	keyWindow    = Root + "window"
 	keyCatalog   = Root + "catalog"
 	jobPrefix    = Root + "j/"
+	overPrefix   = Root + "z/" // sorts last: a controller that starts stops there
 	resultPrefix = Root + "r/"
 	memberPrefix = Root + "m/"
 	slotPrefix   = Root + "s/"
@@ -28,6 +29,7 @@
 )
 
 func jobKey(id string) string               { return jobPrefix + id }
+func overKey(id string) string              { return overPrefix + id }
 func resultKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", resultPrefix, id, chunk) }
 func memberKey(name string) string          { return memberPrefix + name }
 func slotKey(slot int) string               { return fmt.Sprintf("%s%d", slotPrefix, slot) }
--- a/internal/bookkeeping/records_test.go
+++ b/internal/bookkeeping/records_test.go
@@ -52,6 +52,7 @@
 }
 
 func (h *heard) LotChanged(string, *Lot) {}
+func (h *heard) JobChanged(*Job)         {}
 func (h *heard) MachineChanged(id string, m *Machine) {
 	if m == nil {
 		delete(h.machines, id)
@@ -90,3 +91,28 @@
 		}
 	}
 }
+
+// Jobs come for ever: what a controller keeps of those that are over is
+// bounded, and those that are not over are all kept.
+func TestJobsThatAreOverDontPileUp(t *testing.T) {
+	r := NewReplica(nil, func(*protocol.JobSpec) int64 { return 0 }, &heard{})
+	record := func(id, state string) []byte {
+		raw, _ := json.Marshal(jobRecord{Spec: &protocol.JobSpec{ID: id, Tasks: 1}, State: state})
+		return raw
+	}
+	for n := range uint64(maxOver + 500) {
+		id := fmt.Sprintf("wk-%d", n)
+		r.apply(jobKey(id), false, record(id, protocol.Pending), 3*n+1)
+		if n%2 == 0 {
+			r.apply(overKey(id), false, record(id, protocol.Done), 3*n+2)
+			r.apply(jobKey(id), true, nil, 3*n+2)
+		}
+	}
+	for n := range uint64(maxOver) {
+		id := fmt.Sprintf("wk-x%d", n)
+		r.apply(overKey(id), false, record(id, protocol.Cancelled), 100_000+n)
+	}
+	if want := maxOver + (maxOver+500)/2; len(r.jobs) != want || len(r.over) != maxOver {
+		t.Errorf("%d jobs are kept, want %d", len(r.jobs), want)
+	}
+}
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -35,6 +35,7 @@
 	state *transport.State
 	to    Listener
 	jobs  map[string]*Job
+	over  []string        // jobs that are over, in the order in which they ended
 	known map[string]bool // other keys that exist
 	lots  map[string]*Lot
 	// homes is in how many lots a machine stands: more than one if it was
@@ -93,8 +94,9 @@
 	}
 }
 
-// load reads all records. Watching goes on from the first page's revision,
-// so that no change is missed between pages.
+// load reads all records but those of jobs that are over, which only grow in
+// number. Watching goes on from the first page's revision, so that no change
+// is missed between pages.
 func (r *Replica) load(ctx context.Context) (uint64, error) {
 	var first uint64
 	from := ""
@@ -107,15 +109,34 @@
 		if from == "" {
 			first = page.Revision
 		}
+		end := !page.More || len(page.Pairs) == 0
 		for _, p := range page.Pairs {
+			if _, over := under(p.Key, overPrefix); over {
+				end = true
+				break
+			}
 			seen[p.Key] = true
 			r.apply(p.Key, false, p.Value, p.Version)
 			from = p.Key
 		}
-		if !page.More || len(page.Pairs) == 0 {
+		if end {
 			break
 		}
 	}
+	clear(r.early) // results that a job of a great many tasks left behind
+	for id, j := range r.jobs {
+		if j.Final() || seen[jobKey(id)] {
+			continue
+		}
+		// It ended while the replica could not follow.
+		p, found, err := r.state.Get(ctx, transport.Urgent, 3*time.Second, overKey(id))
+		if err != nil {
+			return 0, err
+		}
+		if found {
+			r.apply(p.Key, false, p.Value, p.Version)
+		}
+	}
 	for key := range r.known {
 		if !seen[key] {
 			r.apply(key, true, nil, first)
@@ -137,15 +158,21 @@
 }
 
 func (r *Replica) apply(key string, dropped bool, raw json.RawMessage, version uint64) {
-	if id, ok := under(key, jobPrefix); ok {
+	id, ok := under(key, jobPrefix)
+	if !ok {
+		id, ok = under(key, overPrefix)
+	}
+	if ok {
+		// A dropped record of a job says nothing: it is over, and the record
+		// that says so came with it.
 		if rec := parse[jobRecord](key, raw, dropped); rec != nil && rec.Spec != nil {
 			r.put(id, r.jobs[id].withRecord(rec, version))
 		}
 		return
 	}
-	if rest, ok := under(key, resultPrefix); ok {
+	if id, i, ok := splitResult(key); ok {
 		if rec := parse[chunkRecord](key, raw, dropped); rec != nil {
-			r.result(rest, Chunk{Bits: rec.Bits, Version: version})
+			r.result(id, i, Chunk{Bits: rec.Bits, Version: version})
 		}
 		return
 	}
@@ -239,14 +266,28 @@
 	}
 	r.jobs[id] = j
 	r.to.JobChanged(j)
+	if !j.Final() {
+		return
+	}
+	if r.over = append(r.over, id); len(r.over) > maxOver {
+		delete(r.jobs, r.over[0])
+		r.over = r.over[1:]
+	}
 }
 
-func (r *Replica) result(rest string, c Chunk) {
+// maxOver is how many jobs that are over stay at hand; of others, the state
+// service is asked.
+const maxOver = 2000
+
+// splitResult takes the key of a chunk of results apart.
+func splitResult(key string) (id string, chunk int, ok bool) {
+	rest, ok := under(key, resultPrefix)
 	id, num, _ := strings.Cut(rest, "/")
-	i, err := strconv.Atoi(num)
-	if err != nil || i < 0 || i > protocol.MaxTasks/ChunkTasks {
-		return
-	}
+	chunk, err := strconv.Atoi(num)
+	return id, chunk, ok && err == nil && chunk >= 0 && chunk <= protocol.MaxTasks/ChunkTasks
+}
+
+func (r *Replica) result(id string, i int, c Chunk) {
 	if j := r.jobs[id]; j != nil {
 		r.put(id, j.withChunk(i, c))
 		return
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -57,17 +57,50 @@
 // CreateJob records a job as accepted. ErrConflict: the id is known already.
 func (s *Store) CreateJob(ctx context.Context, spec *protocol.JobSpec) error {
 	rec := &jobRecord{Spec: spec, State: protocol.Pending, AcceptedMs: time.Now().UnixMilli()}
-	return s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(spec.ID)}}, set(jobKey(spec.ID), rec, 0))
+	return s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(spec.ID)}, {Key: overKey(spec.ID)}},
+		set(jobKey(spec.ID), rec, 0))
 }
 
 // ReadJob reads a job's record afresh; nil without an error means that the
 // job was never accepted.
 func (s *Store) ReadJob(ctx context.Context, id string) (*Job, error) {
-	r, version, err := get[jobRecord](ctx, s, transport.Urgent, userPatience, jobKey(id))
-	if err != nil || r == nil {
-		return nil, err
+	// A job that ends moves from one key to the other at once: if the first
+	// is empty now, the second is not, unless there was never such a job.
+	for _, key := range []string{jobKey(id), overKey(id)} {
+		r, version, err := get[jobRecord](ctx, s, transport.Urgent, userPatience, key)
+		if err != nil {
+			return nil, err
+		}
+		if r != nil {
+			return (*Job)(nil).withRecord(r, version), nil
+		}
+	}
+	return nil, nil
+}
+
+// end gives the changes that move a job to those that are over, and drop its
+// results, as many as a transaction takes: only jobs of 80,000 tasks have more.
+func (s *Store) end(j *Job, state string, chunks []Chunk) []protocol.Change {
+	id := j.Spec.ID
+	then := []protocol.Change{set(overKey(id), &jobRecord{Spec: j.Spec, State: state, AcceptedMs: j.Accepted.UnixMilli()}, 0),
+		{Drop: jobKey(id)}}
+	for c, ch := range chunks {
+		if ch.Version > 0 && len(then) < s.txnOps {
+			then = append(then, protocol.Change{Drop: resultKey(id, c)})
+		}
 	}
-	return (*Job)(nil).withRecord(r, version), nil
+	return then
+}
+
+// readResults reads a job's results afresh.
+func (s *Store) readResults(ctx context.Context, j *Job) ([]Chunk, error) {
+	page, err := s.state.List(ctx, transport.Urgent, resultKey(j.Spec.ID, 0)[:len(resultPrefix)+len(j.Spec.ID)+1], "")
+	for _, p := range page.Pairs {
+		if _, i, ok := splitResult(p.Key); ok {
+			j = j.withChunk(i, Chunk{Version: p.Version})
+		}
+	}
+	return j.Results, err
 }
 
 // CancelJob moves a job to cancelled unless it is over already; the job that
@@ -78,8 +111,12 @@
 		if err != nil || j == nil || j.Final() {
 			return j, err
 		}
-		rec := &jobRecord{Spec: j.Spec, State: protocol.Cancelled, AcceptedMs: j.Accepted.UnixMilli()}
-		err = s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(id), Version: j.Version}}, set(jobKey(id), rec, 0))
+		chunks, err := s.readResults(ctx, j)
+		if err != nil {
+			return nil, err
+		}
+		err = s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(id), Version: j.Version}},
+			s.end(j, protocol.Cancelled, chunks)...)
 		if err == nil {
 			j.State = protocol.Cancelled
 			return j, nil
@@ -109,7 +146,7 @@
 }
 
 // changes are the conditions and changes that record the outcome.
-func (o *Outcome) changes() (conds []protocol.Condition, then []protocol.Change) {
+func (s *Store) changes(o *Outcome) (conds []protocol.Condition, then []protocol.Change) {
 	byChunk := map[int][]int{}
 	for _, t := range o.Tasks {
 		byChunk[t/ChunkTasks] = append(byChunk[t/ChunkTasks], t)
@@ -131,7 +168,7 @@
 				conds = append(conds, protocol.Condition{Key: resultKey(id, c), Version: ch.Version})
 			}
 		}
-		then = append(then, set(jobKey(id), &jobRecord{Spec: o.Job.Spec, State: protocol.Done, AcceptedMs: o.Job.Accepted.UnixMilli()}, 0))
+		then = s.end(o.Job, protocol.Done, o.Job.Results)
 	}
 	return conds, then
 }
@@ -148,7 +185,7 @@
 		var then []protocol.Change
 		n := 0
 		for n < len(outcomes) {
-			c, t := outcomes[n].changes()
+			c, t := s.changes(&outcomes[n])
 			if n > 0 && (len(then)+len(t) > s.txnOps || len(conds)+len(c) > 4*s.txnOps || n >= 16) {
 				break
 			}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -69,7 +69,7 @@
 	for _, s := range c.Siblings {
 		holders[s.Name] = sibling{transport.NewPeer(ctx, dial, s.Addr), transport.NewPeer(ctx, dial, s.Addr)}
 	}
-	k.owner = NewOwner(ctx, c, k.session, k.store, holders)
+	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.JobChanged)
 	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
 	k.replica = bookkeeping.NewReplica(state, func(s *protocol.JobSpec) int64 { return Token(c, s) }, k)
 	return k
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -34,6 +34,7 @@
 	slots       map[int]*heldSlot
 	byID        map[string]*worker
 	changedJobs map[string]bool // to be looked at in the next tick
+	over        []string        // jobs that are over, in the order in which they ended
 	gone        []goneMachine   // bounded
 	retired     map[string]bool
 	version     uint64
@@ -567,6 +568,9 @@
 	r := t.Room()
 	for _, e := range w.entries {
 		if e.state != protocol.TaskExited && (queued || e.state != taskQueued) {
+			if h.jobs[e.job] == nil {
+				return protocol.Room{} // what it takes will be known soon
+			}
 			r = r.Sub(h.need(e))
 		}
 	}
@@ -1178,6 +1182,13 @@
 		return
 	}
 	h.changedJobs[j.Spec.ID] = true
+	if !j.Final() {
+		return
+	}
+	if h.over = append(h.over, j.Spec.ID); len(h.over) > maxFinal {
+		delete(h.jobs, h.over[0])
+		h.over = h.over[1:]
+	}
 }
 
 func (h *Holder) machineChanged(id string, m *bookkeeping.Machine) {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -53,6 +53,8 @@
 	inFlight  map[string]bool // holders with a request under way
 	peers     map[string]*peerState
 	recording bool // results are being written
+	looking   bool // for jobs that are not known
+	found     func(*bookkeeping.Job)
 	dirty     bool
 	planned   time.Time
 	classes   map[string]*classStats
@@ -113,8 +115,8 @@
 }
 
 // NewOwner makes the actor.
-func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller) *Owner {
-	return &Owner{actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders,
+func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller, found func(*bookkeeping.Job)) *Owner {
+	return &Owner{actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders, found: found,
 		slots: SlotCount(len(c.Siblings) + 1), board: newBoard(), types: map[string]protocol.MachineType{},
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, unclear: map[string]*jobState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
@@ -449,6 +451,7 @@
 		o.obey(o.latest)
 	}
 	o.learnBorn()
+	o.lookUp()
 	others := false
 	for name, p := range o.peers {
 		others = others || name != o.cfg.Name && p.valid && now.Sub(p.heard) < 6*time.Second
@@ -460,6 +463,38 @@
 	}
 }
 
+// lookUp asks for jobs of which machines have tasks and the replica knows
+// nothing: a controller that starts does not read those that are over, yet
+// what is left of them takes room, and must be stopped and forgotten.
+func (o *Owner) lookUp() {
+	if o.looking || len(o.board.tasks) == 0 {
+		return
+	}
+	var unknown []string
+	for id := range o.board.tasks {
+		if o.jobs[id] == nil && len(unknown) < 16 {
+			unknown = append(unknown, id)
+		}
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	o.looking = true
+	go func() {
+		for _, id := range unknown {
+			j, err := o.store.ReadJob(o.ctx, id)
+			if err != nil {
+				break
+			}
+			if j != nil && j.Final() { // others come through the replica
+				o.found(j)
+			}
+		}
+		pause(o.ctx, time.Second)
+		o.tell(func() { o.looking = false })
+	}()
+}
+
 // requests collects what a planning round asks of each holder.
 type requests map[string]*AskArgs
 
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -307,6 +307,11 @@
 	if o.bornBy(js.gain) == 0 {
 		return false // not everything that runs is known yet
 	}
+	for job := range o.board.tasks {
+		if o.jobs[job] == nil {
+			return false // it may be one of the team's
+		}
+	}
 	use := o.teamUse()[t.Name]
 	for _, x := range o.active {
 		if x.job.Spec.Team == t.Name {
