--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -424,9 +424,12 @@
 		if !l.session.Valid() {
 			return
 		}
+		key := fmt.Sprint(r.rig, "/", r.zone, "/", r.spot)
+		if time.Now().Before(l.refusals[key]) {
+			continue // the cloud ran out of it in this very round
+		}
 		l.bookings++
 		req := protocol.RentRequest{Booking: fmt.Sprintf("b-%d-%d", l.session.Term(), l.bookings), Type: r.rig, Zone: r.zone, Spot: r.spot, Count: r.count}
-		key := fmt.Sprint(r.rig, "/", r.zone, "/", r.spot)
 		names, err := l.cloud.Rent(l.ctx, req)
 		if errors.Is(err, transport.ErrUnknown) {
 			names, err = l.cloud.Rent(l.ctx, req) // the same booking: nothing is rented twice
