--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -209,6 +209,14 @@
 	if d.State.TxnOps < 3 {
 		return fmt.Errorf("deployment.state.txn_ops must be at least 3, not %d: a term, a slot and a result go with other changes", d.State.TxnOps)
 	}
+	// A window names a controller for each of n(n-1) slots, in one value.
+	deal := 0
+	for name := range seen {
+		deal += (len(name) + len(`"",`)) * len(seen)
+	}
+	if limit := int(d.State.ValueKB * 1024); deal > limit {
+		return fmt.Errorf("siblings: %d controllers are too many for deployment.state.value_kb: a window takes about %d bytes of %d", len(seen), deal, limit)
+	}
 	if d.Workers.LeaseS < 2*d.Workers.ReportS {
 		return errors.New("deployment.workers.lease_s must be at least twice report_s")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,6 +58,8 @@
 		"services.state": {`state = "10.2.0.1:2379"`, `state = "nowhere"`},
 		"lease_s":        {`lease_s = 26.0`, `lease_s = -1.0`},
 		"txn_ops":        {`txn_ops = 12`, ``},
+		"at least 3":     {`txn_ops = 12`, `txn_ops = 2`},
+		"too many":       {`value_kb = 8.0`, `value_kb = 0.01`},
 		"n0":             {`host_name = "n1"`, `host_name = "n0"`},
 		"line":           {`[deployment]`, `[deployment`},
 	} {
