Services keep off machines that other work can't do without

Ruled out: room (boxes were free a few seconds later).

A service may use a type that some class can't do without only after its aim and the time that a machine takes to be ready have passed; fleet planning packs it likewise.

--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -132,6 +132,12 @@
 			t.Errorf("%s: %v, %v", name, got.machine, ok)
 		}
 	}
+	p.keep = true
+	p.gather([]*boardMachine{machine("m1", "large", large, "img")})
+	if _, ok := p.bestFit(); ok {
+		t.Error("a service was given a machine that other work can't do without")
+	}
+	p.keep = false
 	p.gather([]*boardMachine{machine("m1", "small", protocol.Room{Cores: 3, Accels: 2, RAM: 64})})
 	if _, ok := p.bestFit(); ok {
 		t.Error("placed where there is no room")
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -248,9 +248,10 @@
 	}
 	var fits []fit
 	need := d.spec.Need()
+	keep := d.spec.Shape == protocol.Service && runsOnOthers(d.spec, in.types, in.scarce)
 	for _, b := range bins {
 		room := b.room(d)
-		if b.drains || !room.Fits(need) || !d.allows(b) {
+		if b.drains || keep && in.scarce[b.rig] || !room.Fits(need) || !d.allows(b) {
 			continue
 		}
 		t := in.types[b.rig]
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -613,20 +613,27 @@
 	return int(min(n, 1e6))
 }
 
-// spare is for how many tasks of a class room should be kept ready: as many
-// as come, give or take, while a machine boots, if the users' aims leave no
-// time to wait for one.
-func (o *Owner) spare(name string, c *classStats, now, started time.Time) (n int, preempt bool) {
-	within := o.within(name, math.MaxInt64)
-	ready, fetch := time.Duration(math.MaxInt64), time.Duration(0)
+// ready is how long a machine for a task takes to be rented and have an image
+// of so many GB, and what the fetch is of it.
+func (o *Owner) ready(s *protocol.JobSpec, gb float64) (ready, fetch time.Duration) {
+	ready = math.MaxInt64
 	for _, t := range o.types {
-		if c.spec.AllowsType(t.Name) && t.Room().Fits(c.spec.Need()) {
-			f := t.FetchTime(c.image)
+		if s.AllowsType(t.Name) && t.Room().Fits(s.Need()) {
+			f := t.FetchTime(gb)
 			if r := protocol.Seconds(1.3*t.BootS) + f; r < ready {
 				ready, fetch = r, f
 			}
 		}
 	}
+	return ready, fetch
+}
+
+// spare is for how many tasks of a class room should be kept ready: as many
+// as come, give or take, while a machine boots, if the users' aims leave no
+// time to wait for one.
+func (o *Owner) spare(name string, c *classStats, now, started time.Time) (n int, preempt bool) {
+	within := o.within(name, math.MaxInt64)
+	ready, fetch := o.ready(c.spec, c.image)
 	if ready == math.MaxInt64 || within >= ready {
 		return 0, false
 	}
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -26,6 +26,9 @@
 	scarce map[string]bool
 	sample int
 	rng    *rand.Rand
+	// keep: scarce machines are not to be used. A service would hold them for
+	// good, while work that fits nowhere else waits.
+	keep bool
 	// zones is how many tasks of the job each zone has.
 	zones map[string]int
 	// with and without hold the machines that had room when they were
@@ -34,7 +37,7 @@
 }
 
 func (p *placing) allowed(m *boardMachine) bool {
-	return m.current && m.Usable && !p.avoid[m.ID] && p.spec.Allows(m.Type, m.Zone, m.Spot) && (p.zoneOK == nil || p.zoneOK(m.Zone))
+	return m.current && m.Usable && !p.avoid[m.ID] && !(p.keep && p.scarce[m.Type]) && p.spec.Allows(m.Type, m.Zone, m.Spot) && (p.zoneOK == nil || p.zoneOK(m.Zone))
 }
 
 // gather finds the machines with room for a task; several tasks of a job can
@@ -90,14 +93,8 @@
 	c := p.fetch(m).Seconds()
 	left := m.Free.Sub(m.promised).Sub(p.spec.Need())
 	c += 8 * left.Share(whole)
-	if p.scarce[t.Name] {
-		// Keep machines whole for what fits nowhere else.
-		for _, o := range p.types {
-			if !p.scarce[o.Name] && p.spec.AllowsType(o.Name) && o.Room().Fits(p.spec.Need()) {
-				c += 15
-				break
-			}
-		}
+	if p.scarce[t.Name] && runsOnOthers(p.spec, p.types, p.scarce) {
+		c += 15 // keep machines whole for what fits nowhere else
 	}
 	if p.spec.Spot && !m.Spot {
 		c += 4
@@ -105,6 +102,16 @@
 	return c
 }
 
+// runsOnOthers tells whether a job has types to run on that are not scarce.
+func runsOnOthers(s *protocol.JobSpec, types map[string]protocol.MachineType, scarce map[string]bool) bool {
+	for _, t := range types {
+		if !scarce[t.Name] && s.AllowsType(t.Name) && t.Room().Fits(s.Need()) {
+			return true
+		}
+	}
+	return false
+}
+
 // fetch is how long a machine will take to have the task's image. Images that
 // are fetched at the same time share the machine's rate.
 func (p *placing) fetch(m *boardMachine) time.Duration {
@@ -191,6 +198,11 @@
 func (o *Owner) placingFor(js *jobState, zone string) *placing {
 	s := js.job.Spec
 	p := &placing{spec: s, avoid: js.badOn, types: o.types, scarce: o.scarceNow, sample: o.cfg.Sample, rng: o.rng}
+	if s.Shape == protocol.Service && runsOnOthers(s, o.types, o.scarceNow) {
+		// Other machines can be had in about the time that they take to boot.
+		ready, _ := o.ready(s, s.ImageGB)
+		p.keep = time.Since(js.job.Accepted) < o.within(s.Class, 0)+ready
+	}
 	if len(js.badOn) >= 3 {
 		p.avoid = nil // it fails everywhere: no machine is to blame
 	}
