--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -67,7 +67,9 @@
 	Incarnation uint64 `json:"inc"`
 	Term        uint64 `json:"term"`
 	// Roster are the slot's machines on which tasks may have been started.
-	Roster  Roster `json:"up,omitempty"`
+	Roster Roster `json:"up,omitempty"`
+	// Listed: the record was written by a version that keeps rosters.
+	Listed  bool   `json:"listed,omitempty"`
 	Version uint64 `json:"-"`
 }
 
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -302,6 +302,10 @@
 	FormerVersion uint64
 }
 
+// Listed tells whether the slot's roster names all machines that may have
+// tasks: not if the record is of a version that kept none.
+func (c *Claim) Listed() bool { return c.Seen == nil || c.Seen.Listed }
+
 // MostClaims is how many slots can be taken at once: a transaction holds no
 // more, beside the term's counter.
 func (s *Store) MostClaims() int { return s.txnOps - 1 }
@@ -324,7 +328,7 @@
 	return s.TakeTerm(ctx, conds, func(term uint64) []protocol.Change {
 		var then []protocol.Change
 		for _, c := range claims {
-			rec := Slot{Holder: name, Incarnation: incarnation, Term: term}
+			rec := Slot{Holder: name, Incarnation: incarnation, Term: term, Listed: c.Listed()}
 			if c.Seen != nil {
 				rec.Roster = c.Seen.Roster
 			}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -72,6 +72,9 @@
 	// roster is what the slot's record says at least: tasks are started only
 	// on machines that stand in it, so that a successor awaits them.
 	roster bookkeeping.Roster
+	// unlisted: former holders kept no roster, so that there may be tasks on
+	// machines that nothing names.
+	unlisted bool
 	// awaited are machines that may have tasks and have not reported under
 	// this term yet.
 	awaited map[string]bool
@@ -237,7 +240,7 @@
 				return
 			}
 			for _, c := range claims {
-				s := &heldSlot{slot: c.Slot, term: term, adopted: time.Now(), awaited: map[string]bool{}, roster: bookkeeping.Roster{}}
+				s := &heldSlot{slot: c.Slot, term: term, adopted: time.Now(), awaited: map[string]bool{}, roster: bookkeeping.Roster{}, unlisted: !c.Listed()}
 				if c.Seen != nil {
 					maps.Copy(s.roster, c.Seen.Roster)
 				}
@@ -298,7 +301,7 @@
 // complete finds out which slots are fully known by now.
 func (h *Holder) complete() {
 	for _, s := range h.slots {
-		if s.ready && !s.complete && len(s.awaited) == 0 {
+		if s.ready && !s.complete && len(s.awaited) == 0 && !s.unlisted {
 			s.complete = true
 			slog.Info("slot complete", "slot", s.slot, "after", time.Since(s.adopted))
 			h.bump()
@@ -338,7 +341,7 @@
 		if rec.Term != s.term || rec.Holder == "" {
 			delete(h.releasing, slot) // said, or taken already
 		} else if len(changes) < h.store.MostClaims() {
-			changes = append(changes, bookkeeping.SlotChange{Slot: slot, Seen: rec.Version, To: bookkeeping.Slot{Term: rec.Term, Roster: rec.Roster}})
+			changes = append(changes, bookkeeping.SlotChange{Slot: slot, Seen: rec.Version, To: bookkeeping.Slot{Term: rec.Term, Roster: rec.Roster, Listed: rec.Listed}})
 		}
 	}
 	h.changeSlots(transport.Urgent, changes, nil)
@@ -972,6 +975,7 @@
 		if s.ready && !s.complete && now.Sub(s.adopted) > lease {
 			// All leases that former holders may have renewed have lapsed.
 			clear(s.awaited)
+			s.unlisted = false
 			h.complete()
 		}
 	}
@@ -1096,7 +1100,7 @@
 		}
 		maps.DeleteFunc(r, func(n uint64, _ bool) bool { return !registered[n] })
 		changes = append(changes, bookkeeping.SlotChange{Slot: s.slot, Seen: rec.Version,
-			To: bookkeeping.Slot{Holder: rec.Holder, Incarnation: rec.Incarnation, Term: rec.Term, Roster: r}})
+			To: bookkeeping.Slot{Holder: rec.Holder, Incarnation: rec.Incarnation, Term: rec.Term, Roster: r, Listed: !s.unlisted}})
 	}
 	h.changeSlots(transport.Ordinary, changes, func() {
 		for s, r := range rosters {
--- a/internal/coordination/standin_test.go
+++ b/internal/coordination/standin_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"daledyke/internal/bookkeeping"
 	"daledyke/internal/protocol"
 )
 
@@ -278,6 +279,24 @@
 	}
 }
 
+// olderRecords takes out of the slots' records what only this version writes.
+func (s *stateService) olderRecords() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, p := range s.keys {
+		var rec bookkeeping.Slot
+		if !strings.HasPrefix(key, bookkeeping.Root+"s/") {
+			continue
+		}
+		if err := json.Unmarshal(p.Value, &rec); err != nil {
+			return err
+		}
+		rec.Roster, rec.Listed = nil, false
+		s.change([]protocol.Change{{Set: key, Value: rec}})
+	}
+	return nil
+}
+
 // maxOps is the limit that the settings of the tests name.
 const maxOps = 12
 
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -125,6 +125,8 @@
 		w.state.mu.Lock()
 		w.state.refuses[args[0]] = onOff(args)
 		w.state.mu.Unlock()
+	case "older-records": // as a version left them that kept no rosters
+		return w.state.olderRecords()
 	case "cloud-outage":
 		w.cloud.mu.Lock()
 		w.cloud.down = onOff(args)
