--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -78,8 +78,7 @@
 type Urgency int
 
 const (
-	Background Urgency = iota
-	Ordinary
+	Ordinary Urgency = iota
 	Urgent
 )
 
@@ -89,12 +88,12 @@
 // together may so ask for more than the share of one controller, of which the
 // others seldom use all; what is too much is refused and not executed.
 type budget struct {
-	tiers [3]*rate.Limiter
+	tiers [2]*rate.Limiter
 }
 
 func newBudget(perSecond float64) *budget {
 	b := &budget{}
-	for i, part := range [3]float64{0.4, 0.7, 1} {
+	for i, part := range [2]float64{0.7, 1} {
 		r := perSecond * part
 		b.tiers[i] = rate.NewLimiter(rate.Limit(r), max(1, int(r)))
 	}
@@ -103,10 +102,8 @@
 
 // wait blocks until n requests of this urgency fit, or ctx ends.
 func (b *budget) wait(ctx context.Context, u Urgency, n int) error {
-	for t := u; t <= max(u, Ordinary); t++ {
-		if l := b.tiers[t]; l.WaitN(ctx, min(n, l.Burst())) != nil {
-			return fmt.Errorf("%w: no budget in time", ErrRefused)
-		}
+	if l := b.tiers[u]; l.WaitN(ctx, min(n, l.Burst())) != nil {
+		return fmt.Errorf("%w: no budget in time", ErrRefused)
 	}
 	return nil
 }
