--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -94,7 +94,7 @@
 
 // readResults reads a job's results afresh.
 func (s *Store) readResults(ctx context.Context, j *Job) ([]Chunk, error) {
-	page, err := s.state.List(ctx, transport.Urgent, resultKey(j.Spec.ID, 0)[:len(resultPrefix)+len(j.Spec.ID)+1], "")
+	page, err := s.state.List(ctx, transport.Urgent, resultPrefix+j.Spec.ID+"/", "")
 	for _, p := range page.Pairs {
 		if _, i, ok := splitResult(p.Key); ok {
 			j = j.withChunk(i, Chunk{Version: p.Version})
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -274,7 +274,7 @@
 		return errors.New("the job needs more than its crew may use")
 	}
 	for _, t := range k.catalog.Load().Types {
-		if !s.AllowsType(t.Name) || !t.Room().Fits(s.Need()) {
+		if !t.Takes(s) {
 			continue
 		}
 		for _, z := range t.Zones {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -570,7 +570,7 @@
 	}
 	r := t.Room()
 	for _, e := range w.entries {
-		if e.state != protocol.TaskExited && (queued || e.state != taskQueued) {
+		if !e.exited() && (queued || e.state != taskQueued) {
 			if h.jobs[e.job] == nil {
 				return protocol.Room{} // what it takes will be known soon
 			}
@@ -588,7 +588,7 @@
 		j := h.jobs[e.job]
 		over := j != nil && j.Final()
 		switch {
-		case e.state == protocol.TaskExited:
+		case e.exited():
 			// A result is kept on the machine until it is recorded.
 			if (e.reap || over || e.cause == protocol.CauseDone && j != nil && j.TaskDone(e.index)) && now.Sub(e.sent) > 2*time.Second {
 				e.sent = now
@@ -769,7 +769,7 @@
 		return "already there"
 	} else if reserved == nil {
 		for _, o := range h.byID {
-			if x := o.entries[st.Task]; x != nil && x.state != protocol.TaskExited {
+			if x := o.entries[st.Task]; x != nil && !x.exited() {
 				return "elsewhere here"
 			}
 		}
@@ -777,7 +777,7 @@
 	delete(w.entries, st.Task)
 	room := h.free(w, true)
 	for _, name := range st.Evict {
-		if v := w.entries[name]; v != nil && v.state != protocol.TaskExited && !v.unconfirmed() {
+		if v := w.entries[name]; v != nil && !v.exited() && !v.unconfirmed() {
 			room = room.Add(h.need(v))
 		}
 	}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -618,7 +618,7 @@
 func (o *Owner) ready(s *protocol.JobSpec, gb float64) (ready, fetch time.Duration) {
 	ready = math.MaxInt64
 	for _, t := range o.types {
-		if s.AllowsType(t.Name) && t.Room().Fits(s.Need()) {
+		if t.Takes(s) {
 			f := t.FetchTime(gb)
 			if r := protocol.Seconds(1.3*t.BootS) + f; r < ready {
 				ready, fetch = r, f
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -191,11 +191,7 @@
 		}
 	}
 	r.Machines = kept
-	for id := range o.board.apply(name, r, time.Now()) {
-		if js := o.active[id]; js != nil {
-			js.stale = true
-		}
-	}
+	o.touched(o.board.apply(name, r, time.Now()))
 	o.dirty = true
 	for id, js := range o.unclear {
 		for i, ps := range js.pending {
@@ -222,6 +218,15 @@
 	}
 }
 
+// touched notes of which jobs the board shows something new.
+func (o *Owner) touched(jobs map[string]bool) {
+	for id := range jobs {
+		if js := o.active[id]; js != nil {
+			js.stale = true
+		}
+	}
+}
+
 // resolved tells whether a start that was asked for shows on the board by
 // now, or never will.
 func (o *Owner) resolved(ps *pendingStart, name string, a *FeedArgs, r *FeedReply) bool {
@@ -404,11 +409,7 @@
 	o.gone[id] = true
 	touched := map[string]bool{}
 	o.board.remove(id, touched)
-	for job := range touched {
-		if js := o.active[job]; js != nil {
-			js.stale = true
-		}
-	}
+	o.touched(touched)
 	for _, js := range o.unclear {
 		for i, ps := range js.pending {
 			if ps.machine == id {
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -105,7 +105,7 @@
 // runsOnOthers tells whether a job has types to run on that are not scarce.
 func runsOnOthers(s *protocol.JobSpec, types map[string]protocol.MachineType, scarce map[string]bool) bool {
 	for _, t := range types {
-		if !scarce[t.Name] && s.AllowsType(t.Name) && t.Room().Fits(s.Need()) {
+		if !scarce[t.Name] && t.Takes(s) {
 			return true
 		}
 	}
@@ -238,7 +238,7 @@
 		only := ""
 		n := 0
 		for _, t := range o.types {
-			if c.spec.AllowsType(t.Name) && t.Room().Fits(c.spec.Need()) {
+			if t.Takes(c.spec) {
 				only = t.Name
 				n++
 			}
--- a/internal/protocol/machine.go
+++ b/internal/protocol/machine.go
@@ -60,6 +60,10 @@
 	return Seconds(gb / t.FetchRate)
 }
 
+// Takes tells whether a task of the job may run on the type and fits an empty
+// machine of it.
+func (t *MachineType) Takes(s *JobSpec) bool { return s.AllowsType(t.Name) && t.Room().Fits(s.Need()) }
+
 // Catalog is the cloud's list of machine types.
 type Catalog struct {
 	Types []MachineType `json:"rigs"`
