One read answers all polls that came before it; jobs end in one change, moved later

Now a read that begins after the questions came serves all of them: it asks for the present revision, which the replica must have reached, and compares the keys of unknown jobs. A job ends by one change in place; moving its record and dropping its results takes what the budget has to spare.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -36,6 +36,8 @@
 	Created, Version uint64
 	Results          []Chunk
 	Token            int64
+	// Archived: the record stands with those of jobs that are over.
+	Archived bool
 }
 
 // Chunk is a part of a job's results.
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -42,13 +42,15 @@
 	// found by several at once.
 	homes map[string]int
 	early map[string]map[int]Chunk
+	// caught hears up to which revision the listeners were told everything.
+	caught func(revision uint64)
 	// tokenOf gives a job its place on the ring.
 	tokenOf func(*protocol.JobSpec) int64
 }
 
 // NewReplica makes a replica.
-func NewReplica(s *transport.State, tokenOf func(*protocol.JobSpec) int64, to Listener) *Replica {
-	return &Replica{state: s, to: to, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{}, homes: map[string]int{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf}
+func NewReplica(s *transport.State, tokenOf func(*protocol.JobSpec) int64, to Listener, caught func(uint64)) *Replica {
+	return &Replica{state: s, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{}, homes: map[string]int{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf}
 }
 
 // watchBlock bounds one wait for changes, and so how stale a replica can be
@@ -83,6 +85,7 @@
 			pause(ctx, 300*time.Millisecond)
 			continue
 		}
+		r.caught(from)
 		r.to.Synced(sent)
 	}
 }
@@ -159,14 +162,20 @@
 
 func (r *Replica) apply(key string, dropped bool, raw json.RawMessage, version uint64) {
 	id, ok := under(key, jobPrefix)
+	archived := false
 	if !ok {
-		id, ok = under(key, overPrefix)
+		id, archived = under(key, overPrefix)
 	}
-	if ok {
+	if ok || archived {
 		// A dropped record of a job says nothing: it is over, and the record
 		// that says so came with it.
 		if rec := parse[jobRecord](key, raw, dropped); rec != nil && rec.Spec != nil {
-			r.put(id, r.jobs[id].withRecord(rec, version))
+			j := r.jobs[id].withRecord(rec, version)
+			if archived && !j.Archived {
+				moved := *j
+				moved.Archived, j = true, &moved
+			}
+			r.put(id, j)
 		}
 		return
 	}
@@ -254,10 +263,11 @@
 
 // put publishes a job. Results may have been listed before their job.
 func (r *Replica) put(id string, j *Job) {
-	if j == r.jobs[id] {
+	old := r.jobs[id]
+	if j == old {
 		return
 	}
-	if r.jobs[id] == nil {
+	if old == nil {
 		j.Token = r.tokenOf(j.Spec)
 		for c, chunk := range r.early[id] {
 			j = j.withChunk(c, chunk)
@@ -266,7 +276,7 @@
 	}
 	r.jobs[id] = j
 	r.to.JobChanged(j)
-	if !j.Final() {
+	if !j.Final() || old != nil && old.Final() {
 		return
 	}
 	if r.over = append(r.over, id); len(r.over) > maxOver {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -78,32 +78,52 @@
 	return nil, nil
 }
 
-// end gives the changes that move a job to those that are over, and drop its
-// results, as many as a transaction takes: only jobs of 80,000 tasks have more.
-func (s *Store) end(j *Job, state string, chunks []Chunk) []protocol.Change {
-	id := j.Spec.ID
-	then := []protocol.Change{set(overKey(id), &jobRecord{Spec: j.Spec, State: state, AcceptedMs: j.Accepted.UnixMilli()}, 0),
-		{Drop: jobKey(id)}}
-	for c, ch := range chunks {
-		if ch.Version > 0 && len(then) < s.txnOps {
-			then = append(then, protocol.Change{Drop: resultKey(id, c)})
-		}
-	}
-	return then
+// over is the one change that ends a job. It is made in place: moving the
+// record to those that are over takes two changes more, which may wait until
+// there is nothing better to write (Archive).
+func over(j *Job, state string) protocol.Change {
+	return set(jobKey(j.Spec.ID), &jobRecord{Spec: j.Spec, State: state, AcceptedMs: j.Accepted.UnixMilli()}, 0)
 }
 
-// readResults reads a job's results afresh.
-func (s *Store) readResults(ctx context.Context, j *Job) ([]Chunk, error) {
-	page, err := s.state.List(ctx, transport.Urgent, resultPrefix+j.Spec.ID+"/", "")
-	for _, p := range page.Pairs {
-		if _, i, ok := splitResult(p.Key); ok {
-			j = j.withChunk(i, Chunk{Version: p.Version})
+// Archive moves jobs that are over to where a controller that starts does not
+// read them, and drops their results. A job whose record changed meanwhile
+// fails only those written with it.
+func (s *Store) Archive(ctx context.Context, jobs []*Job) {
+	var conds []protocol.Condition
+	var then []protocol.Change
+	write := func() bool {
+		err := s.commit(ctx, transport.Deferred, 10*time.Second, conds, then...)
+		conds, then = nil, nil
+		return err == nil
+	}
+	for _, j := range jobs {
+		var drops []protocol.Change
+		for c, ch := range j.Results {
+			if ch.Version > 0 {
+				drops = append(drops, protocol.Change{Drop: resultKey(j.Spec.ID, c)})
+			}
 		}
+		// A job of a great many tasks has more results than a transaction takes.
+		for ; len(drops) > s.txnOps-2; drops = drops[s.txnOps-2:] {
+			if s.commit(ctx, transport.Deferred, 10*time.Second, nil, drops[:s.txnOps-2]...) != nil {
+				return
+			}
+		}
+		if len(then)+len(drops)+2 > s.txnOps && !write() {
+			return
+		}
+		id := j.Spec.ID
+		conds = append(conds, protocol.Condition{Key: jobKey(id), Version: j.Version})
+		then = append(then, set(overKey(id), &jobRecord{Spec: j.Spec, State: j.State, AcceptedMs: j.Accepted.UnixMilli()}, 0),
+			protocol.Change{Drop: jobKey(id)})
+		then = append(then, drops...)
+	}
+	if len(then) > 0 {
+		write()
 	}
-	return j.Results, err
 }
 
-// CancelJob moves a job to cancelled unless it is over already; the job that
+// CancelJob makes a job cancelled unless it is over already; the job that
 // it gives back is as it stands afterwards, nil if it was never accepted.
 func (s *Store) CancelJob(ctx context.Context, id string) (*Job, error) {
 	for range 4 {
@@ -111,12 +131,8 @@
 		if err != nil || j == nil || j.Final() {
 			return j, err
 		}
-		chunks, err := s.readResults(ctx, j)
-		if err != nil {
-			return nil, err
-		}
 		err = s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(id), Version: j.Version}},
-			s.end(j, protocol.Cancelled, chunks)...)
+			over(j, protocol.Cancelled))
 		if err == nil {
 			j.State = protocol.Cancelled
 			return j, nil
@@ -168,7 +184,7 @@
 				conds = append(conds, protocol.Condition{Key: resultKey(id, c), Version: ch.Version})
 			}
 		}
-		then = s.end(o.Job, protocol.Done, o.Job.Results)
+		then = []protocol.Change{over(o.Job, protocol.Done)}
 	}
 	return conds, then
 }
@@ -209,6 +225,32 @@
 	return recorded
 }
 
+// present asks for the present revision, and which of the jobs named have a
+// record, whether they are over or not. No more of them may be named than
+// mostUnknown.
+func (s *Store) present(ctx context.Context, timeout time.Duration, ids []string) (revision uint64, recorded map[string]bool, err error) {
+	var conds []protocol.Condition
+	for _, id := range ids {
+		conds = append(conds, protocol.Condition{Key: jobKey(id)}, protocol.Condition{Key: overKey(id)})
+	}
+	ans, _, err := s.state.Commit(ctx, transport.Urgent, timeout, protocol.Txn{If: conds})
+	if err != nil {
+		return 0, nil, err
+	}
+	recorded = map[string]bool{}
+	for _, key := range ans.Failed {
+		id, ok := under(key, jobPrefix)
+		if !ok {
+			id, _ = under(key, overPrefix)
+		}
+		recorded[id] = true
+	}
+	return ans.Revision, recorded, nil
+}
+
+// mostUnknown is how many jobs one comparison can ask for, by both their keys.
+func (s *Store) mostUnknown() int { return 2 * s.txnOps }
+
 // ---- terms, members, slots, windows
 
 // TakeTerm takes a new term from the counter and makes the changes that need
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -24,6 +24,7 @@
 	owner   *Owner
 	leader  *Leader
 	replica *bookkeeping.Replica
+	reader  *bookkeeping.Reader
 
 	catalog atomic.Pointer[protocol.Catalog]
 	loaded  atomic.Bool
@@ -71,7 +72,9 @@
 	}
 	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.JobChanged)
 	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
-	k.replica = bookkeeping.NewReplica(state, func(s *protocol.JobSpec) int64 { return Token(c, s) }, k)
+	k.reader = bookkeeping.NewReader(k.store)
+	k.replica = bookkeeping.NewReplica(state, func(s *protocol.JobSpec) int64 { return Token(c, s) }, k,
+		func(revision uint64) { k.reader.Caught(ctx, revision) })
 	return k
 }
 
@@ -86,6 +89,7 @@
 	go k.owner.Run()
 	go k.leader.Run()
 	go k.session.Run(ctx)
+	go k.reader.Run(ctx)
 	k.replica.Run(ctx)
 }
 
@@ -189,20 +193,29 @@
 
 // Status finds out how a job stands; nil without an error means that it was
 // never accepted. A job that is over stays so: what is known here is enough.
-// Anything else takes a fresh read.
+// Anything else takes a read that begins after the question came, so that no
+// user is told less than another was told before.
 func (k *Controller) Status(ctx context.Context, id string) (*protocol.JobStatus, error) {
 	known, running := k.owner.Status(ctx, id)
 	if known != nil && known.Final() {
 		return k.answer(known, running), nil
 	}
-	fresh, err := k.store.ReadJob(ctx, id)
-	if err != nil || fresh == nil {
+	ctx, cancel := context.WithTimeout(ctx, bookkeeping.FreshWithin)
+	defer cancel()
+	if known == nil {
+		found, err := k.reader.Find(ctx, id)
+		if err != nil || found == nil {
+			return nil, err
+		}
+		return k.answer(found, 0), nil
+	}
+	if err := k.reader.Fresh(ctx); err != nil {
 		return nil, err
 	}
-	if known != nil && !fresh.Final() {
-		fresh = known // the same state, with the results counted
+	if known, running = k.owner.Status(ctx, id); known == nil {
+		return nil, ErrLater // it ended and is no longer kept at hand
 	}
-	return k.answer(fresh, running), nil
+	return k.answer(known, running), nil
 }
 
 // ErrLater: it cannot be decided now; the user should come again.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -53,6 +53,9 @@
 	inFlight  map[string]bool // holders with a request under way
 	peers     map[string]*peerState
 	recording bool // results are being written
+	// ended are jobs that are over and whose records have not been moved yet.
+	ended     map[string]*bookkeeping.Job
+	archiving bool
 	looking   bool // for jobs that are not known
 	found     func(*bookkeeping.Job)
 	dirty     bool
@@ -122,7 +125,7 @@
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
 		rosters: map[int]bookkeeping.Roster{}, gone: map[string]bool{},
 		born: map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
-		classes: map[string]*classStats{}}
+		classes: map[string]*classStats{}, ended: map[string]*bookkeeping.Job{}}
 }
 
 // Run follows all holders' feeds and runs the actor until its context ends.
@@ -368,6 +371,11 @@
 		}
 	}
 	js.job, js.stale = j, true
+	if j.Final() && !j.Archived {
+		o.ended[id] = j
+	} else {
+		delete(o.ended, id)
+	}
 	if j.Final() && o.active[id] != nil {
 		delete(o.active, id)
 		delete(o.unclear, id)
@@ -453,6 +461,7 @@
 	}
 	o.learnBorn()
 	o.lookUp()
+	o.archive()
 	others := false
 	for name, p := range o.peers {
 		others = others || name != o.cfg.Name && p.valid && now.Sub(p.heard) < 6*time.Second
@@ -496,6 +505,39 @@
 	}()
 }
 
+// archiveEvery is how often records of jobs that are over are moved, and
+// archiveMost how many at a time.
+const (
+	archiveEvery = time.Second
+	archiveMost  = 32
+)
+
+// archive has the records of this range's jobs that are over moved to where
+// they are not read at a start. It takes what the state service's budget has
+// to spare.
+func (o *Owner) archive() {
+	if o.archiving || len(o.ended) == 0 || !o.session.Valid() {
+		return
+	}
+	var jobs []*bookkeeping.Job
+	for _, j := range o.ended {
+		if o.gainOf(j.Token) != 0 {
+			if jobs = append(jobs, j); len(jobs) == archiveMost {
+				break
+			}
+		}
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	o.archiving = true
+	go func() {
+		o.store.Archive(o.ctx, jobs)
+		pause(o.ctx, archiveEvery)
+		o.tell(func() { o.archiving = false })
+	}()
+}
+
 // requests collects what a planning round asks of each holder.
 type requests map[string]*AskArgs
 
--- a/internal/coordination/standin_test.go
+++ b/internal/coordination/standin_test.go
@@ -165,8 +165,10 @@
 	events   []protocol.Event
 	changed  chan struct{}
 	down     bool
-	refuses  map[string]bool // controllers that get 503
+	refuses  map[string]bool          // controllers that get 503
+	lags     map[string]time.Duration // controllers that hear of changes late
 	writes   int
+	requests int
 }
 
 type stateLease struct {
@@ -175,7 +177,8 @@
 }
 
 func newStateService() *stateService {
-	s := &stateService{keys: map[string]protocol.Pair{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), refuses: map[string]bool{}}
+	s := &stateService{keys: map[string]protocol.Pair{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), refuses: map[string]bool{},
+		lags: map[string]time.Duration{}}
 	return s
 }
 
@@ -234,6 +237,7 @@
 func (s *stateService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
+	s.requests++
 	s.expire()
 	if s.down || s.refuses[r.Header.Get("From")] {
 		s.mu.Unlock()
@@ -354,9 +358,10 @@
 				ev.Events = append(ev.Events, e)
 			}
 		}
-		changed := s.changed
+		changed, lag := s.changed, s.lags[r.Header.Get("From")]
 		s.mu.Unlock()
 		if len(ev.Events) > 0 {
+			time.Sleep(lag)
 			answer(w, 200, ev)
 			return
 		}
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -88,6 +89,39 @@
 	}
 }
 
+// storm has many users ask every controller at once: all must be answered in
+// the two seconds that users wait, by no more than so many requests to the
+// state service.
+func (w *world) storm(path, users, reads string) error {
+	n, err1 := strconv.Atoi(users)
+	most, err2 := strconv.Atoi(reads)
+	w.state.mu.Lock()
+	before := w.state.requests
+	w.state.mu.Unlock()
+	answers := make(chan error)
+	for _, name := range w.names {
+		for range n {
+			go func() {
+				status, _, err := w.call("user", http.MethodGet, "front-"+name+path, nil, 2*time.Second)
+				if err == nil && status != 200 {
+					err = fmt.Errorf("%s answers %d", name, status)
+				}
+				answers <- err
+			}()
+		}
+	}
+	var failed error
+	for range n * len(w.names) {
+		failed = errors.Join(failed, <-answers)
+	}
+	w.state.mu.Lock()
+	defer w.state.mu.Unlock()
+	if took := w.state.requests - before; took > most {
+		failed = errors.Join(failed, fmt.Errorf("%d requests to the state service", took))
+	}
+	return errors.Join(failed, err1, err2)
+}
+
 func onOff(args []string) bool { return args[len(args)-1] == "on" }
 
 func (w *world) step(verb string, args []string) error {
@@ -111,6 +145,19 @@
 		if err != nil || strconv.Itoa(status) != args[0] {
 			return fmt.Errorf("answer %d, %v", status, err)
 		}
+	case "storm": // storm PATH USERS reads N: so many ask each controller at once
+		return w.storm(args[0], args[1], args[3])
+	case "asked": // asked CONTROLLER PATH STATUS
+		status, _, err := w.call("user", http.MethodGet, "front-"+args[0]+args[1], nil, 2*time.Second)
+		if err != nil || strconv.Itoa(status) != args[2] {
+			return fmt.Errorf("answer %d, %v", status, err)
+		}
+	case "lags": // lags CONTROLLER TIME: it hears of changes so much later
+		lag, err := time.ParseDuration(args[1])
+		w.state.mu.Lock()
+		w.state.lags[args[0]] = lag
+		w.state.mu.Unlock()
+		return err
 	case "crash":
 		for _, n := range args {
 			w.crash(n)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -78,7 +78,9 @@
 type Urgency int
 
 const (
-	Ordinary Urgency = iota
+	// Deferred requests may wait for as long as there is something better to do.
+	Deferred Urgency = iota
+	Ordinary
 	Urgent
 )
 
@@ -88,12 +90,12 @@
 // together may so ask for more than the share of one controller, of which the
 // others seldom use all; what is too much is refused and not executed.
 type budget struct {
-	tiers [2]*rate.Limiter
+	tiers [3]*rate.Limiter
 }
 
 func newBudget(perSecond float64) *budget {
 	b := &budget{}
-	for i, part := range [2]float64{0.7, 1} {
+	for i, part := range [3]float64{0.25, 0.7, 1} {
 		r := perSecond * part
 		b.tiers[i] = rate.NewLimiter(rate.Limit(r), max(1, int(r)))
 	}
