--- /dev/null
+++ b/internal/coordination/commands.go
@@ -0,0 +1,150 @@
+package coordination
+
+import (
+	"log/slog"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// What a holder has its workers do.
+
+func (h *Holder) need(e *entry) protocol.Room {
+	if j := h.jobs[e.job]; j != nil {
+		return j.Spec.Need()
+	}
+	return protocol.Room{}
+}
+
+// free is the room left beside all that is or may be on the machine; queued
+// tells whether tasks that wait for room count too.
+func (h *Holder) free(w *worker, queued bool) protocol.Room {
+	t, ok := h.types[w.rig]
+	if !ok {
+		return protocol.Room{}
+	}
+	r := t.Room()
+	for _, e := range w.entries {
+		if !e.exited() && (queued || e.state != taskQueued) {
+			if h.jobs[e.job] == nil {
+				return protocol.Room{} // what it takes will be known soon
+			}
+			r = r.Sub(h.need(e))
+		}
+	}
+	return r
+}
+
+// wanted works out which commands lead from what is on a machine to what
+// should be.
+func (h *Holder) wanted(w *worker, now time.Time) []protocol.Command {
+	var out []protocol.Command
+	for _, e := range w.entries {
+		j := h.jobs[e.job]
+		over := j != nil && j.Final()
+		switch {
+		case e.exited():
+			// A result is kept on the machine until it is recorded.
+			if (e.reap || over || e.cause == protocol.CauseDone && j != nil && j.TaskDone(e.index)) && now.Sub(e.sent) > 2*time.Second {
+				e.sent = now
+				out = append(out, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
+			}
+		case e.unconfirmed():
+		case over || e.stop:
+			grace := e.grace
+			if over {
+				grace = 0
+			}
+			if now.Sub(e.sent) > 3*time.Second && (e.state != protocol.TaskFlushing || grace == 0 || over) {
+				e.sent = now
+				out = append(out, protocol.Command{Verb: protocol.VerbStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
+			}
+		}
+	}
+	room := h.free(w, false)
+	for _, e := range w.entries {
+		if e.state != taskQueued {
+			continue
+		}
+		if j := h.jobs[e.job]; j == nil || j.Final() || !h.startable(w) {
+			delete(w.entries, e.task)
+			continue
+		}
+		if need := h.need(e); room.Fits(need) {
+			room = room.Sub(need)
+			e.state = taskStarting
+			out = append(out, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
+		}
+	}
+	return out
+}
+
+// atRest tells whether no command to the worker is due, or will be before
+// something changes.
+func (w *worker) atRest() bool {
+	for _, e := range w.entries {
+		if e.stop || e.unconfirmed() || e.exited() {
+			return false
+		}
+	}
+	return true
+}
+
+// pump sends a worker the commands it needs. One direct command is under way
+// at a time; each has a token of its own, so that a report with a higher one
+// proves that it was carried out or never will be.
+func (h *Holder) pump(w *worker) {
+	now := time.Now()
+	if w.busy || w.lapsed || w.session == 0 || now.Before(w.holdOff) || !h.session.Valid() || h.slots[w.slot.slot] != w.slot {
+		return
+	}
+	var cmds []protocol.Command
+	if w.verified {
+		if cmds = h.wanted(w, now); len(cmds) == 0 {
+			w.settled = w.atRest()
+			return
+		}
+	}
+	w.seq++
+	orders := protocol.Orders{Token: protocol.NewToken(w.slot.term, w.seq), Session: w.session, Commands: cmds}
+	for _, c := range cmds {
+		if c.Verb == protocol.VerbStart {
+			w.entries[c.Task].token = orders.Token
+		}
+	}
+	w.busy = true
+	h.touch(w)
+	addr := w.addr
+	go func() {
+		rep, executed, err := h.workers.Do(h.ctx, addr, orders)
+		h.tell(func() { h.executed(w, orders, rep, executed, err) })
+	}()
+}
+
+func (h *Holder) executed(w *worker, o protocol.Orders, rep *protocol.Report, executed bool, err error) {
+	w.busy = false
+	if h.byID[w.id] != w || h.slots[w.slot.slot] != w.slot {
+		return
+	}
+	if err != nil {
+		// Unknown: the next answer's higher token fences what is in flight.
+		w.seq++
+		w.holdOff = time.Now().Add(time.Second)
+		slog.Debug("direct command unanswered", "machine", w.id, "err", err)
+		return
+	}
+	if !executed {
+		// Refused for good: the starts in it will never happen.
+		for _, c := range o.Commands {
+			if e := w.entries[c.Task]; c.Verb == protocol.VerbStart && e != nil && e.state == taskStarting && e.token == o.Token {
+				delete(w.entries, c.Task)
+			}
+		}
+		w.holdOff = time.Now().Add(500 * time.Millisecond)
+	}
+	if rep.Machine == w.id && rep.Token.Term() <= w.slot.term {
+		h.hear(w, rep)
+	}
+	h.touch(w)
+	h.pump(w)
+}
--- /dev/null
+++ b/internal/coordination/follow.go
@@ -0,0 +1,116 @@
+package coordination
+
+import (
+	"log/slog"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// How an owner learns what holders know.
+
+func (o *Owner) follow(name string, h HolderCaller) {
+	var inc, since uint64
+	for o.ctx.Err() == nil {
+		var a FeedArgs
+		if !o.ask(o.ctx, func() {
+			a = FeedArgs{Caller: o.cfg.Name, Fence: protocol.NewToken(o.session.Term(), o.peers[name].fence),
+				Incarnation: inc, Since: since, WaitMs: o.cfg.SummaryEvery.Milliseconds()}
+			if w := o.window(); w != nil {
+				a.Window = w.Number
+			}
+		}) {
+			return
+		}
+		if o.session.Term() == 0 {
+			pause(o.ctx, 100*time.Millisecond)
+			continue
+		}
+		var r FeedReply
+		sent := time.Now()
+		if err := h.Feed(o.ctx, a, &r); err != nil {
+			slog.Debug("no feed", "holder", name, "err", err)
+			o.tell(func() { o.peers[name].valid = false })
+			pause(o.ctx, 300*time.Millisecond)
+			continue
+		}
+		inc, since = r.Incarnation, r.Version
+		o.ask(o.ctx, func() { o.feed(name, &a, &r, sent) })
+		pause(o.ctx, 20*time.Millisecond)
+	}
+}
+
+// feed takes in a holder's reply to a request that was sent at the time.
+func (o *Owner) feed(name string, a *FeedArgs, r *FeedReply, sent time.Time) {
+	p := o.peers[name]
+	p.incarnation, p.version, p.valid, p.heard = r.Incarnation, r.Version, r.Valid, time.Now()
+	if w := o.window(); o.latest != nil && r.Window == o.latest.Number && w != nil && w.Number < r.Window {
+		o.obey(o.latest) // the holder obeys it already and refuses older ones
+	}
+	kept := r.Machines[:0]
+	for _, m := range r.Machines {
+		if !o.gone[m.ID] {
+			kept = append(kept, m)
+		}
+	}
+	r.Machines = kept
+	o.touched(o.board.apply(name, r, time.Now()))
+	o.dirty = true
+	for id, js := range o.unclear {
+		for i, ps := range js.pending {
+			if o.resolved(ps, name, a, r) {
+				delete(js.pending, i)
+				js.stale = true
+			}
+		}
+		if js.gain == 0 || js.settled {
+			if len(js.pending) == 0 {
+				delete(o.unclear, id)
+			}
+			continue
+		}
+		if !js.known.Before(sent) {
+			continue
+		}
+		for _, s := range r.Slots {
+			if s.Complete && r.Window >= js.gain && a.Fence.Term() == o.session.Term() {
+				js.seen[s.Slot] = true
+			}
+		}
+		js.settled = len(js.seen) >= o.slots
+	}
+}
+
+// touched notes of which jobs the board shows something new.
+func (o *Owner) touched(jobs map[string]bool) {
+	for id := range jobs {
+		if js := o.active[id]; js != nil {
+			js.stale = true
+		}
+	}
+}
+
+// resolved tells whether a start that was asked for shows on the board by
+// now, or never will.
+func (o *Owner) resolved(ps *pendingStart, name string, a *FeedArgs, r *FeedReply) bool {
+	s := o.board.slots[ps.slot]
+	if s != nil && s.term > ps.term && s.complete {
+		return true // a new holder knows all that is there
+	}
+	if name != ps.holder || !o.shown(ps, name, r.Incarnation, r.Version) {
+		return false
+	}
+	// Outcome unknown: void once the holder has promised so, unless shown.
+	return ps.acked || ps.unknown && a.Fence > ps.id
+}
+
+// shown tells whether the holder's news, of a time when it still held the
+// machine, covers what it said of the start. A holder that takes a start on
+// and then gives the slot up never shows it: only its successor will.
+func (o *Owner) shown(ps *pendingStart, name string, incarnation, version uint64) bool {
+	s := o.board.slots[ps.slot]
+	if s == nil || s.holder != name || s.term != ps.term || s.version != version {
+		return false
+	}
+	return ps.acked && incarnation == ps.ackInc && version >= ps.version || !ps.acked && incarnation == ps.inc
+}
--- /dev/null
+++ b/internal/coordination/gang.go
@@ -0,0 +1,176 @@
+package coordination
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// Gangs: all tasks at once or none.
+
+// placeGang starts a gang when all its tasks have room: reserved first, so
+// that none waits in vain on its machine; one task alone needs no reservation.
+func (o *Owner) placeGang(js *jobState, now time.Time, rq requests) int {
+	s := js.job.Spec
+	if len(js.pending) > 0 {
+		return 0
+	}
+	tasks := o.board.tasks[s.ID]
+	live, reserved, begun, present := 0, 0, 0, 0
+	var attempt uint64
+	same := true
+	for _, list := range tasks {
+		for _, i := range list {
+			present++
+			if i.exited() {
+				continue
+			}
+			live++
+			if attempt != 0 && attempt != i.Attempt {
+				same = false
+			}
+			attempt = i.Attempt
+			switch i.State {
+			case taskReserved:
+				reserved++
+			case protocol.TaskRunning, protocol.TaskFlushing:
+				begun++
+			}
+		}
+	}
+	switch {
+	case live == 0 && present > 0:
+		return 0 // exited attempts are being cleared away
+	case live == 0:
+		return o.gatherGang(js, now, rq)
+	case reserved == s.Tasks && same:
+		for index, list := range tasks {
+			o.start(js, index, attempt, choice{machine: list[0].machine}, false, rq)
+		}
+		return s.Tasks
+	case reserved == live || !same:
+		o.stopGang(js, 0, now, rq)
+		js.blocked = now.Add(time.Second)
+		return 1
+	case live < s.Tasks && begun == 0 && reserved == 0 && present == live:
+		// Not started yet: a replacement with the same attempt completes it.
+		return o.completeGang(js, attempt, now, rq)
+	case live < s.Tasks && begun > 0:
+		// The rest notices by itself; make sure of it after a while.
+		if js.waitFrom.IsZero() {
+			js.waitFrom = now
+		} else if now.Sub(js.waitFrom) > 2*o.cfg.GangPeer() {
+			o.stopGang(js, 0, now, rq)
+		}
+		return 1
+	}
+	js.waitFrom = time.Time{}
+	return 0
+}
+
+func (o *Owner) stopGang(js *jobState, grace float64, now time.Time, rq requests) {
+	for _, list := range o.board.tasks[js.job.Spec.ID] {
+		for _, i := range list {
+			if !i.exited() {
+				o.askStop(i, grace, now, rq)
+			}
+		}
+	}
+}
+
+// gatherGang looks for room for all tasks at once, in each zone in turn if
+// they must share one.
+func (o *Owner) gatherGang(js *jobState, now time.Time, rq requests) int {
+	s := js.job.Spec
+	for _, at := range js.retryAt {
+		if now.Before(at) {
+			return 0
+		}
+	}
+	clear(js.retryAt)
+	js.waitFrom = time.Time{}
+	if !o.teamRoom(js, s.Tasks) {
+		js.blocked = now.Add(500 * time.Millisecond)
+		return 1
+	}
+	if s.Tasks == 1 {
+		if c, ok := o.find(js, o.placingFor(js, ""), now); ok {
+			o.start(js, 0, o.newAttempt(), c, false, rq)
+		} else {
+			js.blocked = now.Add(400 * time.Millisecond)
+		}
+		return 1
+	}
+	zones := []string{""}
+	if s.OneZone {
+		zones = nil
+		for _, m := range o.machinesNow() {
+			if !slices.Contains(zones, m.Zone) {
+				zones = append(zones, m.Zone)
+			}
+		}
+		rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
+	}
+	for _, evict := range []bool{false, true} {
+		for _, zone := range zones {
+			picks := o.pickGang(js, zone, evict, now)
+			if picks == nil {
+				continue
+			}
+			attempt := o.newAttempt()
+			for index, c := range picks {
+				c.machine.promised = c.machine.promised.Sub(s.Need()) // start promises it again
+				o.start(js, index, attempt, c, true, rq)
+			}
+			return s.Tasks
+		}
+	}
+	js.blocked = now.Add(time.Second)
+	return s.Tasks
+}
+
+// pickGang finds a machine for every task of a gang, if there is one; with
+// evict also such where other work has to make room.
+func (o *Owner) pickGang(js *jobState, zone string, evict bool, now time.Time) []choice {
+	s := js.job.Spec
+	p := o.placingFor(js, zone)
+	var picks []choice
+	for range s.Tasks {
+		c, ok := p.bestFit()
+		if !ok && evict {
+			c, ok = o.makeRoom(js, p, nil, now)
+		}
+		if !ok {
+			for _, c := range picks {
+				c.machine.promised = c.machine.promised.Sub(s.Need())
+			}
+			return nil
+		}
+		p.zones[c.machine.Zone]++
+		c.machine.promised = c.machine.promised.Add(s.Need())
+		picks = append(picks, c)
+	}
+	return picks
+}
+
+func (o *Owner) completeGang(js *jobState, attempt uint64, now time.Time, rq requests) int {
+	s := js.job.Spec
+	p := o.placingFor(js, "")
+	looked := 0
+	for index := 0; index < s.Tasks && looked < 32; index++ {
+		if len(o.board.tasks[s.ID][index]) > 0 || js.pending[index] != nil {
+			continue
+		}
+		looked++
+		if !o.teamRoom(js, 1) {
+			break
+		}
+		if c, ok := o.find(js, p, now); ok {
+			o.start(js, index, attempt, c, false, rq)
+			p.zones[c.machine.Zone]++
+		}
+	}
+	return looked
+}
--- /dev/null
+++ b/internal/coordination/reports.go
@@ -0,0 +1,219 @@
+package coordination
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// What workers report, and what a holder makes of it.
+
+// Report takes a worker's report and gives the answer to it.
+func (h *Holder) Report(rep *protocol.Report) (status int, body any) {
+	slot := h.slotOf(rep.Machine)
+	s := h.slots[slot]
+	if !h.session.Valid() {
+		return http.StatusServiceUnavailable, nil
+	}
+	if s == nil {
+		if rec := h.records[slot]; rec != nil && rec.Holder != "" && rec.Holder != h.cfg.Name && h.members[rec.Holder] != nil {
+			return http.StatusMisdirectedRequest, protocol.Redirect{Node: rec.Holder}
+		}
+		if h.latest != nil && slot < len(h.latest.Deal) && !h.wants(slot) && h.members[h.latest.Deal[slot]] != nil {
+			return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latest.Deal[slot]}
+		}
+		return http.StatusServiceUnavailable, nil
+	}
+	// A report that names a higher term than ours: the slot was taken.
+	if rep.Token.Term() > s.term {
+		return http.StatusMisdirectedRequest, protocol.Redirect{}
+	}
+	if h.retired[rep.Machine] {
+		return http.StatusServiceUnavailable, nil
+	}
+	w := h.byID[rep.Machine]
+	if w == nil {
+		w = &worker{id: rep.Machine, slot: s, seq: 1, firstHeard: time.Now(), entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
+		h.byID[rep.Machine] = w
+	}
+	if !h.hear(w, rep) {
+		// An old message that was held up on its way: it must not count as
+		// an answer, nor as news.
+		return http.StatusServiceUnavailable, nil
+	}
+	w.lastAnswer = time.Now()
+	h.pump(w)
+	return http.StatusOK, protocol.ReportAnswer{Token: protocol.NewToken(s.term, w.seq), Commands: []protocol.Command{}}
+}
+
+// hear takes in a report, from whichever way it came; false if it is no news.
+func (h *Holder) hear(w *worker, rep *protocol.Report) bool {
+	if !rep.Newer(w.session, w.ticket) || rep.Session <= w.lapsedIn {
+		return false
+	}
+	now := time.Now()
+	news := rep.Session > w.session || w.lapsed || w.silent || w.notice != (rep.NoticeS != nil)
+	was := w.verified
+	if rep.Session > w.session && w.session != 0 {
+		h.forgetTasks(w) // the former session's tasks were killed
+	}
+	w.session, w.ticket = rep.Session, rep.Ticket
+	w.addr, w.rig, w.zone, w.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
+	w.lastHeard = now
+	w.lapsed, w.silent = false, false
+	w.notice = rep.NoticeS != nil
+	news = news || !was
+	if rep.Token.Term() == w.slot.term && h.believe(w, rep) || news {
+		h.touch(w)
+	}
+	return true
+}
+
+// forgetTasks drops all that was on a machine: it is surely gone.
+func (h *Holder) forgetTasks(w *worker) {
+	for name, e := range w.entries {
+		if e.state != taskReserved && e.state != taskQueued {
+			delete(w.entries, name)
+		}
+	}
+}
+
+// believe makes a report the truth about its machine; it tells whether that
+// changed anything.
+func (h *Holder) believe(w *worker, rep *protocol.Report) (news bool) {
+	if !w.verified {
+		w.verified = true
+		delete(w.slot.awaited, w.id)
+		h.complete()
+		news = true
+	}
+	listed := make(map[string]bool, len(rep.Tasks))
+	for _, t := range rep.Tasks {
+		listed[t.Task] = true
+		e := w.entries[t.Task]
+		if e != nil && e.attempt != t.Attempt {
+			e = nil // what is there counts, not what we believed or wished
+		}
+		if e == nil {
+			job, index, _ := protocol.SplitTask(t.Task)
+			e = &entry{task: t.Task, job: job, index: index, attempt: t.Attempt}
+			w.entries[t.Task] = e
+		}
+		if e.state != t.State {
+			news = true
+			h.noteState(w, e, t)
+		}
+		e.state, e.cause, e.saved, e.token = t.State, t.Cause, t.Saved, 0
+	}
+	for name, e := range w.entries {
+		switch {
+		case listed[name] || e.state == taskQueued || e.state == taskReserved:
+		case e.state == taskStarting && rep.Token <= e.token:
+			// The start may still be on its way (invariant 3).
+		default:
+			news = true
+			delete(w.entries, name)
+		}
+	}
+	return news
+}
+
+// noteState learns from a task's new state: which images the machine has,
+// and whether it fails what it is given.
+func (h *Holder) noteState(w *worker, e *entry, t protocol.TaskReport) {
+	slog.Debug("task", "task", e.task, "machine", w.id, "was", e.state, "is", t.State, "cause", t.Cause)
+	if j := h.jobs[e.job]; j != nil && t.State != protocol.TaskExited {
+		w.useImage(image{j.Spec.Image, j.Spec.ImageGB}, h.types[w.rig].CacheGB)
+		if t.State != protocol.TaskPulling {
+			w.ready[j.Spec.Image] = true
+		}
+	}
+	if t.State != protocol.TaskExited {
+		return
+	}
+	switch t.Cause {
+	case protocol.CauseDone:
+		clear(w.errorsBy)
+	case protocol.CauseError:
+		w.errorsBy[e.job] = true
+		if len(w.errorsBy) >= 2 && !w.suspect {
+			w.suspect = true
+			slog.Info("machine is suspect", "machine", w.id)
+		}
+	}
+}
+
+// useImage puts an image at the recent end of what the machine caches.
+func (w *worker) useImage(img image, cache float64) {
+	w.images = slices.DeleteFunc(w.images, func(i image) bool { return i.name == img.name })
+	w.images = append(w.images, img)
+	total := 0.0
+	for i := len(w.images) - 1; i >= 0; i-- {
+		total += w.images[i].gb
+		if total > cache && i < len(w.images)-1 {
+			for _, old := range w.images[:i+1] {
+				delete(w.ready, old.name)
+			}
+			w.images = slices.Clone(w.images[i+1:])
+			return
+		}
+	}
+}
+
+// probeEvery is how often a controller that lost its workers tries whether
+// they can be reached again; mostDeaf is when it asks for workers all the
+// same, since those it knew may be gone.
+const (
+	probeEvery = 5 * time.Second
+	mostDeaf   = 4 * time.Minute
+)
+
+// listen finds out whether workers can still reach this controller. One that
+// has lost them alone would let their leases run out, all the while answering
+// to the state service and its siblings as if nothing were wrong.
+func (h *Holder) listen(now time.Time) {
+	if h.session.Deaf() || !h.session.Valid() {
+		return
+	}
+	total, quiet := 0, 0
+	for _, s := range h.slots {
+		total += len(s.awaited)
+		if now.Sub(s.adopted) > h.silentAfter() {
+			quiet += len(s.awaited)
+		}
+	}
+	var addrs []string
+	for _, w := range h.byID {
+		if !w.verified || w.lapsed {
+			continue
+		}
+		total++
+		if now.Sub(w.lastHeard) > h.cfg.ReportEvery()*5/3 && now.Sub(w.slot.adopted) > h.cfg.ReportEvery()*3 {
+			quiet++
+			addrs = append(addrs, w.addr)
+		}
+	}
+	if total < 3 || 3*quiet <= 2*total || h.probing {
+		return
+	}
+	slog.Info("workers can't reach this controller", "silent", quiet, "of", total)
+	h.probing = true
+	go func() {
+		h.session.SetDeaf(h.ctx, true)
+		for end := now.Add(mostDeaf); h.ctx.Err() == nil && time.Now().Before(end); {
+			pause(h.ctx, probeEvery)
+			if len(addrs) > 0 && h.workers.Reachable(h.ctx, addrs[rand.IntN(len(addrs))]) {
+				break
+			}
+		}
+		for h.session.Deaf() && h.ctx.Err() == nil {
+			h.session.SetDeaf(h.ctx, false)
+			pause(h.ctx, time.Second)
+		}
+		h.tell(func() { h.probing = false })
+	}()
+}
--- /dev/null
+++ b/internal/coordination/review.go
@@ -0,0 +1,209 @@
+package coordination
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/protocol"
+)
+
+// What is there of a job: results, exits, tasks that must stop.
+
+// lookUp asks for jobs of which machines have tasks and the replica knows
+// nothing: a controller that starts does not read those that are over, yet
+// what is left of them takes room, and must be stopped and forgotten.
+func (o *Owner) lookUp() {
+	if o.looking || len(o.board.tasks) == 0 {
+		return
+	}
+	var unknown []string
+	for id := range o.board.tasks {
+		if o.jobs[id] == nil && len(unknown) < 16 {
+			unknown = append(unknown, id)
+		}
+	}
+	if len(unknown) == 0 {
+		return
+	}
+	o.looking = true
+	go func() {
+		for _, id := range unknown {
+			j, err := o.store.ReadJob(o.ctx, id)
+			if err != nil {
+				break
+			}
+			if j != nil && j.Final() { // others come through the replica
+				o.found(j)
+			}
+		}
+		pause(o.ctx, time.Second)
+		o.tell(func() { o.looking = false })
+	}()
+}
+
+// archiveEvery is how often records of jobs that are over are moved, and
+// archiveMost how many at a time.
+const (
+	archiveEvery = time.Second
+	archiveMost  = 32
+)
+
+// archive has the records of this range's jobs that are over moved to where
+// they are not read at a start. It takes what the state service's budget has
+// to spare.
+func (o *Owner) archive() {
+	if o.archiving || len(o.ended) == 0 || !o.session.Valid() {
+		return
+	}
+	var jobs []*bookkeeping.Job
+	for _, j := range o.ended {
+		if o.gainOf(j.Token) != 0 {
+			if jobs = append(jobs, j); len(jobs) == archiveMost {
+				break
+			}
+		}
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	o.archiving = true
+	go func() {
+		o.store.Archive(o.ctx, jobs)
+		pause(o.ctx, archiveEvery)
+		o.tell(func() { o.archiving = false })
+	}()
+}
+
+// resultsEvery is how often results of a job are written that don't finish it:
+// only the last ones are waited for.
+const resultsEvery = time.Second
+
+// record writes results; a worker may forget one only afterwards. Those that
+// finish a job come first, then those of jobs with most to tell.
+func (o *Owner) record(outcomes []bookkeeping.Outcome) {
+	if len(outcomes) == 0 || o.recording {
+		return
+	}
+	slices.SortFunc(outcomes, func(a, b bookkeeping.Outcome) int {
+		if x, y := a.Finishes(), b.Finishes(); x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(len(b.Tasks), len(a.Tasks))
+	})
+	outcomes = outcomes[:min(len(outcomes), o.store.MostOutcomes())]
+	for _, out := range outcomes {
+		o.active[out.Job.Spec.ID].recorded = time.Now()
+	}
+	o.recording = true
+	go func() {
+		o.store.Record(o.ctx, outcomes)
+		// What was written comes back through the replica.
+		pause(o.ctx, 100*time.Millisecond)
+		o.tell(func() { o.recording, o.dirty = false, true })
+	}()
+}
+
+// review looks at what is there of a job: results to record, exited attempts
+// to forget, tasks that must stop.
+func (o *Owner) review(js *jobState, now time.Time, rq requests) (out bookkeeping.Outcome) {
+	j := js.job
+	out.Job = j
+	js.missing = j.Spec.Tasks - j.DoneCount() - len(js.pending)
+	for index, list := range o.board.tasks[j.Spec.ID] {
+		if begun := j.Spec.Shape != protocol.Gang || list[0].begun(); begun && !j.TaskDone(index) && js.pending[index] == nil {
+			js.missing--
+		}
+		var keep *inst
+		for _, i := range list {
+			if i.exited() {
+				o.reviewExit(js, index, i, now, rq, &out)
+				continue
+			}
+			if keep == nil || i.since.Before(keep.since) {
+				keep = i
+			}
+		}
+		for _, i := range list {
+			// Two of one task cannot be by our doing; should it happen, the
+			// younger one goes.
+			if !i.exited() && (i != keep && len(list) > 1 || j.TaskDone(index)) {
+				o.askStop(i, 0, now, rq)
+			}
+		}
+	}
+	o.rescue(js, now, rq)
+	if j.Spec.Shape == protocol.Gang && len(out.Tasks) > 0 {
+		out.Tasks = out.Tasks[:0]
+		for t := range j.Spec.Tasks {
+			out.Tasks = append(out.Tasks, t) // a gang completes together
+		}
+	}
+	return out
+}
+
+// rescue has tasks save what they can on machines that are being taken away;
+// the tasks of a gang must all be told.
+func (o *Owner) rescue(js *jobState, now time.Time, rq requests) {
+	s := js.job.Spec
+	if !s.Saves() {
+		return
+	}
+	for _, list := range o.board.tasks[s.ID] {
+		for _, i := range list {
+			if !i.machine.Leaving || !i.running() {
+				continue
+			}
+			if s.Shape == protocol.Gang {
+				o.stopGang(js, 2*s.SaveS, now, rq)
+				return
+			}
+			o.askStop(i, 2*s.SaveS, now, rq)
+		}
+	}
+}
+
+func (o *Owner) reviewExit(js *jobState, index int, i *inst, now time.Time, rq requests, out *bookkeeping.Outcome) {
+	if i.Cause == protocol.CauseDone {
+		if !js.job.TaskDone(index) {
+			out.Tasks = append(out.Tasks, index)
+		}
+		return // the holder has it forgotten once the result is recorded
+	}
+	if now.Sub(i.asked) < 2*time.Second {
+		return
+	}
+	if i.asked.IsZero() {
+		delay := time.Duration(0)
+		switch i.Cause {
+		case protocol.CauseError:
+			js.errors++
+			js.badOn[i.machine.ID] = true
+			delay = min(30*time.Second, 500*time.Millisecond<<min(js.errors, 7))
+			if len(js.badOn) < 3 {
+				delay = 0 // mostly the machine's fault: try elsewhere at once
+			}
+		case "no_room", "in_use", "unknown":
+			delay = time.Second
+		}
+		js.retryAt[index] = now.Add(delay)
+		slog.Info("task exited", "task", i.Task, "machine", i.machine.ID, "cause", i.Cause)
+	}
+	i.asked = now
+	a := o.to(rq, i.machine)
+	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.machine.ID, Forget: true})
+}
+
+func (o *Owner) askStop(i *inst, grace float64, now time.Time, rq requests) {
+	if now.Sub(i.asked) < 2*time.Second {
+		return
+	}
+	i.asked = now
+	a := o.to(rq, i.machine)
+	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.machine.ID, GraceS: grace})
+}
--- /dev/null
+++ b/internal/coordination/serve.go
@@ -0,0 +1,271 @@
+package coordination
+
+import (
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// What a holder does for owners and the leader: the second door.
+
+// startable tells whether tasks may be started on a machine.
+func (h *Holder) startable(w *worker) bool {
+	return w.verified && w.slot.ready && !w.lapsed && !w.silent && !w.notice && !w.suspect && h.registry[w.id] != nil &&
+		w.slot.roster[protocol.MachineNumber(w.id)] && time.Now().After(w.drainTill)
+}
+
+// maxStale bounds how old the holder's picture of job states may be when it
+// starts a task.
+const maxStale = 10 * time.Second
+
+// serve carries out an owner's request: the second door (invariant 5).
+func (h *Holder) serve(a *AskArgs) (r AskReply, ok bool) {
+	h.obeyUpTo(a.Window)
+	if a.ID < h.fences[a.Caller] || h.window == nil || a.Window > h.window.Number || !h.session.Valid() {
+		return r, false
+	}
+	if a.Window < h.ownersSince {
+		// A caller that was cut off may still go by a window from before it
+		// lost its range, and have got the range back since: what it knows
+		// leaves out what others started in between.
+		return r, false
+	}
+	for _, st := range a.Stops {
+		h.stop(a, st)
+	}
+	now := time.Now()
+	for _, st := range a.Starts {
+		why := h.start(a, st, now)
+		r.Refused = append(r.Refused, why)
+		if why != "" {
+			slog.Debug("start refused", "task", st.Task, "machine", st.Machine, "why", why)
+		}
+	}
+	touched := map[string]bool{}
+	for _, st := range a.Starts {
+		touched[st.Machine] = true
+	}
+	for _, st := range a.Stops {
+		touched[st.Machine] = true
+	}
+	for id := range touched {
+		if w := h.byID[id]; w != nil {
+			h.touch(w)
+			h.pump(w)
+		}
+	}
+	r.Incarnation, r.Version = h.session.Term(), h.version
+	return r, true
+}
+
+func (h *Holder) start(a *AskArgs, st Start, now time.Time) string {
+	w := h.byID[st.Machine]
+	jobID, index, ok := protocol.SplitTask(st.Task)
+	j := h.jobs[jobID]
+	switch {
+	case !ok || w == nil || h.slots[w.slot.slot] != w.slot:
+		return "not held here"
+	case j == nil || j.Final() || index >= j.Spec.Tasks || j.TaskDone(index):
+		return "not to be run"
+	case h.window.Owner(j.Token) != a.Caller:
+		return "not the owner"
+	case now.Sub(h.syncedAt) > maxStale:
+		return "records too old"
+	case !h.startable(w):
+		return "machine not usable"
+	case !j.Spec.Allows(w.rig, w.zone, w.spot):
+		return "machine not allowed"
+	}
+	reserved := w.entries[st.Task]
+	if reserved != nil && !(reserved.state == taskReserved && reserved.attempt == st.Attempt) {
+		return "already there"
+	} else if reserved == nil {
+		for _, o := range h.byID {
+			if x := o.entries[st.Task]; x != nil && !x.exited() {
+				return "elsewhere here"
+			}
+		}
+	}
+	delete(w.entries, st.Task)
+	room := h.free(w, true)
+	for _, name := range st.Evict {
+		if v := w.entries[name]; v != nil && !v.exited() && !v.unconfirmed() {
+			room = room.Add(h.need(v))
+		}
+	}
+	// What was reserved was granted; its room may still be in use by tasks that
+	// were told to make way.
+	if reserved == nil && !room.Fits(j.Spec.Need()) {
+		return "no room"
+	}
+	for _, name := range st.Evict {
+		if v := w.entries[name]; v != nil && !v.stop {
+			v.stop = true
+			if vj := h.jobs[v.job]; vj != nil {
+				v.grace = vj.Spec.SaveS * 2
+			}
+		}
+	}
+	e := &entry{task: st.Task, job: jobID, index: index, attempt: st.Attempt, state: taskQueued, until: now.Add(20 * time.Second)}
+	if st.Reserve {
+		e.state, e.until = taskReserved, now.Add(6*time.Second)
+	}
+	w.entries[st.Task] = e
+	return ""
+}
+
+func (h *Holder) stop(a *AskArgs, st Stop) {
+	w := h.byID[st.Machine]
+	if w == nil {
+		return
+	}
+	e := w.entries[st.Task]
+	if e == nil || e.attempt != st.Attempt {
+		return
+	}
+	if j := h.jobs[e.job]; j != nil && h.window.Owner(j.Token) != a.Caller {
+		return
+	}
+	switch {
+	case st.Forget:
+		e.reap = true
+	case e.state == taskReserved || e.state == taskQueued:
+		delete(w.entries, st.Task)
+	default:
+		e.stop, e.grace = true, st.GraceS
+	}
+}
+
+// HolderRPC is what siblings may call, and the controller itself alike.
+type HolderRPC struct{ h *Holder }
+
+var errNotNow = errors.New("request is void or the holder may not act")
+
+// Ask carries out an owner's request.
+func (r HolderRPC) Ask(a AskArgs, reply *AskReply) error {
+	ok := false
+	var out AskReply
+	if !r.h.ask(r.h.ctx, func() { out, ok = r.h.serve(&a) }) || !ok {
+		return errNotNow
+	}
+	*reply = out
+	return nil
+}
+
+// Feed answers a controller's question for news, after a wait if there is
+// none. It runs on the caller's goroutine.
+func (r HolderRPC) Feed(a FeedArgs, reply *FeedReply) error { return r.h.feed(a, reply) }
+
+func (h *Holder) feed(a FeedArgs, r *FeedReply) error {
+	deadline := time.NewTimer(time.Duration(a.WaitMs) * time.Millisecond)
+	defer deadline.Stop()
+	for first := true; ; first = false {
+		var wait chan struct{}
+		news := false
+		if !h.ask(h.ctx, func() {
+			if first {
+				h.fences[a.Caller] = max(h.fences[a.Caller], a.Fence)
+				h.obeyUpTo(a.Window)
+			}
+			wait = h.changed
+			news = h.version != a.Since || h.session.Term() != a.Incarnation
+		}) {
+			return h.ctx.Err()
+		}
+		if !news {
+			select {
+			case <-wait:
+				// Let what belongs together come together, the more the more
+				// controllers ask.
+				pause(h.ctx, time.Duration(len(h.cfg.Siblings)+1)*feedPause)
+				continue
+			case <-deadline.C:
+			case <-h.ctx.Done():
+				return h.ctx.Err()
+			}
+		}
+		h.ask(h.ctx, func() { *r = h.summary(a) })
+		return nil
+	}
+}
+
+// feedPause is how long a controller's news wait for more, for each controller
+// that they go to.
+const feedPause = 40 * time.Millisecond
+
+// summary is the reply to a feed request as things stand.
+func (h *Holder) summary(a FeedArgs) FeedReply {
+	r := FeedReply{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid()}
+	if h.window != nil {
+		r.Window = h.window.Number
+	}
+	since := a.Since
+	if a.Incarnation != r.Incarnation || len(h.gone) == maxGone && since < h.gone[0].version {
+		r.Full, since = true, 0
+	}
+	for _, s := range h.slots {
+		sv := SlotView{Slot: s.slot, Term: s.term, Complete: s.complete}
+		if time.Since(s.adopted) > h.silentAfter()+2*time.Second {
+			for id := range s.awaited {
+				sv.Awaited = append(sv.Awaited, id)
+			}
+		}
+		r.Slots = append(r.Slots, sv)
+	}
+	for _, w := range h.byID {
+		if w.version > since && (w.verified || w.lapsed) {
+			r.Machines = append(r.Machines, h.view(w))
+		}
+	}
+	for _, g := range h.gone {
+		if g.version > since {
+			r.Gone = append(r.Gone, g.id)
+		}
+	}
+	return r
+}
+
+func (h *Holder) view(w *worker) MachineView {
+	v := MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
+		Free: h.free(w, true), Usable: h.startable(w), Silent: w.silent || w.lapsed, Suspect: w.suspect, Leaving: w.notice,
+		Drained: time.Now().Before(w.drainTill) && len(w.entries) == 0 && !w.busy}
+	for _, i := range w.images {
+		v.Images = append(v.Images, i.name)
+	}
+	for _, e := range w.entries {
+		if j := h.jobs[e.job]; j != nil && (e.state == protocol.TaskPulling || e.unconfirmed()) && !slices.Contains(v.Pulling, j.Spec.Image) && !w.ready[j.Spec.Image] {
+			v.Pulling = append(v.Pulling, j.Spec.Image)
+		}
+		v.Tasks = append(v.Tasks, TaskView{Task: e.task, Attempt: e.attempt, State: e.state, Cause: e.cause, Saved: e.saved})
+	}
+	return v
+}
+
+// drainFor is how long a wish to drain stands without being repeated.
+const drainFor = 12 * time.Second
+
+// Drain keeps machines free of new tasks.
+func (r HolderRPC) Drain(a DrainArgs, _ *Nothing) error {
+	h := r.h
+	h.tell(func() {
+		for _, id := range a.Machines {
+			w := h.byID[id]
+			if w == nil {
+				continue
+			}
+			for name, e := range w.entries {
+				if e.state == taskReserved || e.state == taskQueued {
+					delete(w.entries, name)
+				}
+			}
+			if time.Now().After(w.drainTill) || len(w.entries) == 0 {
+				h.touch(w)
+			}
+			w.drainTill = time.Now().Add(drainFor)
+		}
+	})
+	return nil
+}
