--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -76,7 +76,9 @@
 	id, rig, zone string
 	spot          bool
 	booting       bool
-	free          protocol.Room
+	// wanted is the class of jobs that a machine still to be rented is for.
+	wanted string
+	free   protocol.Room
 	// byRank is the room held by tasks of each priority.
 	byRank [4]protocol.Room
 	idle   time.Duration
@@ -100,6 +102,7 @@
 	rig, zone string
 	spot      bool
 	count     int
+	class     string // of the first job that needs it
 }
 
 // planFleet packs what has no machine into the room there is and will be,
@@ -141,7 +144,7 @@
 			return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot && r.count < protocol.MaxRent
 		})
 		if k < 0 {
-			rent = append(rent, rental{b.rig, b.zone, b.spot, 0})
+			rent = append(rent, rental{b.rig, b.zone, b.spot, 0, b.wanted})
 			k = len(rent) - 1
 		}
 		rent[k].count++
@@ -283,7 +286,7 @@
 	for _, t := range in.types {
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				b := &fleetMachine{rig: t.Name, zone: zone, spot: spot, booting: true, free: t.Room()}
+				b := &fleetMachine{rig: t.Name, zone: zone, spot: spot, booting: true, wanted: d.spec.Class, free: t.Room()}
 				if !d.allows(b) || in.refused(t.Name, zone, spot) {
 					continue
 				}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -255,7 +255,7 @@
 		if len(names.Machines) < r.count {
 			l.refusals[key] = time.Now().Add(15 * time.Second)
 		}
-		slog.Info("rented", "kind", key, "asked", r.count, "got", len(names.Machines))
+		slog.Info("rented", "kind", key, "for", r.class, "asked", r.count, "got", len(names.Machines))
 		lot := bookkeeping.Lot{Type: r.rig, Zone: r.zone, Spot: r.spot, RentedMs: time.Now().UnixMilli(), Machines: names.Machines}
 		l.owner.expect(lot)
 		l.register(req.Booking, lot)
