--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -97,6 +97,7 @@
 // demands is what has no machine, and what is expected to come.
 func (o *Owner) demands(now, started time.Time) []demand {
 	var out []demand
+	ending := map[string]float64{} // by class: tasks that end in a second
 	for id, js := range o.active {
 		s := js.job.Spec
 		missing := s.Tasks - js.job.DoneCount() - len(js.pending)
@@ -109,6 +110,9 @@
 			for _, i := range list {
 				zones[i.machine.Zone]++
 			}
+			if s.EstimateS > 0 && list[0].running() {
+				ending[s.Class] += 1 / s.EstimateS
+			}
 		}
 		if missing <= 0 || js.opinion == atFault {
 			continue
@@ -129,7 +133,7 @@
 		out = append(out, d)
 	}
 	for name, c := range o.classes {
-		if n, preempt := o.spare(name, c, now, started); n > 0 {
+		if n, preempt := o.spare(name, c, ending[name], now, started); n > 0 {
 			d := demand{spec: c.spec, count: n, spare: true, preempt: preempt, left: time.Hour}
 			if c.spec.Scatter {
 				d.zoneLeft = map[string]int{}
@@ -170,18 +174,20 @@
 	return ready, fetch
 }
 
-// spare is for how many tasks of a class room should be kept ready: as many
-// as come, give or take, while a machine boots, if the users' aims leave no
-// time to wait for one.
-func (o *Owner) spare(name string, c *classStats, now, started time.Time) (n int, preempt bool) {
+// spare is for how many tasks of a class room should be kept ready, if the
+// users' aims leave no time to wait for a machine to boot: as many more as come
+// meanwhile than end, which leave their room to them, give or take. Without
+// what ends, a class of many short tasks had a third of the fleet kept empty.
+func (o *Owner) spare(name string, c *classStats, ending float64, now, started time.Time) (n int, preempt bool) {
 	within := o.within(name, math.MaxInt64)
 	ready, fetch := o.ready(c.spec, c.image)
 	if ready == math.MaxInt64 || within >= ready {
 		return 0, false
 	}
-	mean := c.rate(now, started) * ready.Seconds() * o.cfg.Spare
-	if mean == 0 {
+	come := c.rate(now, started) * ready.Seconds()
+	if come == 0 {
 		return 0, false
 	}
-	return int(math.Ceil(mean + 0.7*math.Sqrt(mean))), within > fetch+12*time.Second
+	more := max(0, come-ending*ready.Seconds())
+	return int(math.Ceil((more + 0.7*math.Sqrt(come)) * o.cfg.Spare)), within > fetch+12*time.Second
 }
