--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -147,8 +147,9 @@
 func TestPlanFleet(t *testing.T) {
 	refusedZone := ""
 	plan := func(machines []*fleetMachine, ds ...demand) ([]rental, []string) {
-		return planFleet(&fleetInput{types: machineTypes, machines: machines, demands: ds, idleAfter: 20 * time.Second,
+		rent, idle, _ := planFleet(&fleetInput{types: machineTypes, machines: machines, demands: ds, idleAfter: 20 * time.Second,
 			refused: func(_, zone string, _ bool) bool { return zone == refusedZone }})
+		return rent, idle
 	}
 	total := func(rs []rental) (n int) {
 		for _, r := range rs {
@@ -186,6 +187,39 @@
 	}
 }
 
+// After a burst the least used machines get no more tasks, as long as the
+// others have room for as many: else the fleet stays as it was for the burst.
+func TestSurplusMachinesAreEmptied(t *testing.T) {
+	fleet := func() (ms []*fleetMachine) {
+		for n := range 20 {
+			m := &fleetMachine{id: fmt.Sprintf("m%02d", n), rig: "small", zone: "a", free: protocol.Room{Cores: 4, Accels: 1, RAM: 32}}
+			if n < 8 {
+				m.free.Cores = 6 // used by a quarter only
+				m.free.Accels, m.free.RAM = 2, 48
+			}
+			ms = append(ms, m)
+		}
+		return ms
+	}
+	plan := func(ms []*fleetMachine, ds ...demand) []string {
+		_, _, empty := planFleet(&fleetInput{types: machineTypes, machines: ms, demands: ds, idleAfter: time.Minute,
+			refused: func(string, string, bool) bool { return false }})
+		return empty
+	}
+	ms := fleet()
+	ms[0].pinned, ms[9].emptying = true, true
+	empty := plan(ms)
+	if len(empty) != 10 || slices.Contains(empty, "m00") || empty[0] != "m09" {
+		t.Errorf("emptied: %v", empty)
+	}
+	if empty := plan(fleet(), demand{spec: spec(nil), count: 20}); len(empty) > 3 {
+		t.Errorf("emptied although work waits: %v", empty)
+	}
+	if empty := plan(fleet()[8:10]); len(empty) > 0 {
+		t.Errorf("a small fleet keeps some room: %v", empty)
+	}
+}
+
 // A holder took a start on and gave the slot up before its news showed it.
 // The start must stay pending until the slot's next holder knows all: once it
 // was taken for void, and the task ran twice.
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -78,6 +78,7 @@
 			f := &fleetMachine{id: id, rig: m.Type, zone: m.Zone, spot: m.Spot, free: m.Free, used: len(m.insts) > 0}
 			for _, i := range m.insts {
 				if js := o.jobs[i.job]; js != nil && !i.exited() {
+					f.pinned = f.pinned || js.job.Spec.Shape == protocol.Service
 					f.byRank[js.job.Spec.Priority.Rank()] = f.byRank[js.job.Spec.Priority.Rank()].Add(js.job.Spec.Need())
 				}
 			}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -84,6 +84,10 @@
 	idle   time.Duration
 	drains bool
 	used   bool
+	// pinned: there are tasks that won't end by themselves.
+	pinned bool
+	// emptying: it is kept free of new tasks, as long as the rest has room.
+	emptying bool
 }
 
 // fleetInput is the snapshot that renting is decided by.
@@ -106,8 +110,9 @@
 }
 
 // planFleet packs what has no machine into the room there is and will be,
-// and says what to rent for the rest and which machines nothing needs.
-func planFleet(in *fleetInput) (rent []rental, idle []string) {
+// and says what to rent for the rest, which machines nothing needs and which
+// ones should get no more tasks, since the others have room for what comes.
+func planFleet(in *fleetInput) (rent []rental, idle, empty []string) {
 	slices.SortStableFunc(in.demands, func(a, b demand) int {
 		if a.spare != b.spare {
 			if a.spare {
@@ -154,7 +159,53 @@
 			idle = append(idle, m.id)
 		}
 	}
-	return rent, idle
+	return rent, idle, surplus(in)
+}
+
+// roomKept is the part of the machines of a type whose room is kept for what
+// comes, beside what is known, before any are emptied.
+const roomKept = 0.08
+
+// surplus chooses the machines to empty: of each type the least used ones, as
+// long as the others have as much room and some more. What runs on them ends
+// there; without this, a fleet that was right for a burst stays as it is for as
+// long as new tasks are spread over all of it.
+func surplus(in *fleetInput) (empty []string) {
+	byType := map[string][]*fleetMachine{}
+	for _, m := range in.machines {
+		if !m.booting && !m.drains {
+			byType[m.rig] = append(byType[m.rig], m)
+		}
+	}
+	for name, ms := range byType {
+		t := in.types[name]
+		use := func(m *fleetMachine) float64 { return min(1, t.Room().Sub(m.free).Share(t.Room())) }
+		room := 0.0
+		for _, m := range ms {
+			room += 1 - use(m)
+		}
+		room -= max(1, roomKept*float64(len(ms)))
+		slices.SortStableFunc(ms, func(a, b *fleetMachine) int {
+			if a.emptying != b.emptying {
+				if a.emptying {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(use(a), use(b))
+		})
+		for _, m := range ms {
+			if m.used || m.pinned {
+				continue
+			}
+			// What it has room for, and what comes in place of its tasks.
+			if room--; room < 0 {
+				break
+			}
+			empty = append(empty, m.id)
+		}
+	}
+	return empty
 }
 
 // chooseZone settles on one zone for tasks that must share one: that which
@@ -265,6 +316,9 @@
 		if b.booting {
 			left += 0.5
 		}
+		if b.emptying {
+			left += 2
+		}
 		fits = append(fits, fit{b, left})
 	}
 	slices.SortStableFunc(fits, func(a, b fit) int { return cmp.Compare(a.left, b.left) })
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -46,6 +46,7 @@
 	// releasing are slots given up whose records don't say so yet.
 	releasing    map[int]*heldSlot
 	writingSlots bool
+	drainsFor    uint64             // the leader's term of the last wish to drain
 	opinions     map[string]opinion // of jobs that failed somewhere
 	found        uint64             // lots of machines that nobody had registered
 	finding      bool
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"iter"
 	"log/slog"
 	"maps"
 	"slices"
@@ -111,7 +112,17 @@
 		return now.Before(l.refusals[fmt.Sprint(rig, "/", zone, "/", spot)])
 	}
 	st.in.idleAfter = l.cfg.IdleAfter
-	rent, idle := planFleet(&st.in)
+	for _, m := range st.in.machines {
+		m.emptying = l.emptying[m.id]
+	}
+	rent, idle, empty := planFleet(&st.in)
+	l.emptying = map[string]bool{}
+	for _, id := range empty {
+		l.emptying[id] = true
+		if st.drained[id] {
+			gone = append(gone, id)
+		}
+	}
 	for _, id := range idle {
 		if _, ok := l.draining[id]; !ok {
 			l.draining[id] = now
@@ -171,16 +182,24 @@
 	}
 }
 
+// drain tells the holders which of their machines are to be kept free of new
+// tasks; those that were and no longer are, they may use again.
 func (l *Leader) drain(st *fleetState) {
 	byHolder := map[string][]string{}
-	for id := range l.draining {
-		if h := st.holder[id]; h != "" {
-			byHolder[h] = append(byHolder[h], id)
+	for name := range l.holders {
+		byHolder[name] = nil
+	}
+	for _, set := range []iter.Seq[string]{maps.Keys(l.draining), maps.Keys(l.emptying)} {
+		for id := range set {
+			if h := st.holder[id]; h != "" {
+				byHolder[h] = append(byHolder[h], id)
+			}
 		}
 	}
 	for name, ids := range byHolder {
-		if h := l.holders[name]; h != nil {
-			h.Drain(l.ctx, DrainArgs{Caller: l.cfg.Name, Term: l.session.Term(), Machines: ids})
+		if h := l.holders[name]; h != nil && (len(ids) > 0 || l.drained[name]) {
+			err := h.Drain(l.ctx, DrainArgs{Caller: l.cfg.Name, Term: l.session.Term(), Machines: ids})
+			l.drained[name] = len(ids) > 0 || err != nil
 		}
 	}
 }
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -253,25 +253,38 @@
 // drainFor is how long a wish to drain stands without being repeated.
 const drainFor = 12 * time.Second
 
-// Drain keeps machines free of new tasks.
+// Drain keeps machines free of new tasks, and no others that were before.
 func (r HolderRPC) Drain(a DrainArgs, _ *Nothing) error {
-	h := r.h
-	h.tell(func() {
-		for _, id := range a.Machines {
-			w := h.byID[id]
-			if w == nil {
-				continue
-			}
+	r.h.tell(func() { r.h.drain(&a) })
+	return nil
+}
+
+func (h *Holder) drain(a *DrainArgs) {
+	if a.Term < h.drainsFor {
+		return // of a former leader
+	}
+	h.drainsFor = a.Term
+	wanted := make(map[string]bool, len(a.Machines))
+	for _, id := range a.Machines {
+		wanted[id] = true
+	}
+	now := time.Now()
+	for id, w := range h.byID {
+		drains := now.Before(w.drainTill)
+		switch {
+		case wanted[id]:
+			w.drainTill = now.Add(drainFor)
 			for name, e := range w.entries {
 				if e.state == taskReserved || e.state == taskQueued {
 					delete(w.entries, name)
 				}
 			}
-			if time.Now().After(w.drainTill) || len(w.entries) == 0 {
+			if !drains || len(w.entries) == 0 {
 				h.touch(w)
 			}
-			w.drainTill = time.Now().Add(drainFor)
+		case drains:
+			w.drainTill = time.Time{}
+			h.touch(w)
 		}
-	})
-	return nil
+	}
 }
