--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,6 +101,7 @@
 	Platform
 	Operator
 	teams map[string]*Team
+	aimed map[string]bool
 }
 
 // Load reads and checks the platform's settings, and the operators' own if
@@ -123,6 +124,10 @@
 }
 
 func (c *Config) index() {
+	c.aimed = make(map[string]bool, len(c.Deployment.Objectives))
+	for _, a := range c.Deployment.Objectives {
+		c.aimed[a.Class] = true
+	}
 	c.teams = make(map[string]*Team, len(c.Deployment.Teams))
 	for i := range c.Deployment.Teams {
 		c.teams[c.Deployment.Teams[i].Name] = &c.Deployment.Teams[i]
@@ -132,6 +137,9 @@
 // Team finds a team by its name, nil if there is none.
 func (c *Config) Team(name string) *Team { return c.teams[name] }
 
+// Aimed tells whether the users have an aim for a class of jobs.
+func (c *Config) Aimed(class string) bool { return c.aimed[class] }
+
 // Names lists all controllers, this one among them, in one order everywhere.
 func (c *Config) Names() []string {
 	names := []string{c.Name}
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -181,6 +181,19 @@
 	if _, back := plan([]*fleetMachine{idle()}, demand{spec: spec(nil), count: 1, spare: true}); len(back) != 0 {
 		t.Errorf("but not those kept ready: %v", back)
 	}
+	cheap := spec(func(s *protocol.JobSpec) { s.Spot, s.Priority = true, "idle" })
+	if rent, _ := plan(nil, demand{spec: cheap, count: 4, filler: true}); total(rent) != 2 || !rent[0].spot {
+		t.Errorf("filler work has cheap machines rented for it: %+v", rent)
+	}
+	dear := spec(func(s *protocol.JobSpec) { s.Priority = "idle" })
+	if rent, _ := plan(nil, demand{spec: dear, count: 4, filler: true}); total(rent) != 0 {
+		t.Errorf("but no others: %+v", rent)
+	}
+	filled := &fleetMachine{id: "m3", rig: "small", zone: "a", yields: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
+	high := spec(func(s *protocol.JobSpec) { s.Priority = "high" })
+	if rent, _ := plan([]*fleetMachine{filled}, demand{spec: high, count: 2}); total(rent) != 0 {
+		t.Errorf("filler work makes way: %+v", rent)
+	}
 	gang := spec(func(s *protocol.JobSpec) { s.Cores, s.Shape = 20, protocol.Gang })
 	if rent, _ := plan(nil, demand{spec: gang, count: 1}, demand{spec: spec(nil), count: 2}); total(rent) != 1 || rent[0].rig != "large" {
 		t.Errorf("small work goes beside the large: %+v", rent)
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -79,6 +79,9 @@
 			for _, i := range m.insts {
 				if js := o.jobs[i.job]; js != nil && !i.exited() {
 					f.pinned = f.pinned || js.job.Spec.Shape == protocol.Service
+					if o.filler(js.job.Spec) {
+						f.yields = f.yields.Add(js.job.Spec.Need())
+					}
 					f.byRank[js.job.Spec.Priority.Rank()] = f.byRank[js.job.Spec.Priority.Rank()].Add(js.job.Spec.Need())
 				}
 			}
@@ -121,7 +124,7 @@
 		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
 			missing = min(missing, fits(s.Need(), protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}))
 		}
-		d := demand{spec: s, count: missing, left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
+		d := demand{spec: s, count: missing, filler: o.filler(s), left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
 		if s.Scatter || s.OneZone {
 			d.zoneLeft = map[string]int{}
 			for _, z := range o.cfg.Deployment.Zones {
@@ -134,6 +137,9 @@
 		out = append(out, d)
 	}
 	for name, c := range o.classes {
+		if o.filler(c.spec) {
+			continue
+		}
 		if n, preempt := o.spare(name, c, ending[name], now, started); n > 0 {
 			d := demand{spec: c.spec, count: n, spare: true, preempt: preempt, left: time.Hour}
 			if c.spec.Scatter {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -309,6 +309,12 @@
 	}
 	o.record(outcomes)
 	slices.SortFunc(ready, func(a, b *jobState) int {
+		if x, y := o.filler(a.job.Spec), o.filler(b.job.Spec); x != y {
+			if x {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Or(cmp.Compare(b.job.Spec.Priority.Rank(), a.job.Spec.Priority.Rank()), o.due(a).Compare(o.due(b)),
 			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -133,6 +133,9 @@
 		}
 		v := js.job.Spec
 		price := 10 + 10*float64(v.Priority.Rank())
+		if o.filler(v) {
+			price = 2
+		}
 		if !v.Saves() {
 			price += min(60, now.Sub(i.since).Seconds())
 		}
@@ -228,6 +231,21 @@
 	return c, ok
 }
 
+// preempts is the lowest priority for which other work is stopped without a
+// guarantee.
+const preempts = 2
+
+// onlyFiller tells whether all that has to go for a choice is filler work.
+func (o *Owner) onlyFiller(c *choice) bool {
+	for _, task := range c.evict {
+		job, _, _ := protocol.SplitTask(task)
+		if js := o.jobs[job]; js == nil || !o.filler(js.job.Spec) {
+			return false
+		}
+	}
+	return true
+}
+
 // makeRoom finds a machine where stopping other work makes room for a task, if
 // that is better than what there is without (nil: nothing).
 func (o *Owner) makeRoom(js *jobState, p *placing, free *boardMachine, now time.Time) (choice, bool) {
@@ -240,7 +258,7 @@
 		use = o.teamUse()
 	}
 	guaranteed := o.guaranteed(s, use)
-	if s.Priority.Rank() < 2 && !guaranteed || now.Sub(js.known) < 500*time.Millisecond {
+	if s.Priority.Rank() < preempts && !guaranteed || now.Sub(js.known) < 500*time.Millisecond {
 		return choice{}, false
 	}
 	other := math.Inf(1)
@@ -251,10 +269,16 @@
 	// Stopping other work is the last resort: as long as the aim leaves time,
 	// room may come free by itself.
 	within := o.within(s.Class, time.Minute)
-	if !found || free == nil && within-now.Sub(js.job.Accepted)-p.fetch(e.machine)-10*time.Second >= within/5 {
-		return choice{}, false
+	if found && free == nil && within-now.Sub(js.job.Accepted)-p.fetch(e.machine)-10*time.Second >= within/5 {
+		found = o.onlyFiller(&e)
 	}
-	return e, true
+	return e, found
+}
+
+// filler tells whether a job is work that nobody waits for: of the lowest
+// priority, and without an aim for its class.
+func (o *Owner) filler(s *protocol.JobSpec) bool {
+	return s.Priority.Rank() == 0 && !o.cfg.Aimed(s.Class)
 }
 
 // within is how soon the users want tasks of a class to start, if they say.
