--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -200,6 +200,25 @@
 	}
 }
 
+// Short tasks share room one after the other, if the users' aim leaves time.
+func TestRoomForArrays(t *testing.T) {
+	for _, c := range []struct {
+		tasks          int
+		estimate, left time.Duration
+		want           int
+	}{
+		{25, 35 * time.Second, 150 * time.Second, 25},
+		{25000, 4 * time.Second, 400 * time.Second, 1000},
+		{25000, 4 * time.Second, 10 * time.Second, 25000},
+		{3, time.Second, 400 * time.Second, 1},
+		{7, time.Minute, -time.Second, 7},
+	} {
+		if got := inTurn(c.tasks, c.estimate, c.left); got != c.want {
+			t.Errorf("%d of %v in %v: %d", c.tasks, c.estimate, c.left, got)
+		}
+	}
+}
+
 // After a burst the least used machines get no more tasks, as long as the
 // others have room for as many: else the fleet stays as it was for the burst.
 func TestSurplusMachinesAreEmptied(t *testing.T) {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -124,6 +124,9 @@
 		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
 			missing = min(missing, fits(s.Need(), protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}))
 		}
+		if s.Shape == protocol.Array && o.within(s.Class, 0) == 0 {
+			missing = inTurn(missing, s.Estimate(), o.finish(s)-now.Sub(js.job.Accepted))
+		}
 		d := demand{spec: s, count: missing, filler: o.filler(s), left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
 		if s.Scatter || s.OneZone {
 			d.zoneLeft = map[string]int{}
@@ -154,6 +157,36 @@
 	return out
 }
 
+// finish is how soon the users want jobs like this one to be done; without an
+// aim or a deadline, soon enough.
+func (o *Owner) finish(s *protocol.JobSpec) time.Duration {
+	within := time.Duration(math.MaxInt64)
+	for _, a := range o.cfg.Deployment.Objectives {
+		if a.Class == s.Class && a.Kind == "finished" && a.WithinS > 0 {
+			within = min(within, protocol.Seconds(a.WithinS))
+		}
+	}
+	if within == math.MaxInt64 && s.DeadlineS != nil {
+		return protocol.Seconds(*s.DeadlineS)
+	}
+	return min(within, unhurried)
+}
+
+const (
+	unhurried = 10 * time.Minute
+	// shortest is what a task takes at least, start and all.
+	shortest = 8 * time.Second
+)
+
+// inTurn is for how many of an array's tasks there should be room at a time:
+// short ones can use the same room one after the other. Half of the time that
+// is left is counted on, and estimates to be wrong by half. A huge array
+// of tasks of a few seconds had the whole cloud rented.
+func inTurn(tasks int, estimate, left time.Duration) int {
+	turns := max(1, int(left/2/max(2*estimate, shortest)))
+	return (tasks + turns - 1) / turns
+}
+
 // fits is how often a need goes into a limit, of which zeros mean none.
 func fits(need, limit protocol.Room) int {
 	n := math.Inf(1)
