--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -200,6 +200,24 @@
 	}
 }
 
+// Machines that come late are not replaced while others of their type come late
+// too, and one that never comes is given back all the same.
+func TestLateMachines(t *testing.T) {
+	const boot = 40 * time.Second
+	usual, gone := bootLimits(boot, nil)
+	if usual != 77*time.Second || gone != 119*time.Second {
+		t.Errorf("%v, %v", usual, gone)
+	}
+	slow := []time.Duration{90 * time.Second, 95 * time.Second, 110 * time.Second, 100 * time.Second, 30 * time.Second}
+	if late, never := bootLimits(boot, slow); late != 125*time.Second || never != 200*time.Second {
+		t.Errorf("slow ones: %v, %v", late, never)
+	}
+	quick := []time.Duration{time.Second, time.Second, time.Second, time.Second, 300 * time.Second}
+	if late, never := bootLimits(boot, quick); late != usual || never != gone {
+		t.Errorf("quick ones: %v, %v", late, never)
+	}
+}
+
 // Short tasks share room one after the other, if the users' aim leaves time.
 func TestRoomForArrays(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -30,7 +30,7 @@
 
 // fleet sums up the fleet for the leader.
 func (o *Owner) fleet(ctx context.Context, now, started time.Time) *fleetState {
-	st := &fleetState{drained: map[string]bool{}, holder: map[string]string{}, reg: map[string]*bookkeeping.Machine{}, seen: map[string]bool{}, up: map[string]bool{}}
+	st := &fleetState{drained: map[string]uint64{}, holder: map[string]string{}, reg: map[string]*bookkeeping.Machine{}, seen: map[string]bool{}, up: map[string]bool{}}
 	ok := o.ask(ctx, func() {
 		// Without every slot's news it is not known what is missing.
 		st.ready = o.window() != nil && o.board.allComplete(o.slots, 0)
@@ -59,8 +59,8 @@
 			if st.reg[id] == nil {
 				st.reg[id] = &bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 			}
-			if m.Drained {
-				st.drained[id] = true
+			if m.Drained > 0 {
+				st.drained[id] = m.Drained
 			}
 			if p := o.peers[m.holder]; m.Silent && m.current && p != nil && p.valid {
 				if !slices.Contains(st.silent, id) {
@@ -173,7 +173,7 @@
 }
 
 const (
-	unhurried = 10 * time.Minute
+	unhurried = 2 * time.Minute
 	// shortest is what a task takes at least, start and all.
 	shortest = 8 * time.Second
 )
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -46,7 +46,7 @@
 	// releasing are slots given up whose records don't say so yet.
 	releasing    map[int]*heldSlot
 	writingSlots bool
-	drainsFor    uint64             // the leader's term of the last wish to drain
+	drainsFor    uint64             // the last wish to drain
 	opinions     map[string]opinion // of jobs that failed somewhere
 	found        uint64             // lots of machines that nobody had registered
 	finding      bool
@@ -99,6 +99,7 @@
 	settled   bool // nothing is wanted of it until something changes
 	holdOff   time.Time
 	drainTill time.Time
+	drainWish uint64 // since which it is kept free without a break
 	silent    bool
 	errorsBy  map[string]bool // jobs that failed here since the last success
 	soundAt   time.Time       // when something last succeeded
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -51,8 +51,9 @@
 	Sound   bool
 	// Leaving: the cloud gave notice.
 	Leaving bool
-	// Drained: draining was asked for and nothing can be on it.
-	Drained bool
+	// Drained is the wish since which it is kept free without a break, if
+	// nothing can be on it; else 0.
+	Drained uint64
 	// Images are cached, or being fetched as Pulling says.
 	Images  []string
 	Pulling []string
@@ -140,8 +141,11 @@
 // DrainArgs asks a holder to keep machines free; the wish lapses unless it
 // is repeated.
 type DrainArgs struct {
-	Caller   string
-	Term     uint64
+	Caller string
+	// Wish orders wishes, also those of different leaders: it is made of the
+	// revision at which the caller became one. Its term does not order
+	// leaders, since an older controller may follow a younger one.
+	Wish     uint64
 	Machines []string
 }
 
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"iter"
 	"log/slog"
 	"maps"
 	"slices"
@@ -22,9 +21,9 @@
 		return
 	}
 	l.busy = true
-	leadFrom := l.leadFrom
+	leadFrom, leadership := l.leadFrom, l.leader.Version
 	go func() {
-		l.round(leadFrom)
+		l.round(leadFrom, leadership)
 		pause(l.ctx, 700*time.Millisecond)
 		l.tell(func() { l.busy = false })
 	}()
@@ -35,7 +34,7 @@
 	in      fleetInput
 	silent  []string
 	suspect []string
-	drained map[string]bool
+	drained map[string]uint64 // the wish under which it was found empty
 	holder  map[string]string
 	reg     map[string]*bookkeeping.Machine
 	seen    map[string]bool
@@ -66,7 +65,7 @@
 
 // round runs on a goroutine of its own; only one round runs at a time, and it
 // alone touches what the leader keeps of the fleet.
-func (l *Leader) round(leadFrom time.Time) {
+func (l *Leader) round(leadFrom time.Time, leadership uint64) {
 	now := time.Now()
 	st := l.owner.fleet(l.ctx, now, l.started)
 	if st == nil || !l.session.Valid() {
@@ -74,7 +73,9 @@
 	}
 	l.list(now, st)
 	var gone []string
-	boots := map[string]*fleetMachine{}
+	wish := leadership<<24 + l.rounds // rises from round to round, and from leader to leader
+	l.rounds++
+	l.noteBoots(st, now)
 	for id, m := range st.reg {
 		lm, isListed := l.listed[id]
 		if isListed && lm.Status == "failed" {
@@ -89,25 +90,15 @@
 			continue
 		}
 		age := now.Sub(time.UnixMilli(m.RentedMs))
-		if up := st.up[id]; !up && age > protocol.Seconds(2.6*t.BootS+15) || up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
+		late, never := bootLimits(protocol.Seconds(t.BootS), l.boots[m.Type].durations)
+		if up := st.up[id]; !up && age > never || up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
 			gone = append(gone, id) // never came up, or never came back
 			continue
 		}
-		b := &fleetMachine{id: id, rig: m.Type, zone: m.Zone, spot: m.Spot, booting: true, free: t.Room()}
-		if age > protocol.Seconds(1.8*t.BootS+5) {
-			b.drains = true // late: don't count on it
-		}
-		boots[id] = b
-		st.in.machines = append(st.in.machines, b)
+		st.in.machines = append(st.in.machines, &fleetMachine{id: id, rig: m.Type, zone: m.Zone, spot: m.Spot, booting: true,
+			free: t.Room(), drains: age > late}) // late ones are not counted on
 	}
 	gone = append(gone, st.lost()...)
-	for _, id := range st.suspect {
-		if first, ok := l.draining[id]; !ok {
-			l.draining[id] = now
-		} else if st.drained[id] || now.Sub(first) > 20*time.Second {
-			gone = append(gone, id)
-		}
-	}
 	st.in.refused = func(rig, zone string, spot bool) bool {
 		return now.Before(l.refusals[fmt.Sprint(rig, "/", zone, "/", spot)])
 	}
@@ -119,30 +110,73 @@
 	l.emptying = map[string]bool{}
 	for _, id := range empty {
 		l.emptying[id] = true
-		if st.drained[id] {
-			gone = append(gone, id)
-		}
 	}
-	for _, id := range idle {
-		if _, ok := l.draining[id]; !ok {
-			l.draining[id] = now
+	unwanted := map[string]bool{}
+	for _, id := range slices.Concat(idle, empty, st.suspect) {
+		unwanted[id] = true
+		d, ok := l.draining[id]
+		if !ok {
+			d = drainWish{wish, now}
+			l.draining[id] = d
 		}
-		if st.drained[id] {
+		// Only if it was empty under this wish: it may have been used since an
+		// earlier one.
+		if st.drained[id] >= d.wish || slices.Contains(st.suspect, id) && now.Sub(d.since) > 20*time.Second {
 			gone = append(gone, id)
 		}
 	}
-	for id := range l.draining {
-		if !slices.Contains(idle, id) && !slices.Contains(st.suspect, id) {
-			delete(l.draining, id)
-		}
-	}
-	l.drain(st)
+	maps.DeleteFunc(l.draining, func(id string, _ drainWish) bool { return !unwanted[id] })
+	l.drain(st, wish)
 	l.giveBack(gone)
 	if st.ready {
 		l.rent(rent)
 	}
 }
 
+// drainWish is since when a machine is to be kept free of new tasks.
+type drainWish struct {
+	wish  uint64
+	since time.Time
+}
+
+// bootTimes is what was seen of a type's machines that came up lately.
+type bootTimes struct {
+	durations []time.Duration // bounded, newest last
+}
+
+// maxBoots is of how many machines of a type the boot times are kept.
+const maxBoots = 24
+
+// noteBoots learns how long machines take to come up.
+func (l *Leader) noteBoots(st *fleetState, now time.Time) {
+	coming := map[string]bool{}
+	for id, m := range st.reg {
+		age := now.Sub(time.UnixMilli(m.RentedMs))
+		switch {
+		case !st.seen[id]:
+			coming[id] = !st.up[id]
+		case l.coming[id] && age > 0:
+			b := append(l.boots[m.Type].durations, age)
+			l.boots[m.Type] = bootTimes{b[max(0, len(b)-maxBoots):]}
+		}
+	}
+	l.coming = coming
+}
+
+// bootLimits are the ages from which a machine that has not come up is not
+// counted on, and from which it is thought never to come. Where machines of
+// its type came late lately, it is given as long: they would be replaced, and
+// come all the same.
+func bootLimits(boot time.Duration, seen []time.Duration) (late, never time.Duration) {
+	late, never = boot*9/5+5*time.Second, boot*13/5+15*time.Second
+	if len(seen) >= 4 {
+		sorted := slices.Sorted(slices.Values(seen))
+		slow := sorted[len(sorted)*3/4]
+		late, never = max(late, min(slow*5/4, 4*boot)), max(never, min(slow*2, 6*boot))
+	}
+	return late, never
+}
+
 // list reads the machine list now and then, for machines that failed and for
 // those that nobody expected.
 func (l *Leader) list(now time.Time, st *fleetState) {
@@ -184,21 +218,19 @@
 
 // drain tells the holders which of their machines are to be kept free of new
 // tasks; those that were and no longer are, they may use again.
-func (l *Leader) drain(st *fleetState) {
+func (l *Leader) drain(st *fleetState, wish uint64) {
 	byHolder := map[string][]string{}
 	for name := range l.holders {
 		byHolder[name] = nil
 	}
-	for _, set := range []iter.Seq[string]{maps.Keys(l.draining), maps.Keys(l.emptying)} {
-		for id := range set {
-			if h := st.holder[id]; h != "" {
-				byHolder[h] = append(byHolder[h], id)
-			}
+	for id := range l.draining {
+		if h := st.holder[id]; h != "" {
+			byHolder[h] = append(byHolder[h], id)
 		}
 	}
 	for name, ids := range byHolder {
 		if h := l.holders[name]; h != nil && (len(ids) > 0 || l.drained[name]) {
-			err := h.Drain(l.ctx, DrainArgs{Caller: l.cfg.Name, Term: l.session.Term(), Machines: ids})
+			err := h.Drain(l.ctx, DrainArgs{Caller: l.cfg.Name, Wish: wish, Machines: ids})
 			l.drained[name] = len(ids) > 0 || err != nil
 		}
 	}
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -230,8 +230,10 @@
 
 func (h *Holder) view(w *worker) MachineView {
 	v := MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
-		Free: h.free(w, true), Usable: h.startable(w), Silent: w.silent || w.lapsed, Suspect: w.suspect, Leaving: w.notice,
-		Drained: time.Now().Before(w.drainTill) && len(w.entries) == 0 && !w.busy}
+		Free: h.free(w, true), Usable: h.startable(w), Silent: w.silent || w.lapsed, Suspect: w.suspect, Leaving: w.notice}
+	if time.Now().Before(w.drainTill) && len(w.entries) == 0 && !w.busy {
+		v.Drained = w.drainWish
+	}
 	v.Sound = time.Since(w.soundAt) < soundFor
 	for job := range w.errorsBy {
 		if len(v.Failed) < maxFailed {
@@ -260,10 +262,10 @@
 }
 
 func (h *Holder) drain(a *DrainArgs) {
-	if a.Term < h.drainsFor {
+	if a.Wish < h.drainsFor {
 		return // of a former leader
 	}
-	h.drainsFor = a.Term
+	h.drainsFor = a.Wish
 	wanted := make(map[string]bool, len(a.Machines))
 	for _, id := range a.Machines {
 		wanted[id] = true
@@ -273,6 +275,9 @@
 		drains := now.Before(w.drainTill)
 		switch {
 		case wanted[id]:
+			if !drains {
+				w.drainWish = a.Wish
+			}
 			w.drainTill = now.Add(drainFor)
 			for name, e := range w.entries {
 				if e.state == taskReserved || e.state == taskQueued {
