Operators' view: what a controller knows, why jobs wait, metrics, log lines

Users said that from outside the service looked as if it had stalled. status and /operator/ show a controller's standing and why jobs wait, with an estimate of their start; GET /v1/jobs/ID carries the same. At info the log tells when placement stands still, why, and when it goes on.

--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -35,6 +35,19 @@
 func slotKey(slot int) string               { return fmt.Sprintf("%s%d", slotPrefix, slot) }
 func lotKey(name string) string             { return lotPrefix + name }
 
+// kinds are the kinds of records, as operators are told of them.
+var kinds = []string{"term", "leader", "window", "catalogue", "job", "over", "result", "session", "slot", "lot"}
+
+// kindOf tells what kind of record a key holds.
+func kindOf(key string) string {
+	for i, prefix := range []string{keyTerm, keyLeader, keyWindow, keyCatalog, jobPrefix, overPrefix, resultPrefix, memberPrefix, slotPrefix} {
+		if strings.HasPrefix(key, prefix) {
+			return kinds[i]
+		}
+	}
+	return "lot"
+}
+
 func under(key, prefix string) (string, bool) { return strings.CutPrefix(key, prefix) }
 
 // Counter is the value of the term counter.
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"daledyke/internal/protocol"
@@ -21,10 +22,35 @@
 type Store struct {
 	state  *transport.State
 	txnOps int
+	// counts are the changes asked for, by kind of record.
+	counts map[string]*atomic.Int64
 }
 
 // NewStore makes a store.
-func NewStore(s *transport.State, txnOps int) *Store { return &Store{state: s, txnOps: txnOps} }
+func NewStore(s *transport.State, txnOps int) *Store {
+	counts := map[string]*atomic.Int64{}
+	for _, kind := range kinds {
+		counts[kind] = &atomic.Int64{}
+	}
+	return &Store{state: s, txnOps: txnOps, counts: counts}
+}
+
+// try makes a transaction and counts what it would change.
+func (s *Store) try(ctx context.Context, u transport.Urgency, timeout time.Duration, conds []protocol.Condition, then []protocol.Change) (protocol.TxnAnswer, bool, error) {
+	for _, c := range then {
+		s.counts[kindOf(c.Set+c.Drop)].Add(1)
+	}
+	return s.state.Commit(ctx, u, timeout, protocol.Txn{If: conds, Then: then})
+}
+
+// Changes is how many changes were asked for so far, by kind of record.
+func (s *Store) Changes() map[string]int64 {
+	out := make(map[string]int64, len(s.counts))
+	for kind, n := range s.counts {
+		out[kind] = n.Load()
+	}
+	return out
+}
 
 func get[T any](ctx context.Context, s *Store, u transport.Urgency, timeout time.Duration, key string) (v *T, version uint64, err error) {
 	p, found, err := s.state.Get(ctx, u, timeout, key)
@@ -43,7 +69,7 @@
 }
 
 func (s *Store) commit(ctx context.Context, u transport.Urgency, timeout time.Duration, conds []protocol.Condition, then ...protocol.Change) error {
-	_, ok, err := s.state.Commit(ctx, u, timeout, protocol.Txn{If: conds, Then: then})
+	_, ok, err := s.try(ctx, u, timeout, conds, then)
 	if err == nil && !ok {
 		err = ErrConflict
 	}
@@ -234,7 +260,7 @@
 	for _, id := range ids {
 		conds = append(conds, protocol.Condition{Key: jobKey(id)}, protocol.Condition{Key: overKey(id)})
 	}
-	ans, _, err := s.state.Commit(ctx, transport.Urgent, timeout, protocol.Txn{If: conds})
+	ans, _, err := s.try(ctx, transport.Urgent, timeout, conds, nil)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -278,8 +304,8 @@
 		if with != nil {
 			then = append(then, with(next.Term)...)
 		}
-		ans, ok, err := s.state.Commit(ctx, transport.Urgent, 3*time.Second,
-			protocol.Txn{If: append(slices.Clone(conds), protocol.Condition{Key: keyTerm, Version: version}), Then: then})
+		ans, ok, err := s.try(ctx, transport.Urgent, 3*time.Second,
+			append(slices.Clone(conds), protocol.Condition{Key: keyTerm, Version: version}), then)
 		switch {
 		case err != nil || ok:
 			return next.Term, err
@@ -419,7 +445,7 @@
 
 // Revision asks for the present revision.
 func (s *Store) Revision(ctx context.Context) (uint64, error) {
-	ans, _, err := s.state.Commit(ctx, transport.Ordinary, 3*time.Second, protocol.Txn{})
+	ans, _, err := s.try(ctx, transport.Ordinary, 3*time.Second, nil, nil)
 	return ans.Revision, err
 }
 
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -18,6 +18,8 @@
 // them.
 type Controller struct {
 	cfg     *config.Config
+	started time.Time
+	state   *transport.State
 	store   *bookkeeping.Store
 	session *Session
 	holder  *Holder
@@ -63,7 +65,7 @@
 	d := &c.Deployment
 	share := float64(len(c.Siblings) + 1)
 	state := transport.NewState(dial, c.Services.State, d.State.RPS/share, d.State.WriteRPS/share)
-	k := &Controller{cfg: c, store: bookkeeping.NewStore(state, d.State.TxnOps)}
+	k := &Controller{cfg: c, started: time.Now(), state: state, store: bookkeeping.NewStore(state, d.State.TxnOps)}
 	k.session = NewSession(c, k.store, func() { k.holder.ask(ctx, k.holder.reset) })
 	k.holder = NewHolder(ctx, c, k.session, k.store, transport.NewWorkers(dial))
 	holders := map[string]HolderCaller{c.Name: local{HolderRPC{k.holder}}}
@@ -178,9 +180,10 @@
 	return status, nil
 }
 
-func (k *Controller) answer(j *bookkeeping.Job, running int) *protocol.JobStatus {
+func (k *Controller) answer(s *standing) *protocol.JobStatus {
+	j, running := s.job, s.running
 	done := j.DoneCount()
-	st := &protocol.JobStatus{ID: j.Spec.ID, Status: j.State, Done: &done, Running: &running}
+	st := &protocol.JobStatus{ID: j.Spec.ID, Status: j.State, Done: &done, Running: &running, Reason: s.reason, StartsInS: s.startsIn}
 	switch {
 	case j.State == protocol.Done:
 		done, running = j.Spec.Tasks, 0
@@ -197,9 +200,9 @@
 // Anything else takes a read that begins after the question came, so that no
 // user is told less than another was told before.
 func (k *Controller) Status(ctx context.Context, id string) (*protocol.JobStatus, error) {
-	known, running := k.owner.Status(ctx, id)
-	if known != nil && known.Final() {
-		return k.answer(known, running), nil
+	known := k.owner.Status(ctx, id)
+	if known != nil && known.job.Final() {
+		return k.answer(known), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, bookkeeping.FreshWithin)
 	defer cancel()
@@ -208,15 +211,83 @@
 		if err != nil || found == nil {
 			return nil, err
 		}
-		return k.answer(found, 0), nil
+		return k.answer(&standing{job: found}), nil
 	}
 	if err := k.reader.Fresh(ctx); err != nil {
 		return nil, err
 	}
-	if known, running = k.owner.Status(ctx, id); known == nil {
+	if known = k.owner.Status(ctx, id); known == nil {
 		return nil, ErrLater // it ended and is no longer kept at hand
 	}
-	return k.answer(known, running), nil
+	return k.answer(known), nil
+}
+
+// ---- what operators ask
+
+// viewWithin bounds how long a part of the controller is waited for.
+const viewWithin = time.Second
+
+// Overview sums up what this controller knows. What does not answer in time is
+// named and left out.
+func (k *Controller) Overview(ctx context.Context) *protocol.Overview {
+	now := time.Now()
+	v := &protocol.Overview{Controller: k.cfg.Name, Zone: k.cfg.Zone, UpS: *seconds(now.Sub(k.started)),
+		Session: protocol.SessionView{Valid: k.session.Valid(), Term: k.session.Term(), LeftS: *seconds(k.session.Left()), Deaf: k.session.Deaf()},
+		State:   clientView(&k.state.Counts), Cloud: clientView(&k.leader.cloud.Counts)}
+	v.State.Changes = k.store.Changes()
+	ask := func(part string, a *actor, f func(*protocol.Overview)) {
+		ctx, cancel := context.WithTimeout(ctx, viewWithin)
+		defer cancel()
+		answer := make(chan protocol.Overview, 1)
+		if !a.ask(ctx, func() {
+			p := protocol.Overview{}
+			f(&p)
+			answer <- p
+		}) {
+			v.Busy = append(v.Busy, part)
+			return
+		}
+		switch p := <-answer; part {
+		case "owner":
+			v.Window, v.Slots, v.Fleet, v.Jobs, v.Waiting, v.Siblings = p.Window, p.Slots, p.Fleet, p.Jobs, p.Waiting, p.Siblings
+			v.NoCapacity = p.NoCapacity
+		case "holder":
+			v.Holds = p.Holds
+		case "leader":
+			v.Leader = p.Leader
+		}
+	}
+	ask("owner", &k.owner.actor, func(p *protocol.Overview) { k.owner.overview(p, time.Now()) })
+	ask("holder", &k.holder.actor, k.holder.overview)
+	ask("leader", &k.leader.actor, func(p *protocol.Overview) {
+		if k.leader.leader != nil {
+			p.Leader = k.leader.leader.Name
+		}
+	})
+	return v
+}
+
+func clientView(c *transport.Counts) protocol.ClientView {
+	return protocol.ClientView{Requests: c.Requests.Load(), Refused: c.Refused.Load(), Unanswered: c.Unanswered.Load(), NoBudget: c.NoBudget.Load()}
+}
+
+// JobView tells operators how a job stands, as far as this controller knows;
+// nil if it knows nothing of it.
+func (k *Controller) JobView(ctx context.Context, id string) (*protocol.JobView, error) {
+	ctx, cancel := context.WithTimeout(ctx, viewWithin)
+	defer cancel()
+	answer := make(chan *protocol.JobView, 1)
+	if !k.owner.ask(ctx, func() {
+		if js := k.owner.jobs[id]; js != nil {
+			v := k.owner.jobView(js, time.Now())
+			answer <- &v
+		} else {
+			answer <- nil
+		}
+	}) {
+		return nil, ErrLater
+	}
+	return <-answer, nil
 }
 
 // ErrLater: it cannot be decided now; the user should come again.
@@ -227,7 +298,7 @@
 func (k *Controller) Submit(ctx context.Context, body []byte) (status int, answer any) {
 	id := protocol.PeekID(body)
 	if id != "" {
-		if known, _ := k.owner.Status(ctx, id); known != nil {
+		if k.owner.Status(ctx, id) != nil {
 			return k.known(ctx, id, nil)
 		}
 	}
@@ -302,8 +373,8 @@
 
 // Cancel cancels a job.
 func (k *Controller) Cancel(ctx context.Context, id string) (status int, answer any) {
-	if known, running := k.owner.Status(ctx, id); known != nil && known.Final() {
-		return http.StatusOK, k.answer(known, running)
+	if known := k.owner.Status(ctx, id); known != nil && known.job.Final() {
+		return http.StatusOK, k.answer(known)
 	}
 	j, err := k.store.CancelJob(ctx, id)
 	switch {
@@ -312,5 +383,5 @@
 	case j == nil:
 		return http.StatusNotFound, errors.New("no such job")
 	}
-	return http.StatusOK, k.answer(j, 0)
+	return http.StatusOK, k.answer(&standing{job: j})
 }
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -316,3 +316,33 @@
 		h.touch(w)
 	}
 }
+
+// overview adds what the holder knows to a controller's overview.
+func (h *Holder) overview(v *protocol.Overview) {
+	now := time.Now()
+	c := protocol.MachineCount{Machines: len(h.byID)}
+	for _, w := range h.byID {
+		if w.silent || w.lapsed {
+			c.Silent++
+		}
+		if w.suspect {
+			c.Suspect++
+		}
+		if !w.doubted.IsZero() {
+			c.Doubted++
+		}
+		if now.Before(w.drainTill) {
+			c.Draining++
+		}
+		for _, e := range w.entries {
+			if e.exited() {
+				continue
+			}
+			c.Tasks++
+			if e.state == protocol.TaskRunning {
+				c.Running++
+			}
+		}
+	}
+	v.Holds = c
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -73,6 +73,12 @@
 	usable    []*boardMachine
 	scarceNow map[string]bool
 
+	// boots and toldStill serve what is told of jobs that wait; refused are
+	// kinds of machines that the cloud has none of, as a leader knows.
+	boots     boots
+	toldStill time.Time
+	refused   []string
+
 	// othersValid: some sibling says that its session lives.
 	othersValid atomic.Bool
 }
@@ -221,21 +227,36 @@
 	o.dirty = true
 }
 
+// standing is what a controller knows of a job.
+type standing struct {
+	job     *bookkeeping.Job
+	running int
+	// reason and startsIn tell why no task runs and until when, if known.
+	reason   string
+	startsIn *float64
+}
+
 // Status is what this controller knows of a job, nil if nothing.
-func (o *Owner) Status(ctx context.Context, id string) (job *bookkeeping.Job, running int) {
+func (o *Owner) Status(ctx context.Context, id string) (st *standing) {
 	o.ask(ctx, func() {
-		if js := o.jobs[id]; js != nil {
-			job = js.job
-			for _, list := range o.board.tasks[id] {
-				for _, i := range list {
-					if i.running() {
-						running++
-					}
+		js := o.jobs[id]
+		if js == nil {
+			return
+		}
+		st = &standing{job: js.job}
+		for _, list := range o.board.tasks[id] {
+			for _, i := range list {
+				if i.running() {
+					st.running++
 				}
 			}
 		}
+		if st.running == 0 && !js.job.Final() {
+			reason, in := o.why(js, time.Now())
+			st.reason, st.startsIn = reason, seconds(in)
+		}
 	})
-	return job, running
+	return st
 }
 
 // ---- the loop
@@ -257,6 +278,7 @@
 	if now.Sub(o.judged) >= time.Second {
 		o.judged = now
 		o.judgeJobs(now)
+		o.tellStandstill(now)
 	}
 	others := false
 	for name, p := range o.peers {
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -100,8 +100,9 @@
 	}
 	gone = append(gone, st.lost()...)
 	st.in.refused = func(rig, zone string, spot bool) bool {
-		return now.Before(l.refusals[fmt.Sprint(rig, "/", zone, "/", spot)])
+		return now.Before(l.refusals[kindName(rig, zone, spot)])
 	}
+	l.tellRefusals(now)
 	st.in.idleAfter = l.cfg.IdleAfter
 	for _, m := range st.in.machines {
 		m.emptying = l.emptying[m.id]
@@ -277,6 +278,21 @@
 	}
 }
 
+// kindName names a kind of machines, as the log and operators are told of it.
+func kindName(rig, zone string, spot bool) string { return fmt.Sprint(rig, "/", zone, "/", spot) }
+
+// tellRefusals lets the owner know which kinds the cloud has none of.
+func (l *Leader) tellRefusals(now time.Time) {
+	var refused []string
+	for kind, until := range l.refusals {
+		if now.Before(until) {
+			refused = append(refused, kind)
+		}
+	}
+	slices.Sort(refused)
+	l.owner.tell(func() { l.owner.refused = refused })
+}
+
 // rent rents machines. A booking's name is made of the controller's term,
 // which the state service gave once and for all, and a rising number.
 func (l *Leader) rent(rentals []rental) {
@@ -284,7 +300,7 @@
 		if !l.session.Valid() {
 			return
 		}
-		key := fmt.Sprint(r.rig, "/", r.zone, "/", r.spot)
+		key := kindName(r.rig, r.zone, r.spot)
 		if time.Now().Before(l.refusals[key]) {
 			continue // the cloud ran out of it in this very round
 		}
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -37,6 +37,11 @@
 // Valid tells whether the controller may act now.
 func (s *Session) Valid() bool { return int64(time.Since(s.base)) < s.until.Load() }
 
+// Left is for how long the controller may act without another renewal.
+func (s *Session) Left() time.Duration {
+	return max(0, time.Duration(s.until.Load())-time.Since(s.base))
+}
+
 // Term is the incarnation of this controller, 0 before its first session.
 func (s *Session) Term() uint64 { return s.term.Load() }
 
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -152,6 +152,11 @@
 		if err != nil || strconv.Itoa(status) != args[2] {
 			return fmt.Errorf("answer %d, %v", status, err)
 		}
+	case "shows": // shows CONTROLLER PATH WORDS: the operators' view holds the words
+		status, raw, err := w.call("user", http.MethodGet, "front-"+args[0]+args[1], nil, 3*time.Second)
+		if words := strings.Join(args[2:], " "); err != nil || status != 200 || !strings.Contains(string(raw), words) {
+			return fmt.Errorf("answer %d %.2000s, %v", status, raw, err)
+		}
 	case "lags": // lags CONTROLLER TIME: it hears of changes so much later
 		lag, err := time.ParseDuration(args[1])
 		w.state.mu.Lock()
--- /dev/null
+++ b/internal/coordination/why.go
@@ -0,0 +1,285 @@
+package coordination
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// Why jobs wait, and for how long: for users, operators and the log.
+
+// boots is what is on its way: for each type and kind when the next machine
+// should be up. It is worked out once a second and serves all who ask.
+type boots struct {
+	at   time.Time
+	next map[bootKind]time.Duration
+	up   map[bootKind]int
+	come map[bootKind]int
+	used map[bootKind]float64
+}
+
+type bootKind struct {
+	rig, zone string
+	spot      bool
+}
+
+// fleetNow sums up the machines that are there and those that boot.
+func (o *Owner) fleetNow(now time.Time) *boots {
+	if now.Sub(o.boots.at) < time.Second {
+		return &o.boots
+	}
+	b := boots{now, map[bootKind]time.Duration{}, map[bootKind]int{}, map[bootKind]int{}, map[bootKind]float64{}}
+	for _, m := range o.board.machines {
+		k := bootKind{m.Type, m.Zone, m.Spot}
+		b.up[k]++
+		if t, ok := o.types[m.Type]; ok {
+			b.used[k] += min(1, t.Room().Sub(m.Free).Share(t.Room()))
+		}
+	}
+	for id, m := range o.machReg {
+		if o.board.machines[id] != nil || o.rosters[slotOf(id, o.slots)][m.Number()] {
+			continue
+		}
+		k := bootKind{m.Type, m.Zone, m.Spot}
+		b.come[k]++
+		t := o.types[m.Type]
+		left := protocol.Seconds(t.BootS) - now.Sub(time.UnixMilli(m.RentedMs))
+		if old, ok := b.next[k]; left > 0 && (!ok || left < old) {
+			b.next[k] = left
+		}
+	}
+	o.boots = b
+	return &o.boots
+}
+
+// why tells why no more of a job's tasks run than do, "" if nothing is missing,
+// and when the next should start, negative if that can't be told.
+func (o *Owner) why(js *jobState, now time.Time) (reason string, in time.Duration) {
+	s := js.job.Spec
+	missing := s.Tasks - js.job.DoneCount()
+	fetching, waiting := time.Duration(-1), false
+	for index, list := range o.board.tasks[s.ID] {
+		if js.job.TaskDone(index) {
+			continue
+		}
+		missing--
+		for _, i := range list {
+			t := o.types[i.machine.Type]
+			switch {
+			case i.State == protocol.TaskWaiting:
+				waiting = true
+			case i.State == protocol.TaskPulling || unconfirmed(i.State):
+				if left := max(0, t.FetchTime(s.ImageGB)-now.Sub(i.since)); fetching < 0 || left < fetching {
+					fetching = left
+				}
+			}
+		}
+	}
+	switch {
+	case js.job.Final():
+		return "", -1
+	case js.opinion == atFault:
+		return protocol.ReasonFailing, -1
+	case fetching >= 0:
+		return protocol.ReasonFetching, fetching
+	case waiting:
+		return protocol.ReasonGang, -1
+	case missing <= 0:
+		return "", -1
+	case !o.board.allComplete(o.slots, 0):
+		return protocol.ReasonSlots, -1
+	case len(js.pending) > 0:
+		return protocol.ReasonPlacing, 0
+	case js.gain != 0 && !o.teamRoom(js, 1):
+		return protocol.ReasonLimit, -1
+	}
+	fleet := o.fleetNow(now)
+	best, coming := time.Duration(-1), false
+	for k, n := range fleet.come {
+		t := o.types[k.rig]
+		if n == 0 || !s.Allows(k.rig, k.zone, k.spot) || !t.Takes(s) {
+			continue
+		}
+		coming = true
+		if left, ok := fleet.next[k]; ok && (best < 0 || left+t.FetchTime(s.ImageGB) < best) {
+			best = left + t.FetchTime(s.ImageGB)
+		}
+	}
+	switch {
+	case coming:
+		return protocol.ReasonBooting, best
+	case now.Sub(js.job.Accepted) < 2*time.Second:
+		return protocol.ReasonPlacing, -1
+	case o.noCapacityFor(s):
+		return protocol.ReasonNoCapacity, -1
+	}
+	return protocol.ReasonNoRoom, -1
+}
+
+// seconds is a duration for people, nil if it is not known.
+func seconds(d time.Duration) *float64 {
+	if d < 0 {
+		return nil
+	}
+	s := float64(d.Round(100*time.Millisecond)) / float64(time.Second)
+	return &s
+}
+
+// jobView is how a job stands.
+func (o *Owner) jobView(js *jobState, now time.Time) protocol.JobView {
+	s := js.job.Spec
+	v := protocol.JobView{ID: s.ID, Status: js.job.State, Class: s.Class, Team: s.Team, Shape: s.Shape, Priority: string(s.Priority),
+		AgeS: *seconds(max(0, now.Sub(js.job.Accepted))), Tasks: s.Tasks, Done: js.job.DoneCount(), FailedOn: len(js.badOn)}
+	if w := o.window(); w != nil {
+		v.Owner = w.Owner(js.job.Token)
+	}
+	for _, list := range o.board.tasks[s.ID] {
+		for _, i := range list {
+			if i.exited() {
+				continue
+			}
+			v.Placed++
+			if i.running() {
+				v.Running++
+			}
+		}
+	}
+	switch {
+	case js.job.State == protocol.Done:
+		v.Done = s.Tasks
+	case js.job.State == protocol.Pending && v.Running > 0:
+		v.Status = protocol.Running
+	}
+	if !js.job.Final() {
+		var in time.Duration
+		v.Reason, in = o.why(js, now)
+		v.StartsInS = seconds(in)
+	}
+	return v
+}
+
+// overview adds what the owner knows to a controller's overview.
+func (o *Owner) overview(v *protocol.Overview, now time.Time) {
+	if w := o.window(); w != nil {
+		v.Window = &protocol.WindowView{Number: w.Number, Owners: w.Owners, Newest: max(w.Number, o.latest.Number)}
+	}
+	for slot := range o.slots {
+		s := protocol.SlotState{Slot: slot}
+		if b := o.board.slots[slot]; b != nil {
+			s.Holder, s.Complete, s.Machines, s.Awaited = b.holder, b.complete, len(b.machines), len(b.awaited)
+		}
+		v.Slots = append(v.Slots, s)
+	}
+	v.NoCapacity = o.refused
+	fleet := o.fleetNow(now)
+	kinds := map[bootKind]*protocol.FleetCount{}
+	kind := func(k bootKind) *protocol.FleetCount {
+		k.zone = ""
+		if kinds[k] == nil {
+			kinds[k] = &protocol.FleetCount{Type: k.rig, Spot: k.spot}
+		}
+		return kinds[k]
+	}
+	for k, n := range fleet.up {
+		c := kind(k)
+		c.Up += n
+		c.Used += fleet.used[k]
+	}
+	for k, n := range fleet.come {
+		kind(k).Booting += n
+	}
+	for _, c := range kinds {
+		c.Used /= float64(max(1, c.Up))
+		v.Fleet = append(v.Fleet, *c)
+	}
+	slices.SortFunc(v.Fleet, func(a, b protocol.FleetCount) int {
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(b.Booting+b.Up, a.Booting+a.Up))
+	})
+	v.Jobs = protocol.JobCount{Active: len(o.active), Waiting: map[string]int{}, AsksPending: len(o.unclear), Unmoved: len(o.ended)}
+	var waiting []*jobState
+	for _, js := range o.active {
+		if js.gain != 0 {
+			v.Jobs.Owned++
+		}
+		if reason, _ := o.why(js, now); reason != "" {
+			v.Jobs.Waiting[reason]++
+			waiting = append(waiting, js)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *jobState) int {
+		return cmp.Or(a.job.Accepted.Compare(b.job.Accepted), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	for _, js := range waiting[:min(len(waiting), protocol.MaxWaiting)] {
+		v.Waiting = append(v.Waiting, o.jobView(js, now))
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.peers)) {
+		p := o.peers[name]
+		if name == o.cfg.Name {
+			continue
+		}
+		heard := -1.0
+		if !p.heard.IsZero() {
+			heard = *seconds(now.Sub(p.heard))
+		}
+		v.Siblings = append(v.Siblings, protocol.SiblingView{Name: name, Session: p.valid, HeardS: heard})
+	}
+}
+
+// standstillAfter is how long jobs may wait for the first of their tasks to be
+// placed before the log says so, and stillEvery how often it says so again.
+const (
+	standstillAfter = 20 * time.Second
+	stillEvery      = 30 * time.Second
+)
+
+// tellStandstill has the log tell when placement stands still for jobs of this
+// range, why, and when it goes on.
+func (o *Owner) tellStandstill(now time.Time) {
+	reasons := map[string]int{}
+	oldest, total := "", 0
+	var since time.Duration
+	for id, js := range o.active {
+		if js.gain == 0 || now.Sub(js.known) < standstillAfter || len(o.board.tasks[id]) > 0 || js.job.DoneCount() > 0 {
+			continue
+		}
+		reason, _ := o.why(js, now)
+		if reason == "" {
+			continue
+		}
+		reasons[reason]++
+		total++
+		if age := now.Sub(js.known); age > since {
+			oldest, since = id, age
+		}
+	}
+	switch {
+	case total > 0 && now.Sub(o.toldStill) >= stillEvery:
+		slog.Info("placement waits", "jobs", total, "why", reasons, "longest", oldest, "for", since.Round(time.Second))
+		o.toldStill = now
+	case total == 0 && !o.toldStill.IsZero():
+		slog.Info("placement goes on")
+		o.toldStill = time.Time{}
+	}
+}
+
+// noCapacityFor tells whether the cloud refused every kind of machine that the
+// job may use, as far as this controller knows: only the leader does.
+func (o *Owner) noCapacityFor(s *protocol.JobSpec) bool {
+	if len(o.refused) == 0 {
+		return false
+	}
+	for _, t := range o.types {
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				if t.Takes(s) && s.Allows(t.Name, zone, spot) && !slices.Contains(o.refused, kindName(t.Name, zone, spot)) {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -205,6 +205,10 @@
 	Status  string `json:"status"`
 	Done    *int   `json:"done,omitempty"`
 	Running *int   `json:"running,omitempty"`
+	// Reason tells why no task runs, StartsInS when one should; both only if
+	// they can be told.
+	Reason    string   `json:"reason,omitempty"`
+	StartsInS *float64 `json:"startsInS,omitempty"`
 }
 
 // The states of a job.
--- /dev/null
+++ b/internal/protocol/operators.go
@@ -0,0 +1,136 @@
+package protocol
+
+// Overview is what a controller shows its operators. All of it is what this
+// controller knows itself: nothing is asked of the state service, the cloud or
+// the siblings for it.
+type Overview struct {
+	Controller string        `json:"controller"`
+	Zone       string        `json:"zone"`
+	UpS        float64       `json:"upS"`
+	Session    SessionView   `json:"session"`
+	Window     *WindowView   `json:"window"`
+	Leader     string        `json:"leader"`
+	Slots      []SlotState   `json:"slots"`
+	Holds      MachineCount  `json:"holds"`
+	Fleet      []FleetCount  `json:"fleet"`
+	Jobs       JobCount      `json:"jobs"`
+	Waiting    []JobView     `json:"waiting"` // the longest waiting, no more than MaxWaiting
+	Siblings   []SiblingView `json:"siblings"`
+	State      ClientView    `json:"stateService"`
+	Cloud      ClientView    `json:"cloud"`
+	// NoCapacity are kinds of machines that the cloud had none of a while ago;
+	// only the leader knows.
+	NoCapacity []string `json:"noCapacity"`
+	// Busy are parts of the controller that did not answer in time.
+	Busy []string `json:"busy,omitempty"`
+}
+
+// MaxWaiting bounds the jobs that an overview lists.
+const MaxWaiting = 25
+
+// SessionView is a controller's standing with the state service.
+type SessionView struct {
+	Valid bool    `json:"valid"`
+	Term  uint64  `json:"term"`
+	LeftS float64 `json:"leftS"` // for how long it may act without a renewal
+	// Deaf: its workers can't reach it.
+	Deaf bool `json:"deaf"`
+}
+
+// WindowView is the division of the ring that a controller goes by.
+type WindowView struct {
+	Number uint64   `json:"number"`
+	Owners []string `json:"owners"`
+	Newest uint64   `json:"newest"` // published, may begin later
+}
+
+// SlotState is a share of the workers.
+type SlotState struct {
+	Slot     int    `json:"slot"`
+	Holder   string `json:"holder"`
+	Complete bool   `json:"complete"`
+	Machines int    `json:"machines"`
+	Awaited  int    `json:"awaited"`
+}
+
+// MachineCount sums up the machines that a controller holds.
+type MachineCount struct {
+	Machines int `json:"machines"`
+	Silent   int `json:"silent"`
+	Suspect  int `json:"suspect"`
+	Doubted  int `json:"doubted"`
+	Draining int `json:"draining"`
+	Tasks    int `json:"tasks"`
+	Running  int `json:"running"`
+}
+
+// FleetCount sums up the machines of a kind, of all controllers.
+type FleetCount struct {
+	Type    string  `json:"type"`
+	Spot    bool    `json:"spot"`
+	Up      int     `json:"up"`
+	Booting int     `json:"booting"`
+	Used    float64 `json:"used"` // part of the room of those that are up
+}
+
+// JobCount sums up the jobs that are not over.
+type JobCount struct {
+	Active  int            `json:"active"`
+	Owned   int            `json:"owned"` // in this controller's range
+	Waiting map[string]int `json:"waiting"`
+	// AsksPending are requests to holders without an answer yet, Unmoved
+	// jobs that are over and whose records still stand with the others.
+	AsksPending int `json:"asksPending"`
+	Unmoved     int `json:"unmoved"`
+}
+
+// SiblingView is what a controller knows of another one, or of itself.
+type SiblingView struct {
+	Name    string  `json:"name"`
+	Session bool    `json:"session"`
+	HeardS  float64 `json:"heardS"` // since its last news, negative if there were none
+}
+
+// ClientView is what requests to a service came to.
+type ClientView struct {
+	Requests   int64            `json:"requests"`
+	Refused    int64            `json:"refused"`
+	Unanswered int64            `json:"unanswered"`
+	NoBudget   int64            `json:"noBudget"` // given up before they were sent
+	Changes    map[string]int64 `json:"changes,omitempty"`
+}
+
+// JobView tells operators how a job stands, and why it waits.
+type JobView struct {
+	ID       string  `json:"id"`
+	Status   string  `json:"status"`
+	Class    string  `json:"class"`
+	Team     string  `json:"team"`
+	Shape    Shape   `json:"shape"`
+	Priority string  `json:"priority"`
+	Owner    string  `json:"owner"`
+	AgeS     float64 `json:"ageS"`
+	Tasks    int     `json:"tasks"`
+	Done     int     `json:"done"`
+	Running  int     `json:"running"`
+	Placed   int     `json:"placed"` // on machines, running or not
+	Reason   string  `json:"reason,omitempty"`
+	// StartsInS is when the first waiting task should start, nil if it can't
+	// be told.
+	StartsInS *float64 `json:"startsInS"`
+	// FailedOn are machines on which tasks of the job failed.
+	FailedOn int `json:"failedOn,omitempty"`
+}
+
+// Why a job that isn't over waits.
+const (
+	ReasonSlots      = "slots incomplete"
+	ReasonLimit      = "limit of its team"
+	ReasonFailing    = "failing everywhere"
+	ReasonFetching   = "fetching"
+	ReasonGang       = "waiting for its gang"
+	ReasonBooting    = "booting"
+	ReasonNoCapacity = "no capacity"
+	ReasonNoRoom     = "no room"
+	ReasonPlacing    = "being placed"
+)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -23,6 +24,22 @@
 // ErrUnknown: no answer; it may have been done, or may yet be done later.
 var ErrUnknown = errors.New("no answer, outcome unknown")
 
+// Counts are what a client's requests came to. They may be read at any time.
+type Counts struct {
+	Requests, Refused, Unanswered, NoBudget atomic.Int64
+}
+
+// note counts a request by how it ended.
+func (c *Counts) note(err error) {
+	c.Requests.Add(1)
+	switch {
+	case errors.Is(err, ErrRefused):
+		c.Refused.Add(1)
+	case errors.Is(err, ErrUnknown):
+		c.Unanswered.Add(1)
+	}
+}
+
 // Dialer opens connections; tests put in-memory pipes in its place.
 type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
 
--- a/internal/transport/cloud.go
+++ b/internal/transport/cloud.go
@@ -19,6 +19,8 @@
 	http   *http.Client
 	base   string
 	budget *budget
+	// Counts are what the requests came to.
+	Counts Counts
 }
 
 // NewCloud makes a client that uses a share of the cloud's budget.
@@ -30,10 +32,12 @@
 	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
 	defer cancel()
 	if err := c.budget.wait(ctx, u, 1); err != nil {
+		c.Counts.NoBudget.Add(1)
 		return err
 	}
 	code, raw, err := call(ctx, c.http, method, c.base+path, body)
 	if err != nil {
+		c.Counts.note(err)
 		return err
 	}
 	if code != http.StatusOK {
@@ -41,10 +45,14 @@
 			Error string `json:"error"`
 		}
 		if decode(raw, &e) == nil && e.Error == "no capacity" {
+			c.Counts.note(nil)
 			return ErrNoCapacity
 		}
-		return fmt.Errorf("%w: cloud answers %d %.80s", ErrRefused, code, raw)
+		err := fmt.Errorf("%w: cloud answers %d %.80s", ErrRefused, code, raw)
+		c.Counts.note(err)
+		return err
 	}
+	c.Counts.note(nil)
 	if into == nil {
 		return nil
 	}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -23,6 +23,8 @@
 	Status(ctx context.Context, id string) (*protocol.JobStatus, error)
 	Cancel(ctx context.Context, id string) (status int, answer any)
 	Report(ctx context.Context, rep *protocol.Report) (status int, answer any)
+	Overview(ctx context.Context) *protocol.Overview
+	JobView(ctx context.Context, id string) (*protocol.JobView, error)
 }
 
 // answerWithin bounds how long a user's request may take here.
@@ -40,6 +42,9 @@
 	r.GET("/v1/jobs/:id", aboutJob(f.status))
 	r.POST("/v1/jobs/:id/cancel", aboutJob(s.Cancel))
 	r.POST("/checkin", f.report)
+	r.GET(pathOverview, f.overview)
+	r.GET(pathJobView+":id", aboutJob(f.jobView))
+	r.GET(pathMetrics, f.metrics)
 	r.PanicHandler = func(w http.ResponseWriter, _ *http.Request, p any) {
 		slog.Error("request failed", "panic", p)
 		reply(w, http.StatusInternalServerError, nil)
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -25,6 +25,8 @@
 	base   string
 	reads  *budget
 	writes *budget
+	// Counts are what the requests came to.
+	Counts Counts
 }
 
 // NewState makes a client that uses a share of the service's budgets.
@@ -37,12 +39,14 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := s.reads.wait(ctx, u, 1); err != nil {
+		s.Counts.NoBudget.Add(1)
 		return 0, nil, err
 	}
 	code, raw, err := call(ctx, s.http, method, s.base+path, body)
 	if err == nil && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
-		return code, raw, fmt.Errorf("%w: state service answers %d", ErrRefused, code)
+		err = fmt.Errorf("%w: state service answers %d", ErrRefused, code)
 	}
+	s.Counts.note(err)
 	return code, raw, err
 }
 
@@ -100,6 +104,7 @@
 		err := s.writes.wait(wctx, u, n)
 		cancel()
 		if err != nil {
+			s.Counts.NoBudget.Add(1)
 			return ans, false, err
 		}
 	}
