--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -140,8 +140,8 @@
 		out = append(out, d)
 	}
 	for name, c := range o.classes {
-		if o.filler(c.spec) {
-			continue
+		if c.spec.Priority.Rank() < preempts {
+			continue // other work of its kind would be in it at once
 		}
 		if n, preempt := o.spare(name, c, ending[name], now, started); n > 0 {
 			d := demand{spec: c.spec, count: n, spare: true, preempt: preempt, left: time.Hour}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -269,10 +269,12 @@
 
 func (b *fleetMachine) room(d *demand) protocol.Room {
 	r := b.free
-	if !d.spare && d.spec.Priority.Rank() >= preempts {
-		r = r.Add(b.yields)
-	}
-	if d.spare && d.preempt {
+	switch {
+	case !d.spare || !d.preempt:
+		if d.spec.Priority.Rank() >= preempts {
+			r = r.Add(b.yields)
+		}
+	default:
 		for rank := range d.spec.Priority.Rank() {
 			r = r.Add(b.byRank[rank])
 		}
