--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -191,8 +191,12 @@
 	}
 	filled := &fleetMachine{id: "m3", rig: "small", zone: "a", yields: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
 	high := spec(func(s *protocol.JobSpec) { s.Priority = "high" })
-	if rent, _ := plan([]*fleetMachine{filled}, demand{spec: high, count: 2}); total(rent) != 0 {
-		t.Errorf("filler work makes way: %+v", rent)
+	for _, spare := range []bool{false, true} {
+		// Otherwise it takes what was rented to be kept ready, again and again.
+		filled.free = protocol.Room{}
+		if rent, _ := plan([]*fleetMachine{filled}, demand{spec: high, count: 2, spare: spare}); total(rent) != 0 {
+			t.Errorf("filler work makes way: %+v", rent)
+		}
 	}
 	gang := spec(func(s *protocol.JobSpec) { s.Cores, s.Shape = 20, protocol.Gang })
 	if rent, _ := plan(nil, demand{spec: gang, count: 1}, demand{spec: spec(nil), count: 2}); total(rent) != 1 || rent[0].rig != "large" {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -111,7 +111,7 @@
 	rig, zone string
 	spot      bool
 	count     int
-	class     string // of the first job that needs it
+	class     string // of the jobs that need it
 }
 
 // planFleet packs what has no machine into the room there is and will be,
@@ -157,7 +157,7 @@
 	}
 	for _, b := range bins[len(in.machines):] {
 		k := slices.IndexFunc(rent, func(r rental) bool {
-			return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot && r.count < protocol.MaxRent
+			return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot && r.class == b.wanted && r.count < protocol.MaxRent
 		})
 		if k < 0 {
 			rent = append(rent, rental{b.rig, b.zone, b.spot, 0, b.wanted})
