--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -137,8 +137,9 @@
 // Team finds a team by its name, nil if there is none.
 func (c *Config) Team(name string) *Team { return c.teams[name] }
 
-// Aimed tells whether the users have an aim for a class of jobs.
-func (c *Config) Aimed(class string) bool { return c.aimed[class] }
+// Filler tells whether a job is work that nobody waits for: of the lowest
+// priority, and without an aim for its class. It takes what is idle.
+func (c *Config) Filler(s *protocol.JobSpec) bool { return s.Priority.Rank() == 0 && !c.aimed[s.Class] }
 
 // Names lists all controllers, this one among them, in one order everywhere.
 func (c *Config) Names() []string {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -79,7 +79,7 @@
 			for _, i := range m.insts {
 				if js := o.jobs[i.job]; js != nil && !i.exited() {
 					f.pinned = f.pinned || js.job.Spec.Shape == protocol.Service
-					if o.filler(js.job.Spec) {
+					if o.cfg.Filler(js.job.Spec) {
 						f.yields = f.yields.Add(js.job.Spec.Need())
 					}
 					f.byRank[js.job.Spec.Priority.Rank()] = f.byRank[js.job.Spec.Priority.Rank()].Add(js.job.Spec.Need())
@@ -118,16 +118,17 @@
 				ending[s.Class] += 1 / s.EstimateS
 			}
 		}
-		if missing <= 0 || js.opinion == atFault {
+		if missing <= 0 || js.opinion == atFault || o.cfg.Filler(s) {
 			continue
 		}
 		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
 			missing = min(missing, fits(s.Need(), protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}))
 		}
 		if s.Shape == protocol.Array && o.within(s.Class, 0) == 0 {
-			missing = inTurn(missing, s.Estimate(), o.finish(s)-now.Sub(js.job.Accepted))
+			ready, _ := o.ready(s, s.ImageGB)
+			missing = inTurn(missing, s.Estimate(), o.finish(s)-now.Sub(js.job.Accepted)-ready)
 		}
-		d := demand{spec: s, count: missing, filler: o.filler(s), left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
+		d := demand{spec: s, count: missing, left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
 		if s.Scatter || s.OneZone {
 			d.zoneLeft = map[string]int{}
 			for _, z := range o.cfg.Deployment.Zones {
@@ -157,8 +158,8 @@
 	return out
 }
 
-// finish is how soon the users want jobs like this one to be done; without an
-// aim or a deadline, soon enough.
+// finish is how soon the users want jobs like this one to be done, 0 (at once)
+// without an aim or a deadline.
 func (o *Owner) finish(s *protocol.JobSpec) time.Duration {
 	within := time.Duration(math.MaxInt64)
 	for _, a := range o.cfg.Deployment.Objectives {
@@ -169,21 +170,22 @@
 	if within == math.MaxInt64 && s.DeadlineS != nil {
 		return protocol.Seconds(*s.DeadlineS)
 	}
-	return min(within, unhurried)
+	if within == math.MaxInt64 {
+		return 0
+	}
+	return within
 }
 
-const (
-	unhurried = 2 * time.Minute
-	// shortest is what a task takes at least, start and all.
-	shortest = 8 * time.Second
-)
+// betweenTasks is what passes from one task to the next in the same room.
+const betweenTasks = time.Second
 
 // inTurn is for how many of an array's tasks there should be room at a time:
-// short ones can use the same room one after the other. Half of the time that
-// is left is counted on, and estimates to be wrong by half. A huge array
-// of tasks of a few seconds had the whole cloud rented.
+// short ones can use the same room one after the other, in the time that is
+// left once a machine is ready. Estimates are taken to be wrong by half, and a
+// fifth of the time is not counted on. A huge array of tasks of a few seconds
+// had the whole cloud rented.
 func inTurn(tasks int, estimate, left time.Duration) int {
-	turns := max(1, int(left/2/max(2*estimate, shortest)))
+	turns := max(1, int(left*4/5/(estimate*3/2+betweenTasks)))
 	return (tasks + turns - 1) / turns
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -67,9 +67,6 @@
 	preempt bool
 	// left is how much time the users' aim leaves for the tasks to start.
 	left time.Duration
-	// filler: work that nobody waits for. It takes what is idle, and machines
-	// only at a price at which it is better done than left.
-	filler bool
 	// zones that may not take more, and how many each may still take.
 	zoneLeft map[string]int
 }
@@ -125,12 +122,6 @@
 			}
 			return -1
 		}
-		if a.filler != b.filler {
-			if a.filler {
-				return 1
-			}
-			return -1
-		}
 		return cmp.Or(cmp.Compare(b.spec.Priority.Rank(), a.spec.Priority.Rank()), cmp.Compare(b.spec.Accels, a.spec.Accels),
 			cmp.Compare(b.spec.Cores, a.spec.Cores))
 	})
@@ -190,7 +181,8 @@
 	}
 	for name, ms := range byType {
 		t := in.types[name]
-		use := func(m *fleetMachine) float64 { return min(1, t.Room().Sub(m.free).Share(t.Room())) }
+		// No machine is kept for filler work alone.
+		use := func(m *fleetMachine) float64 { return min(1, t.Room().Sub(m.free).Sub(m.yields).Share(t.Room())) }
 		room := 0.0
 		for _, m := range ms {
 			room += 1 - use(m)
@@ -348,22 +340,6 @@
 	return left
 }
 
-// fillerPrice is how many times the cheapest price of the same room a machine
-// for filler work may cost.
-const fillerPrice = 1.6
-
-// cheapest is the lowest price of the room that one task of the demand takes,
-// over all kinds of machines that the cloud has at all.
-func (d *demand) cheapest(in *fleetInput) float64 {
-	best := math.Inf(1)
-	for _, t := range in.types {
-		if t.Takes(d.spec) {
-			best = min(best, min(t.Price, t.SpotPrice)*d.spec.Need().Share(t.Room()))
-		}
-	}
-	return best
-}
-
 // newBin chooses what to rent for a demand with so many tasks left: the kind
 // of which the room that is of use costs least.
 func newBin(in *fleetInput, perZone map[string]int, total int, d *demand, left int) *fleetMachine {
@@ -382,13 +358,7 @@
 				}
 				price := t.Price
 				if spot {
-					price = t.SpotPrice
-				}
-				if d.filler && price*d.spec.Need().Share(t.Room()) > fillerPrice*d.cheapest(in) {
-					continue
-				}
-				if spot {
-					price *= 1.2 // it may be taken away
+					price = t.SpotPrice * 1.2 // it may be taken away
 				}
 				// What a task takes of a machine counts, not the whole of it,
 				// as long as other work can use the rest.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -331,7 +331,7 @@
 	}
 	o.record(outcomes)
 	slices.SortFunc(ready, func(a, b *jobState) int {
-		if x, y := o.filler(a.job.Spec), o.filler(b.job.Spec); x != y {
+		if x, y := o.cfg.Filler(a.job.Spec), o.cfg.Filler(b.job.Spec); x != y {
 			if x {
 				return 1
 			}
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -133,7 +133,7 @@
 		}
 		v := js.job.Spec
 		price := 10 + 10*float64(v.Priority.Rank())
-		if o.filler(v) {
+		if o.cfg.Filler(v) {
 			price = 2
 		}
 		if !v.Saves() {
@@ -239,7 +239,7 @@
 func (o *Owner) onlyFiller(c *choice) bool {
 	for _, task := range c.evict {
 		job, _, _ := protocol.SplitTask(task)
-		if js := o.jobs[job]; js == nil || !o.filler(js.job.Spec) {
+		if js := o.jobs[job]; js == nil || !o.cfg.Filler(js.job.Spec) {
 			return false
 		}
 	}
@@ -275,12 +275,6 @@
 	return e, found
 }
 
-// filler tells whether a job is work that nobody waits for: of the lowest
-// priority, and without an aim for its class.
-func (o *Owner) filler(s *protocol.JobSpec) bool {
-	return s.Priority.Rank() == 0 && !o.cfg.Aimed(s.Class)
-}
-
 // within is how soon the users want tasks of a class to start, if they say.
 func (o *Owner) within(class string, otherwise time.Duration) time.Duration {
 	within := time.Duration(math.MaxInt64)
