--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -181,6 +181,14 @@
 	if _, back := plan([]*fleetMachine{idle()}, demand{spec: spec(nil), count: 1, spare: true}); len(back) != 0 {
 		t.Errorf("but not those kept ready: %v", back)
 	}
+	idleWork := demand{spec: spec(func(s *protocol.JobSpec) { s.Spot, s.Priority = true, "idle" }), count: 400, filler: true}
+	if rent, _ := plan(nil, idleWork); total(rent) != 2 || !rent[0].spot {
+		t.Errorf("filler work must not starve, but costs little: %+v", rent)
+	}
+	if rent, _ := plan([]*fleetMachine{{id: "m4", rig: "small", zone: "a", yields: protocol.Room{Cores: 8, Accels: 2, RAM: 64}},
+		{id: "m5", rig: "small", zone: "a", booting: true, free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}}, idleWork); total(rent) != 0 {
+		t.Errorf("what is there for it, or boots, counts: %+v", rent)
+	}
 	filled := &fleetMachine{id: "m3", rig: "small", zone: "a", yields: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
 	high := spec(func(s *protocol.JobSpec) { s.Priority = "high" })
 	for _, spare := range []bool{false, true} {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -118,7 +118,7 @@
 				ending[s.Class] += 1 / s.EstimateS
 			}
 		}
-		if missing <= 0 || js.opinion == atFault || o.cfg.Filler(s) {
+		if missing <= 0 || js.opinion == atFault {
 			continue
 		}
 		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
@@ -128,7 +128,7 @@
 			ready, _ := o.ready(s, s.ImageGB)
 			missing = inTurn(missing, s.Estimate(), o.finish(s)-now.Sub(js.job.Accepted)-ready)
 		}
-		d := demand{spec: s, count: missing, left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
+		d := demand{spec: s, count: missing, filler: o.cfg.Filler(s), left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
 		if s.Scatter || s.OneZone {
 			d.zoneLeft = map[string]int{}
 			for _, z := range o.cfg.Deployment.Zones {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -67,6 +67,8 @@
 	preempt bool
 	// left is how much time the users' aim leaves for the tasks to start.
 	left time.Duration
+	// filler: work that nobody waits for.
+	filler bool
 	// zones that may not take more, and how many each may still take.
 	zoneLeft map[string]int
 }
@@ -83,9 +85,11 @@
 	// work, which makes way for any other of higher priority.
 	byRank [4]protocol.Room
 	yields protocol.Room
-	idle   time.Duration
-	drains bool
-	used   bool
+	// fillers: it is there, or on its way, for filler work alone.
+	fillers bool
+	idle    time.Duration
+	drains  bool
+	used    bool
 	// pinned: there are tasks that won't end by themselves.
 	pinned bool
 	// emptying: it is kept free of new tasks, as long as the rest has room.
@@ -122,6 +126,12 @@
 			}
 			return -1
 		}
+		if a.filler != b.filler {
+			if a.filler {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Or(cmp.Compare(b.spec.Priority.Rank(), a.spec.Priority.Rank()), cmp.Compare(b.spec.Accels, a.spec.Accels),
 			cmp.Compare(b.spec.Cores, a.spec.Cores))
 	})
@@ -131,12 +141,16 @@
 	for _, b := range bins {
 		perZone[b.zone]++
 	}
+	forFiller := in.markFillers()
 	for i := range in.demands {
 		d := &in.demands[i]
 		if d.spec.OneZone && d.count > 1 && !d.spare {
 			d.chooseZone(in, bins)
 		}
 		for left := d.fill(in, bins); left > 0; {
+			if d.filler && fillersIn(bins) >= forFiller {
+				break
+			}
 			b := newBin(in, perZone, len(bins), d, left)
 			if b == nil {
 				break
@@ -161,7 +175,31 @@
 			idle = append(idle, m.id)
 		}
 	}
-	return rent, idle, surplus(in)
+	return rent, idle, surplus(in, forFiller)
+}
+
+// markFillers finds the machines that are there for filler work alone and tells
+// how many there may be: a tenth of the others. Where it has no room at all it
+// would never be done, and it must not cost more than that.
+func (in *fleetInput) markFillers() int {
+	others := 0
+	for _, m := range in.machines {
+		t := in.types[m.rig]
+		m.fillers = !m.booting && !m.pinned && m.yields != (protocol.Room{}) && t.Room().Sub(m.free).Sub(m.yields).Share(t.Room()) < 1e-6
+		if !m.fillers {
+			others++
+		}
+	}
+	return max(2, others/10)
+}
+
+func fillersIn(bins []*fleetMachine) (n int) {
+	for _, b := range bins {
+		if b.fillers {
+			n++
+		}
+	}
+	return n
 }
 
 // roomKept is the part of the machines of a type whose room is kept for what
@@ -172,7 +210,7 @@
 // long as the others have as much room and some more. What runs on them ends
 // there; without this, a fleet that was right for a burst stays as it is for as
 // long as new tasks are spread over all of it.
-func surplus(in *fleetInput) (empty []string) {
+func surplus(in *fleetInput, forFiller int) (empty []string) {
 	byType := map[string][]*fleetMachine{}
 	for _, m := range in.machines {
 		if !m.booting && !m.drains {
@@ -181,7 +219,7 @@
 	}
 	for name, ms := range byType {
 		t := in.types[name]
-		// No machine is kept for filler work alone.
+		// Machines are kept for filler work only as far as some were rented for it.
 		use := func(m *fleetMachine) float64 { return min(1, t.Room().Sub(m.free).Sub(m.yields).Share(t.Room())) }
 		room := 0.0
 		for _, m := range ms {
@@ -201,6 +239,10 @@
 			if m.used || m.pinned {
 				continue
 			}
+			if m.fillers && forFiller > 0 {
+				forFiller--
+				continue
+			}
 			// What it has room for, and what comes in place of its tasks.
 			if room--; room < 0 {
 				break
@@ -283,6 +325,7 @@
 	if n == 0 {
 		return 0
 	}
+	b.fillers = b.fillers || d.filler && b.booting && !b.used
 	b.used = true
 	for range n {
 		b.free = b.free.Sub(d.spec.Need())
