--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -305,8 +305,9 @@
 	}
 	for _, e := range w.entries {
 		j := h.jobs[e.job]
-		if e.exited() || e.stop || !j.Spec.Saves() && e.state == protocol.TaskRunning {
-			continue
+		if e.exited() || e.stop || e.state == protocol.TaskRunning && !j.Spec.Saves() &&
+			(e.ran.IsZero() || 2*time.Since(e.ran) > j.Spec.Estimate()) {
+			continue // what is left of it costs less than to do it again
 		}
 		e.stop, e.grace = true, 2*j.Spec.SaveS
 		w.settled = false
