--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -293,12 +293,15 @@
 
 // times is how often a need goes into a room, up to a bound.
 func times(r, need protocol.Room, most int) int {
-	n := 0
-	for n < most && r.Fits(need) {
-		r = r.Sub(need)
-		n++
+	n := float64(most)
+	for _, p := range [3][2]float64{{r.Cores, need.Cores}, {r.Accels, need.Accels}, {r.RAM, need.RAM}} {
+		if p[1] > 0 {
+			n = min(n, math.Floor((p[0]+1e-6)/p[1]))
+		} else if p[0] < -1e-6 {
+			return 0
+		}
 	}
-	return n
+	return int(max(0, n))
 }
 
 func (b *fleetMachine) room(d *demand) protocol.Room {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -31,7 +31,7 @@
 	// the fleet, while leading
 	busy     bool
 	bookings uint64
-	refusals map[string]time.Time
+	refusals map[machineKind]time.Time
 	listed   map[string]protocol.Machine
 	listedAt time.Time
 	priced   time.Time
@@ -51,7 +51,7 @@
 // NewLeader makes the actor.
 func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
 	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
-		members: map[string]*bookkeeping.Member{}, refusals: map[string]time.Time{}, listed: map[string]protocol.Machine{},
+		members: map[string]*bookkeeping.Member{}, refusals: map[machineKind]time.Time{}, listed: map[string]protocol.Machine{},
 		draining: map[string]drainWish{}, boots: map[string]bootTimes{}, emptying: map[string]bool{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
 }
 
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -77,7 +77,7 @@
 	// kinds of machines that the cloud has none of, as a leader knows.
 	boots     boots
 	toldStill time.Time
-	refused   []string
+	refused   []machineKind
 
 	// othersValid: some sibling says that its session lives.
 	othersValid atomic.Bool
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"daledyke/internal/bookkeeping"
@@ -100,7 +101,7 @@
 	}
 	gone = append(gone, st.lost()...)
 	st.in.refused = func(rig, zone string, spot bool) bool {
-		return now.Before(l.refusals[kindName(rig, zone, spot)])
+		return now.Before(l.refusals[machineKind{rig, zone, spot}])
 	}
 	l.tellRefusals(now)
 	st.in.idleAfter = l.cfg.IdleAfter
@@ -278,18 +279,24 @@
 	}
 }
 
-// kindName names a kind of machines, as the log and operators are told of it.
-func kindName(rig, zone string, spot bool) string { return fmt.Sprint(rig, "/", zone, "/", spot) }
+// machineKind is what the cloud has, or has none of: a type in a zone, spot or
+// ordinary.
+type machineKind struct {
+	rig, zone string
+	spot      bool
+}
+
+func (k machineKind) String() string { return fmt.Sprint(k.rig, "/", k.zone, "/", k.spot) }
 
 // tellRefusals lets the owner know which kinds the cloud has none of.
 func (l *Leader) tellRefusals(now time.Time) {
-	var refused []string
+	var refused []machineKind
 	for kind, until := range l.refusals {
 		if now.Before(until) {
 			refused = append(refused, kind)
 		}
 	}
-	slices.Sort(refused)
+	slices.SortFunc(refused, func(a, b machineKind) int { return strings.Compare(a.String(), b.String()) })
 	l.owner.tell(func() { l.owner.refused = refused })
 }
 
@@ -300,7 +307,7 @@
 		if !l.session.Valid() {
 			return
 		}
-		key := kindName(r.rig, r.zone, r.spot)
+		key := machineKind{r.rig, r.zone, r.spot}
 		if time.Now().Before(l.refusals[key]) {
 			continue // the cloud ran out of it in this very round
 		}
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -16,15 +16,10 @@
 // should be up. It is worked out once a second and serves all who ask.
 type boots struct {
 	at   time.Time
-	next map[bootKind]time.Duration
-	up   map[bootKind]int
-	come map[bootKind]int
-	used map[bootKind]float64
-}
-
-type bootKind struct {
-	rig, zone string
-	spot      bool
+	next map[machineKind]time.Duration
+	up   map[machineKind]int
+	come map[machineKind]int
+	used map[machineKind]float64
 }
 
 // fleetNow sums up the machines that are there and those that boot.
@@ -32,9 +27,9 @@
 	if now.Sub(o.boots.at) < time.Second {
 		return &o.boots
 	}
-	b := boots{now, map[bootKind]time.Duration{}, map[bootKind]int{}, map[bootKind]int{}, map[bootKind]float64{}}
+	b := boots{now, map[machineKind]time.Duration{}, map[machineKind]int{}, map[machineKind]int{}, map[machineKind]float64{}}
 	for _, m := range o.board.machines {
-		k := bootKind{m.Type, m.Zone, m.Spot}
+		k := machineKind{m.Type, m.Zone, m.Spot}
 		b.up[k]++
 		if t, ok := o.types[m.Type]; ok {
 			b.used[k] += min(1, t.Room().Sub(m.Free).Share(t.Room()))
@@ -44,7 +39,7 @@
 		if o.board.machines[id] != nil || o.rosters[slotOf(id, o.slots)][m.Number()] {
 			continue
 		}
-		k := bootKind{m.Type, m.Zone, m.Spot}
+		k := machineKind{m.Type, m.Zone, m.Spot}
 		b.come[k]++
 		t := o.types[m.Type]
 		left := protocol.Seconds(t.BootS) - now.Sub(time.UnixMilli(m.RentedMs))
@@ -174,10 +169,12 @@
 		}
 		v.Slots = append(v.Slots, s)
 	}
-	v.NoCapacity = o.refused
+	for _, k := range o.refused {
+		v.NoCapacity = append(v.NoCapacity, k.String())
+	}
 	fleet := o.fleetNow(now)
-	kinds := map[bootKind]*protocol.FleetCount{}
-	kind := func(k bootKind) *protocol.FleetCount {
+	kinds := map[machineKind]*protocol.FleetCount{}
+	kind := func(k machineKind) *protocol.FleetCount {
 		k.zone = ""
 		if kinds[k] == nil {
 			kinds[k] = &protocol.FleetCount{Type: k.rig, Spot: k.spot}
@@ -275,7 +272,7 @@
 	for _, t := range o.types {
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				if t.Takes(s) && s.Allows(t.Name, zone, spot) && !slices.Contains(o.refused, kindName(t.Name, zone, spot)) {
+				if t.Takes(s) && s.Allows(t.Name, zone, spot) && !slices.Contains(o.refused, machineKind{t.Name, zone, spot}) {
 					return false
 				}
 			}
