--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -269,6 +269,10 @@
 	if empty := plan(fleet(), demand{spec: spec(nil), count: 20}); len(empty) > 3 {
 		t.Errorf("emptied although work waits: %v", empty)
 	}
+	greedy := demand{spec: spec(func(s *protocol.JobSpec) { s.Priority = "idle" }), count: 100, filler: true}
+	if empty := plan(fleet(), greedy); len(empty) != 10 {
+		t.Errorf("filler work that waits keeps machines: %v", empty)
+	}
 	if empty := plan(fleet()[8:10]); len(empty) > 0 {
 		t.Errorf("a small fleet keeps some room: %v", empty)
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -119,48 +119,75 @@
 // and says what to rent for the rest, which machines nothing needs and which
 // ones should get no more tasks, since the others have room for what comes.
 func planFleet(in *fleetInput) (rent []rental, idle, empty []string) {
-	slices.SortStableFunc(in.demands, func(a, b demand) int {
-		if a.spare != b.spare {
-			if a.spare {
-				return 1
-			}
-			return -1
-		}
-		if a.filler != b.filler {
-			if a.filler {
-				return 1
-			}
-			return -1
+	last := func(a, b bool) int { // those that are come last
+		switch {
+		case a == b:
+			return 0
+		case a:
+			return 1
 		}
-		return cmp.Or(cmp.Compare(b.spec.Priority.Rank(), a.spec.Priority.Rank()), cmp.Compare(b.spec.Accels, a.spec.Accels),
-			cmp.Compare(b.spec.Cores, a.spec.Cores))
+		return -1
+	}
+	slices.SortStableFunc(in.demands, func(a, b demand) int {
+		return cmp.Or(last(a.filler, b.filler), last(a.spare, b.spare), cmp.Compare(b.spec.Priority.Rank(), a.spec.Priority.Rank()),
+			cmp.Compare(b.spec.Accels, a.spec.Accels), cmp.Compare(b.spec.Cores, a.spec.Cores))
 	})
 	slices.SortFunc(in.machines, func(a, b *fleetMachine) int { return cmp.Compare(a.id, b.id) })
-	bins := in.machines
-	perZone := map[string]int{}
-	for _, b := range bins {
-		perZone[b.zone]++
+	p := packing{in: in, bins: in.machines, perZone: map[string]int{}, forFiller: in.markFillers()}
+	for _, b := range p.bins {
+		p.perZone[b.zone]++
+	}
+	// What filler work would like to have must not keep a machine: it is seen to
+	// once it is known which ones are to be emptied.
+	filler := len(in.demands)
+	if k := slices.IndexFunc(in.demands, func(d demand) bool { return d.filler }); k >= 0 {
+		filler = k
 	}
-	forFiller := in.markFillers()
-	for i := range in.demands {
-		d := &in.demands[i]
+	p.pack(in.demands[:filler])
+	empty = surplus(in, p.forFiller)
+	for _, m := range in.machines {
+		if !m.used && !m.booting && m.idle > in.idleAfter {
+			idle = append(idle, m.id)
+		}
+		m.drains = m.drains || slices.Contains(empty, m.id) || slices.Contains(idle, m.id)
+	}
+	p.pack(in.demands[filler:])
+	return p.rentals(), idle, empty
+}
+
+// packing packs demands into machines, those that are there and those that are
+// to be rented.
+type packing struct {
+	in        *fleetInput
+	bins      []*fleetMachine
+	perZone   map[string]int
+	forFiller int // how many machines there may be for filler work alone
+}
+
+func (p *packing) pack(demands []demand) {
+	for i := range demands {
+		d := &demands[i]
 		if d.spec.OneZone && d.count > 1 && !d.spare {
-			d.chooseZone(in, bins)
+			d.chooseZone(p.in, p.bins)
 		}
-		for left := d.fill(in, bins); left > 0; {
-			if d.filler && fillersIn(bins) >= forFiller {
+		for left := d.fill(p.in, p.bins); left > 0; {
+			if d.filler && fillersIn(p.bins) >= p.forFiller {
 				break
 			}
-			b := newBin(in, perZone, len(bins), d, left)
+			b := newBin(p.in, p.perZone, len(p.bins), d, left)
 			if b == nil {
 				break
 			}
 			left -= b.take(d, left)
-			bins = append(bins, b)
-			perZone[b.zone]++
+			p.bins = append(p.bins, b)
+			p.perZone[b.zone]++
 		}
 	}
-	for _, b := range bins[len(in.machines):] {
+}
+
+// rentals sums up the machines to be rented.
+func (p *packing) rentals() (rent []rental) {
+	for _, b := range p.bins[len(p.in.machines):] {
 		k := slices.IndexFunc(rent, func(r rental) bool {
 			return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot && r.class == b.wanted && r.count < protocol.MaxRent
 		})
@@ -170,12 +197,7 @@
 		}
 		rent[k].count++
 	}
-	for _, m := range in.machines {
-		if !m.used && !m.booting && m.idle > in.idleAfter {
-			idle = append(idle, m.id)
-		}
-	}
-	return rent, idle, surplus(in, forFiller)
+	return rent
 }
 
 // markFillers finds the machines that are there for filler work alone and tells
