--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -238,10 +238,16 @@
 			h.touch(w)
 			slog.Info("lease lapsed", "machine", w.id)
 		}
+		if !w.doubted.IsZero() {
+			h.judge(w)
+		}
 		if quiet := now.Sub(w.lastHeard) > h.silentAfter() && now.Sub(w.slot.adopted) > h.silentAfter(); quiet != w.silent {
 			w.silent = quiet
 			h.touch(w)
 		}
+		if w.settled && len(h.changedJobs) == 0 {
+			continue
+		}
 		for name, e := range w.entries {
 			if h.changedJobs[e.job] {
 				e.sent, w.settled = time.Time{}, false // what was sent may no longer be what is wanted
@@ -251,9 +257,6 @@
 				h.touch(w)
 			}
 		}
-		if !w.doubted.IsZero() {
-			h.judge(w)
-		}
 		if !w.settled {
 			h.pump(w)
 		}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -273,11 +273,11 @@
 		o.obey(o.latest)
 	}
 	o.learnBorn()
-	o.lookUp()
 	o.archive()
 	if now.Sub(o.judged) >= time.Second {
 		o.judged = now
 		o.judgeJobs(now)
+		o.lookUp()
 		o.tellStandstill(now)
 	}
 	others := false
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -109,6 +109,8 @@
 		m.emptying = l.emptying[m.id]
 	}
 	rent, idle, empty := planFleet(&st.in)
+	slog.Debug("fleet", "machines", len(st.in.machines), "fillers", fillersIn(st.in.machines), "idle", len(idle), "empty", len(empty),
+		"kinds to rent", len(rent), "ready", st.ready)
 	l.emptying = map[string]bool{}
 	for _, id := range empty {
 		l.emptying[id] = true
