--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -246,7 +246,7 @@
 func TestSurplusMachinesAreEmptied(t *testing.T) {
 	fleet := func() (ms []*fleetMachine) {
 		for n := range 20 {
-			m := &fleetMachine{id: fmt.Sprintf("m%02d", n), rig: "small", zone: "a", free: protocol.Room{Cores: 4, Accels: 1, RAM: 32}}
+			m := &fleetMachine{id: fmt.Sprintf("m%02d", n), rig: "small", zone: "a", used: true, free: protocol.Room{Cores: 4, Accels: 1, RAM: 32}}
 			if n < 8 {
 				m.free.Cores = 6 // used by a quarter only
 				m.free.Accels, m.free.RAM = 2, 48
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -78,9 +78,9 @@
 	id, rig, zone string
 	spot          bool
 	booting       bool
-	// wanted is the class of jobs that a machine still to be rented is for.
-	wanted string
-	free   protocol.Room
+	// class is that of the jobs that a machine still to be rented is for.
+	class string
+	free  protocol.Room
 	// byRank is the room held by tasks of each priority, yields that of filler
 	// work, which makes way for any other of higher priority.
 	byRank [4]protocol.Room
@@ -89,7 +89,8 @@
 	fillers bool
 	idle    time.Duration
 	drains  bool
-	used    bool
+	// used: there are tasks, or some were packed into it; needed only the latter.
+	used, needed bool
 	// pinned: there are tasks that won't end by themselves.
 	pinned bool
 	// emptying: it is kept free of new tasks, as long as the rest has room.
@@ -189,10 +190,10 @@
 func (p *packing) rentals() (rent []rental) {
 	for _, b := range p.bins[len(p.in.machines):] {
 		k := slices.IndexFunc(rent, func(r rental) bool {
-			return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot && r.class == b.wanted && r.count < protocol.MaxRent
+			return r.rig == b.rig && r.zone == b.zone && r.spot == b.spot && r.class == b.class && r.count < protocol.MaxRent
 		})
 		if k < 0 {
-			rent = append(rent, rental{b.rig, b.zone, b.spot, 0, b.wanted})
+			rent = append(rent, rental{b.rig, b.zone, b.spot, 0, b.class})
 			k = len(rent) - 1
 		}
 		rent[k].count++
@@ -258,7 +259,7 @@
 			return cmp.Compare(use(a), use(b))
 		})
 		for _, m := range ms {
-			if m.used || m.pinned {
+			if m.needed || m.pinned {
 				continue
 			}
 			if m.fillers && forFiller > 0 {
@@ -351,7 +352,7 @@
 		return 0
 	}
 	b.fillers = b.fillers || d.filler && b.booting && !b.used
-	b.used = true
+	b.used, b.needed = true, true
 	for range n {
 		b.free = b.free.Sub(d.spec.Need())
 	}
@@ -416,7 +417,7 @@
 	for _, t := range in.types {
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				b := &fleetMachine{rig: t.Name, zone: zone, spot: spot, booting: true, wanted: d.spec.Class, free: t.Room()}
+				b := &fleetMachine{rig: t.Name, zone: zone, spot: spot, booting: true, class: d.spec.Class, free: t.Room()}
 				if !d.allows(b) || in.refused(t.Name, zone, spot) {
 					continue
 				}
