--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -89,12 +89,9 @@
 	fillers bool
 	idle    time.Duration
 	drains  bool
-	// used: there are tasks, or some were packed into it; needed only the latter.
-	used, needed bool
+	used    bool // there are tasks, or some were packed into it
 	// pinned: there are tasks that won't end by themselves.
 	pinned bool
-	// emptying: it is kept free of new tasks, as long as the rest has room.
-	emptying bool
 }
 
 // fleetInput is the snapshot that renting is decided by.
@@ -117,9 +114,8 @@
 }
 
 // planFleet packs what has no machine into the room there is and will be,
-// and says what to rent for the rest, which machines nothing needs and which
-// ones should get no more tasks, since the others have room for what comes.
-func planFleet(in *fleetInput) (rent []rental, idle, empty []string) {
+// and says what to rent for the rest and which machines nothing needs.
+func planFleet(in *fleetInput) (rent []rental, idle []string) {
 	last := func(a, b bool) int { // those that are come last
 		switch {
 		case a == b:
@@ -139,21 +135,26 @@
 		p.perZone[b.zone]++
 	}
 	// What filler work would like to have must not keep a machine: it is seen to
-	// once it is known which ones are to be emptied.
+	// once it is known which ones go.
 	filler := len(in.demands)
 	if k := slices.IndexFunc(in.demands, func(d demand) bool { return d.filler }); k >= 0 {
 		filler = k
 	}
 	p.pack(in.demands[:filler])
-	empty = surplus(in, p.forFiller)
 	for _, m := range in.machines {
 		if !m.used && !m.booting && m.idle > in.idleAfter {
 			idle = append(idle, m.id)
+			m.drains = true
 		}
-		m.drains = m.drains || slices.Contains(empty, m.id) || slices.Contains(idle, m.id)
+	}
+	for _, id := range surplus(in) {
+		idle = append(idle, id)
+	}
+	for _, m := range in.machines {
+		m.drains = m.drains || slices.Contains(idle, m.id)
 	}
 	p.pack(in.demands[filler:])
-	return p.rentals(), idle, empty
+	return p.rentals(), idle
 }
 
 // packing packs demands into machines, those that are there and those that are
@@ -226,52 +227,26 @@
 }
 
 // roomKept is the part of the machines of a type whose room is kept for what
-// comes, beside what is known, before any are emptied.
+// comes, beside what is known, before any are given back at once.
 const roomKept = 0.08
 
-// surplus chooses the machines to empty: of each type the least used ones, as
-// long as the others have as much room and some more. What runs on them ends
-// there; without this, a fleet that was right for a burst stays as it is for as
-// long as new tasks are spread over all of it.
-func surplus(in *fleetInput, forFiller int) (empty []string) {
-	byType := map[string][]*fleetMachine{}
+// surplus chooses the machines without tasks that need not stand idle for a
+// while first: as many of each type as the others have room for, and some more.
+// Machines with tasks are not emptied for it: tried, and no cheaper.
+func surplus(in *fleetInput) (empty []string) {
+	room, count := map[string]float64{}, map[string]int{} // by type, in whole machines
 	for _, m := range in.machines {
-		if !m.booting && !m.drains {
-			byType[m.rig] = append(byType[m.rig], m)
+		if t := in.types[m.rig]; !m.booting && !m.drains {
+			room[m.rig] += 1 - min(1, t.Room().Sub(m.free).Sub(m.yields).Share(t.Room()))
+			count[m.rig]++
 		}
 	}
-	for name, ms := range byType {
-		t := in.types[name]
-		// Machines are kept for filler work only as far as some were rented for it.
-		use := func(m *fleetMachine) float64 { return min(1, t.Room().Sub(m.free).Sub(m.yields).Share(t.Room())) }
-		room := 0.0
-		for _, m := range ms {
-			room += 1 - use(m)
-		}
-		room -= max(1, roomKept*float64(len(ms)))
-		slices.SortStableFunc(ms, func(a, b *fleetMachine) int {
-			if a.emptying != b.emptying {
-				if a.emptying {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Compare(use(a), use(b))
-		})
-		for _, m := range ms {
-			if m.needed || m.pinned {
-				continue
-			}
-			if m.fillers && forFiller > 0 {
-				forFiller--
-				continue
-			}
-			// What it has room for, and what comes in place of its tasks.
-			if room--; room < 0 {
-				break
-			}
-			empty = append(empty, m.id)
+	for _, m := range in.machines {
+		if m.used || m.booting || m.drains || room[m.rig]-1 < max(1, roomKept*float64(count[m.rig])) {
+			continue
 		}
+		room[m.rig]--
+		empty = append(empty, m.id)
 	}
 	return empty
 }
@@ -352,7 +327,7 @@
 		return 0
 	}
 	b.fillers = b.fillers || d.filler && b.booting && !b.used
-	b.used, b.needed = true, true
+	b.used = true
 	for range n {
 		b.free = b.free.Sub(d.spec.Need())
 	}
@@ -393,9 +368,6 @@
 		if b.booting {
 			left += 0.5
 		}
-		if b.emptying {
-			left += 2
-		}
 		fits = append(fits, fit{b, left})
 	}
 	slices.SortStableFunc(fits, func(a, b fit) int { return cmp.Compare(a.left, b.left) })
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -40,7 +40,6 @@
 	started  time.Time
 	leadFrom time.Time
 	draining map[string]drainWish
-	emptying map[string]bool // machines that should get no more tasks
 	drained  map[string]bool // holders that keep machines free for us
 	rounds   uint64
 	coming   map[string]bool      // machines that had not come up a round ago
@@ -52,7 +51,7 @@
 func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
 	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
 		members: map[string]*bookkeeping.Member{}, refusals: map[machineKind]time.Time{}, listed: map[string]protocol.Machine{},
-		draining: map[string]drainWish{}, boots: map[string]bootTimes{}, emptying: map[string]bool{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
+		draining: map[string]drainWish{}, boots: map[string]bootTimes{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
 }
 
 // Run runs the actor until its context ends.
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -105,18 +105,11 @@
 	}
 	l.tellRefusals(now)
 	st.in.idleAfter = l.cfg.IdleAfter
-	for _, m := range st.in.machines {
-		m.emptying = l.emptying[m.id]
-	}
-	rent, idle, empty := planFleet(&st.in)
-	slog.Debug("fleet", "machines", len(st.in.machines), "fillers", fillersIn(st.in.machines), "idle", len(idle), "empty", len(empty),
+	rent, idle := planFleet(&st.in)
+	slog.Debug("fleet", "machines", len(st.in.machines), "fillers", fillersIn(st.in.machines), "idle", len(idle),
 		"kinds to rent", len(rent), "ready", st.ready)
-	l.emptying = map[string]bool{}
-	for _, id := range empty {
-		l.emptying[id] = true
-	}
 	unwanted := map[string]bool{}
-	for _, id := range slices.Concat(idle, empty, st.suspect) {
+	for _, id := range slices.Concat(idle, st.suspect) {
 		unwanted[id] = true
 		d, ok := l.draining[id]
 		if !ok {
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -284,7 +284,6 @@
 					delete(w.entries, name)
 				}
 			}
-			h.clearFiller(w)
 			if !drains || len(w.entries) == 0 {
 				h.touch(w)
 			}
@@ -294,22 +293,3 @@
 		}
 	}
 }
-
-// clearFiller stops filler work on a machine that is kept for nothing else, if
-// it loses little by that: what nobody waits for is not worth a machine.
-func (h *Holder) clearFiller(w *worker) {
-	for _, e := range w.entries {
-		if j := h.jobs[e.job]; !e.exited() && (j == nil || !h.cfg.Filler(j.Spec) || e.unconfirmed()) {
-			return
-		}
-	}
-	for _, e := range w.entries {
-		j := h.jobs[e.job]
-		if e.exited() || e.stop || e.state == protocol.TaskRunning && !j.Spec.Saves() &&
-			(e.ran.IsZero() || 2*time.Since(e.ran) > j.Spec.Estimate()) {
-			continue // what is left of it costs less than to do it again
-		}
-		e.stop, e.grace = true, 2*j.Spec.SaveS
-		w.settled = false
-	}
-}
