--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -410,3 +410,40 @@
 		}
 	}
 }
+
+// A leader wants a machine kept free that it believes to be idle. If a task was
+// asked for there meanwhile, the wish comes too late; and it is over when the
+// leader no longer has it, also one whose session is older than the last one's.
+func TestWishesToDrain(t *testing.T) {
+	h := &Holder{actor: newActor(context.Background()), changed: make(chan struct{}), cfg: &config.Config{}, byID: map[string]*worker{}}
+	for _, id := range []string{"host-1", "host-2", "host-3"} {
+		h.byID[id] = &worker{id: id, slot: &heldSlot{}, entries: map[string]*entry{}}
+	}
+	h.byID["host-2"].entries["wk-1/0"] = &entry{task: "wk-1/0", state: taskReserved}
+	h.byID["host-3"].entries["wk-1/1"] = &entry{task: "wk-1/1", state: protocol.TaskRunning}
+	h.byID["host-3"].suspect = true
+	free := func() (ids []string) {
+		for id, w := range h.byID {
+			if time.Now().Before(w.drainTill) {
+				ids = append(ids, id)
+			}
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	h.drain(&DrainArgs{Wish: 100, Machines: []string{"host-1", "host-2", "host-3"}})
+	if got := free(); !slices.Equal(got, []string{"host-1", "host-3"}) || len(h.byID["host-2"].entries) != 1 {
+		t.Errorf("kept free: %v", got)
+	}
+	if v := h.view(h.byID["host-1"]); v.Drained != 100 {
+		t.Errorf("empty since wish %d", v.Drained)
+	}
+	h.drain(&DrainArgs{Wish: 90, Machines: nil})
+	if got := free(); len(got) != 2 {
+		t.Errorf("a former leader's wish counted: %v", got)
+	}
+	h.drain(&DrainArgs{Wish: 101, Machines: []string{"host-1"}})
+	if got := free(); !slices.Equal(got, []string{"host-1"}) || h.byID["host-1"].drainWish != 100 {
+		t.Errorf("kept free: %v", got)
+	}
+}
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -274,6 +274,8 @@
 	for id, w := range h.byID {
 		drains := now.Before(w.drainTill)
 		switch {
+		case wanted[id] && !drains && !w.suspect && len(w.entries) > 0:
+			// It got work that the leader has not seen yet: it is not idle any more.
 		case wanted[id]:
 			if !drains {
 				w.drainWish = a.Wish
