--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -217,9 +217,10 @@
 }
 
 // spare is for how many tasks of a class room should be kept ready, if the
-// users' aims leave no time to wait for a machine to boot: as many more as come
-// meanwhile than end, which leave their room to them, give or take. Without
-// what ends, a class of many short tasks had a third of the fleet kept empty.
+// users' aims leave no time to wait for a machine to boot: as many as come
+// meanwhile, give or take, less half of those that end and leave their room.
+// Without what ends, a class of many short tasks had a third of the fleet kept
+// empty; with all of it, gangs that need a whole machine found none.
 func (o *Owner) spare(name string, c *classStats, ending float64, now, started time.Time) (n int, preempt bool) {
 	within := o.within(name, math.MaxInt64)
 	ready, fetch := o.ready(c.spec, c.image)
@@ -230,6 +231,6 @@
 	if come == 0 {
 		return 0, false
 	}
-	more := max(0, come-ending*ready.Seconds())
+	more := max(0, come-ending*ready.Seconds()/2)
 	return int(math.Ceil((more + 0.7*math.Sqrt(come)) * o.cfg.Spare)), within > fetch+12*time.Second
 }
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -228,7 +228,7 @@
 
 // roomKept is the part of the machines of a type whose room is kept for what
 // comes, beside what is known, before any are given back at once.
-const roomKept = 0.08
+const roomKept = 0.12
 
 // surplus chooses the machines without tasks that need not stand idle for a
 // while first: as many of each type as the others have room for, and some more.
