--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -101,7 +101,6 @@
 // demands is what has no machine, and what is expected to come.
 func (o *Owner) demands(now, started time.Time) []demand {
 	var out []demand
-	ending := map[string]float64{} // by class: tasks that end in a second
 	for id, js := range o.active {
 		s := js.job.Spec
 		missing := s.Tasks - js.job.DoneCount() - len(js.pending)
@@ -114,9 +113,6 @@
 			for _, i := range list {
 				zones[i.machine.Zone]++
 			}
-			if s.EstimateS > 0 && list[0].running() {
-				ending[s.Class] += 1 / s.EstimateS
-			}
 		}
 		if missing <= 0 || js.opinion == atFault {
 			continue
@@ -144,7 +140,7 @@
 		if c.spec.Priority.Rank() < preempts {
 			continue // other work of its kind would be in it at once
 		}
-		if n, preempt := o.spare(name, c, ending[name], now, started); n > 0 {
+		if n, preempt := o.spare(name, c, now, started); n > 0 {
 			d := demand{spec: c.spec, count: n, spare: true, preempt: preempt, left: time.Hour}
 			if c.spec.Scatter {
 				d.zoneLeft = map[string]int{}
@@ -217,20 +213,19 @@
 }
 
 // spare is for how many tasks of a class room should be kept ready, if the
-// users' aims leave no time to wait for a machine to boot: as many as come
-// meanwhile, give or take, less half of those that end and leave their room.
-// Without what ends, a class of many short tasks had a third of the fleet kept
-// empty; with all of it, gangs that need a whole machine found none.
-func (o *Owner) spare(name string, c *classStats, ending float64, now, started time.Time) (n int, preempt bool) {
+// users' aims leave no time to wait for a machine to boot: for as many as come
+// in the time by which a machine rented for them would be late, give or take.
+// With all that come while it boots, a class whose images alone take nearly as
+// long as its aim had a third of the fleet kept empty.
+func (o *Owner) spare(name string, c *classStats, now, started time.Time) (n int, preempt bool) {
 	within := o.within(name, math.MaxInt64)
 	ready, fetch := o.ready(c.spec, c.image)
 	if ready == math.MaxInt64 || within >= ready {
 		return 0, false
 	}
-	come := c.rate(now, started) * ready.Seconds()
-	if come == 0 {
+	mean := c.rate(now, started) * (ready - within).Seconds() * o.cfg.Spare
+	if mean == 0 {
 		return 0, false
 	}
-	more := max(0, come-ending*ready.Seconds()/2)
-	return int(math.Ceil((more + 0.7*math.Sqrt(come)) * o.cfg.Spare)), within > fetch+12*time.Second
+	return int(math.Ceil(mean + 0.7*math.Sqrt(mean))), within > fetch+12*time.Second
 }
