--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -447,3 +447,29 @@
 		t.Errorf("kept free: %v", got)
 	}
 }
+
+// Room is kept ready for those for whom a machine would be late: a class whose
+// image takes nearly as long as its aim once had a third of the fleet kept empty.
+func TestRoomKeptReady(t *testing.T) {
+	c, err := config.Load(settingsWith(t, "", ""), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &Owner{cfg: c, types: machineTypes}
+	now := time.Now()
+	arrivals := func(image float64) *classStats { // one a second
+		s := &classStats{spec: spec(func(s *protocol.JobSpec) { s.Class = "live" }), image: image}
+		for i := range maxArrivals {
+			s.arrivals = append(s.arrivals, now.Add(-time.Duration(i)*time.Second))
+		}
+		return s
+	}
+	for image, want := range map[float64]int{0.5: 5, 3: 8, 30: 38} { // wanted within 10 s, boots in 13 s
+		if n, _ := o.spare("live", arrivals(image), now, now.Add(-time.Hour)); n != want {
+			t.Errorf("image of %v GB: room for %d tasks, want %d", image, n, want)
+		}
+	}
+	if n, _ := o.spare("batch", arrivals(3), now, now.Add(-time.Hour)); n != 0 {
+		t.Errorf("no aim, but room for %d tasks", n)
+	}
+}
