Tidying: what the change wrote twice, or more at length than it needs

Polls and submissions worked out why a job waits before it was known whether they need it: Known gives the job alone. Owner.aim serves both kinds of aims, Owner.placed the users' and the operators' counts, Room.Times stands beside Fits and Share with their slack, askFor asks an actor for a value (and gives nothing written late), an overview embeds its owner's part. One table of the kinds of records, one place where the cloud's requests are counted, no wrapper around boot times, no second pass over idle machines.

--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -35,17 +35,21 @@
 func slotKey(slot int) string               { return fmt.Sprintf("%s%d", slotPrefix, slot) }
 func lotKey(name string) string             { return lotPrefix + name }
 
-// kinds are the kinds of records, as operators are told of them.
-var kinds = []string{"term", "leader", "window", "catalogue", "job", "over", "result", "session", "slot", "lot"}
+// kinds are the kinds of records, as operators are told of them, by how their
+// keys begin.
+var kinds = []struct{ prefix, name string }{
+	{keyTerm, "term"}, {keyLeader, "leader"}, {keyWindow, "window"}, {keyCatalog, "catalogue"}, {jobPrefix, "job"},
+	{overPrefix, "over"}, {resultPrefix, "result"}, {memberPrefix, "session"}, {slotPrefix, "slot"}, {lotPrefix, "lot"},
+}
 
 // kindOf tells what kind of record a key holds.
 func kindOf(key string) string {
-	for i, prefix := range []string{keyTerm, keyLeader, keyWindow, keyCatalog, jobPrefix, overPrefix, resultPrefix, memberPrefix, slotPrefix} {
-		if strings.HasPrefix(key, prefix) {
-			return kinds[i]
+	for _, k := range kinds {
+		if strings.HasPrefix(key, k.prefix) {
+			return k.name
 		}
 	}
-	return "lot"
+	return kinds[len(kinds)-1].name // there is no other
 }
 
 func under(key, prefix string) (string, bool) { return strings.CutPrefix(key, prefix) }
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -30,7 +30,7 @@
 func NewStore(s *transport.State, txnOps int) *Store {
 	counts := map[string]*atomic.Int64{}
 	for _, kind := range kinds {
-		counts[kind] = &atomic.Int64{}
+		counts[kind.name] = &atomic.Int64{}
 	}
 	return &Store{state: s, txnOps: txnOps, counts: counts}
 }
--- a/internal/coordination/actor.go
+++ b/internal/coordination/actor.go
@@ -49,6 +49,16 @@
 	}
 }
 
+// askFor has f run on an actor and gives what it returns; false if ctx ended
+// first, in which case nothing is given, however late f runs.
+func askFor[T any](ctx context.Context, a *actor, f func() T) (t T, ok bool) {
+	answer := make(chan T, 1)
+	if !a.ask(ctx, func() { answer <- f() }) {
+		return t, false
+	}
+	return <-answer, true
+}
+
 // loop runs the inbox and a regular tick until the actor ends.
 func (a *actor) loop(every time.Duration, tick func()) {
 	t := time.NewTicker(every)
--- a/internal/coordination/blame.go
+++ b/internal/coordination/blame.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"time"
 
-	"daledyke/internal/bookkeeping"
 	"daledyke/internal/protocol"
 )
 
@@ -225,6 +224,3 @@
 	js.trialAt = now.Add(min(trialMost, trialAfter<<min(js.trials, 8)))
 	js.trials++
 }
-
-// forgetOpinion is told of jobs that are over.
-func (h *Holder) forgetOpinion(j *bookkeeping.Job) { delete(h.opinions, j.Spec.ID) }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -200,9 +200,9 @@
 // Anything else takes a read that begins after the question came, so that no
 // user is told less than another was told before.
 func (k *Controller) Status(ctx context.Context, id string) (*protocol.JobStatus, error) {
-	known := k.owner.Status(ctx, id)
-	if known != nil && known.job.Final() {
-		return k.answer(known), nil
+	known := k.owner.Known(ctx, id)
+	if known != nil && known.Final() {
+		return k.answer(&standing{job: known}), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, bookkeeping.FreshWithin)
 	defer cancel()
@@ -216,10 +216,11 @@
 	if err := k.reader.Fresh(ctx); err != nil {
 		return nil, err
 	}
-	if known = k.owner.Status(ctx, id); known == nil {
+	st := k.owner.Status(ctx, id)
+	if st == nil {
 		return nil, ErrLater // it ended and is no longer kept at hand
 	}
-	return k.answer(known), nil
+	return k.answer(st), nil
 }
 
 // ---- what operators ask
@@ -235,38 +236,34 @@
 		Session: protocol.SessionView{Valid: k.session.Valid(), Term: k.session.Term(), LeftS: *seconds(k.session.Left()), Deaf: k.session.Deaf()},
 		State:   clientView(&k.state.Counts), Cloud: clientView(&k.leader.cloud.Counts)}
 	v.State.Changes = k.store.Changes()
-	ask := func(part string, a *actor, f func(*protocol.Overview)) {
-		ctx, cancel := context.WithTimeout(ctx, viewWithin)
-		defer cancel()
-		answer := make(chan protocol.Overview, 1)
-		if !a.ask(ctx, func() {
-			p := protocol.Overview{}
-			f(&p)
-			answer <- p
-		}) {
-			v.Busy = append(v.Busy, part)
-			return
+	var owner, holder, leader bool
+	v.OwnerView, owner = view(ctx, &k.owner.actor, k.owner.overview)
+	v.Holds, holder = view(ctx, &k.holder.actor, k.holder.overview)
+	v.Leader, leader = view(ctx, &k.leader.actor, func() string {
+		if k.leader.leader == nil {
+			return ""
 		}
-		switch p := <-answer; part {
-		case "owner":
-			v.Window, v.Slots, v.Fleet, v.Jobs, v.Waiting, v.Siblings = p.Window, p.Slots, p.Fleet, p.Jobs, p.Waiting, p.Siblings
-			v.NoCapacity = p.NoCapacity
-		case "holder":
-			v.Holds = p.Holds
-		case "leader":
-			v.Leader = p.Leader
+		return k.leader.leader.Name
+	})
+	for _, part := range []struct {
+		name     string
+		answered bool
+	}{{"owner", owner}, {"holder", holder}, {"leader", leader}} {
+		if !part.answered {
+			v.Busy = append(v.Busy, part.name)
 		}
 	}
-	ask("owner", &k.owner.actor, func(p *protocol.Overview) { k.owner.overview(p, time.Now()) })
-	ask("holder", &k.holder.actor, k.holder.overview)
-	ask("leader", &k.leader.actor, func(p *protocol.Overview) {
-		if k.leader.leader != nil {
-			p.Leader = k.leader.leader.Name
-		}
-	})
 	return v
 }
 
+// view asks a part of the controller for what it shows, for no longer than
+// viewWithin.
+func view[T any](ctx context.Context, a *actor, f func() T) (T, bool) {
+	ctx, cancel := context.WithTimeout(ctx, viewWithin)
+	defer cancel()
+	return askFor(ctx, a, f)
+}
+
 func clientView(c *transport.Counts) protocol.ClientView {
 	return protocol.ClientView{Requests: c.Requests.Load(), Refused: c.Refused.Load(), Unanswered: c.Unanswered.Load(), NoBudget: c.NoBudget.Load()}
 }
@@ -274,20 +271,18 @@
 // JobView tells operators how a job stands, as far as this controller knows;
 // nil if it knows nothing of it.
 func (k *Controller) JobView(ctx context.Context, id string) (*protocol.JobView, error) {
-	ctx, cancel := context.WithTimeout(ctx, viewWithin)
-	defer cancel()
-	answer := make(chan *protocol.JobView, 1)
-	if !k.owner.ask(ctx, func() {
-		if js := k.owner.jobs[id]; js != nil {
-			v := k.owner.jobView(js, time.Now())
-			answer <- &v
-		} else {
-			answer <- nil
+	v, ok := view(ctx, &k.owner.actor, func() *protocol.JobView {
+		js := k.owner.jobs[id]
+		if js == nil {
+			return nil
 		}
-	}) {
+		v := k.owner.jobView(js, time.Now())
+		return &v
+	})
+	if !ok {
 		return nil, ErrLater
 	}
-	return <-answer, nil
+	return v, nil
 }
 
 // ErrLater: it cannot be decided now; the user should come again.
@@ -298,7 +293,7 @@
 func (k *Controller) Submit(ctx context.Context, body []byte) (status int, answer any) {
 	id := protocol.PeekID(body)
 	if id != "" {
-		if k.owner.Status(ctx, id) != nil {
+		if k.owner.Known(ctx, id) != nil {
 			return k.known(ctx, id, nil)
 		}
 	}
@@ -373,8 +368,8 @@
 
 // Cancel cancels a job.
 func (k *Controller) Cancel(ctx context.Context, id string) (status int, answer any) {
-	if known := k.owner.Status(ctx, id); known != nil && known.job.Final() {
-		return http.StatusOK, k.answer(known)
+	if known := k.owner.Known(ctx, id); known != nil && known.Final() {
+		return http.StatusOK, k.answer(&standing{job: known})
 	}
 	j, err := k.store.CancelJob(ctx, id)
 	switch {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -157,19 +157,11 @@
 // finish is how soon the users want jobs like this one to be done, 0 (at once)
 // without an aim or a deadline.
 func (o *Owner) finish(s *protocol.JobSpec) time.Duration {
-	within := time.Duration(math.MaxInt64)
-	for _, a := range o.cfg.Deployment.Objectives {
-		if a.Class == s.Class && a.Kind == "finished" && a.WithinS > 0 {
-			within = min(within, protocol.Seconds(a.WithinS))
-		}
-	}
-	if within == math.MaxInt64 && s.DeadlineS != nil {
-		return protocol.Seconds(*s.DeadlineS)
-	}
-	if within == math.MaxInt64 {
-		return 0
+	otherwise := time.Duration(0)
+	if s.DeadlineS != nil {
+		otherwise = protocol.Seconds(*s.DeadlineS)
 	}
-	return within
+	return o.aim(s.Class, "finished", otherwise)
 }
 
 // betweenTasks is what passes from one task to the next in the same room.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -147,12 +147,7 @@
 			m.drains = true
 		}
 	}
-	for _, id := range surplus(in) {
-		idle = append(idle, id)
-	}
-	for _, m := range in.machines {
-		m.drains = m.drains || slices.Contains(idle, m.id)
-	}
+	idle = append(idle, surplus(in)...)
 	p.pack(in.demands[filler:])
 	return p.rentals(), idle
 }
@@ -230,8 +225,8 @@
 // comes, beside what is known, before any are given back at once.
 const roomKept = 0.12
 
-// surplus chooses the machines without tasks that need not stand idle for a
-// while first: as many of each type as the others have room for, and some more.
+// surplus chooses, and marks, the machines without tasks that need not stand
+// idle for a while first: as many of each type as the others have room for, and some more.
 // Machines with tasks are not emptied for it: tried, and no cheaper.
 func surplus(in *fleetInput) (empty []string) {
 	room, count := map[string]float64{}, map[string]int{} // by type, in whole machines
@@ -246,6 +241,7 @@
 			continue
 		}
 		room[m.rig]--
+		m.drains = true
 		empty = append(empty, m.id)
 	}
 	return empty
@@ -257,7 +253,7 @@
 	fit := map[string]int{}
 	for _, b := range bins {
 		if !b.drains && d.allows(b) {
-			fit[b.zone] += times(b.room(d), d.spec.Need(), d.count)
+			fit[b.zone] += b.room(d).Times(d.spec.Need(), d.count)
 		}
 	}
 	best, most := "", -1
@@ -289,19 +285,6 @@
 	return false
 }
 
-// times is how often a need goes into a room, up to a bound.
-func times(r, need protocol.Room, most int) int {
-	n := float64(most)
-	for _, p := range [3][2]float64{{r.Cores, need.Cores}, {r.Accels, need.Accels}, {r.RAM, need.RAM}} {
-		if p[1] > 0 {
-			n = min(n, math.Floor((p[0]+1e-6)/p[1]))
-		} else if p[0] < -1e-6 {
-			return 0
-		}
-	}
-	return int(max(0, n))
-}
-
 func (b *fleetMachine) room(d *demand) protocol.Room {
 	r := b.free
 	switch {
@@ -322,7 +305,7 @@
 	if zone, bound := d.zoneLeft[b.zone]; bound {
 		left = min(left, zone)
 	}
-	n := times(b.room(d), d.spec.Need(), left)
+	n := b.room(d).Times(d.spec.Need(), left)
 	if n == 0 {
 		return 0
 	}
@@ -393,7 +376,7 @@
 				if !d.allows(b) || in.refused(t.Name, zone, spot) {
 					continue
 				}
-				fit := times(t.Room(), d.spec.Need(), left)
+				fit := t.Room().Times(d.spec.Need(), left)
 				if fit == 0 {
 					continue
 				}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -299,7 +299,7 @@
 	if !j.Final() {
 		return
 	}
-	h.forgetOpinion(j)
+	delete(h.opinions, j.Spec.ID)
 	if h.over = append(h.over, j.Spec.ID); len(h.over) > maxFinal {
 		delete(h.jobs, h.over[0])
 		h.over = h.over[1:]
@@ -320,8 +320,8 @@
 	}
 }
 
-// overview adds what the holder knows to a controller's overview.
-func (h *Holder) overview(v *protocol.Overview) {
+// overview is what the holder adds to a controller's overview.
+func (h *Holder) overview() protocol.MachineCount {
 	now := time.Now()
 	c := protocol.MachineCount{Machines: len(h.byID)}
 	for _, w := range h.byID {
@@ -347,5 +347,5 @@
 			}
 		}
 	}
-	v.Holds = c
+	return c
 }
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -42,8 +42,8 @@
 	draining map[string]drainWish
 	drained  map[string]bool // holders that keep machines free for us
 	rounds   uint64
-	coming   map[string]bool      // machines that had not come up a round ago
-	boots    map[string]bootTimes // by type
+	coming   map[string]bool            // machines that had not come up a round ago
+	boots    map[string][]time.Duration // of each type's machines that came up lately, newest last
 	lots     map[string]*bookkeeping.Lot
 }
 
@@ -51,7 +51,7 @@
 func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
 	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
 		members: map[string]*bookkeeping.Member{}, refusals: map[machineKind]time.Time{}, listed: map[string]protocol.Machine{},
-		draining: map[string]drainWish{}, boots: map[string]bootTimes{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
+		draining: map[string]drainWish{}, boots: map[string][]time.Duration{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
 }
 
 // Run runs the actor until its context ends.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -236,29 +236,49 @@
 	startsIn *float64
 }
 
+// Known is the job as this controller knows it, nil if it doesn't.
+func (o *Owner) Known(ctx context.Context, id string) *bookkeeping.Job {
+	j, _ := askFor(ctx, &o.actor, func() *bookkeeping.Job {
+		if js := o.jobs[id]; js != nil {
+			return js.job
+		}
+		return nil
+	})
+	return j
+}
+
 // Status is what this controller knows of a job, nil if nothing.
-func (o *Owner) Status(ctx context.Context, id string) (st *standing) {
-	o.ask(ctx, func() {
+func (o *Owner) Status(ctx context.Context, id string) *standing {
+	st, _ := askFor(ctx, &o.actor, func() *standing {
 		js := o.jobs[id]
 		if js == nil {
-			return
-		}
-		st = &standing{job: js.job}
-		for _, list := range o.board.tasks[id] {
-			for _, i := range list {
-				if i.running() {
-					st.running++
-				}
-			}
+			return nil
 		}
-		if st.running == 0 && !js.job.Final() {
+		st := &standing{job: js.job}
+		if _, st.running = o.placed(id); st.running == 0 && !js.job.Final() {
 			reason, in := o.why(js, time.Now())
 			st.reason, st.startsIn = reason, seconds(in)
 		}
+		return st
 	})
 	return st
 }
 
+// placed is how many of a job's tasks are on machines, and run.
+func (o *Owner) placed(id string) (placed, running int) {
+	for _, list := range o.board.tasks[id] {
+		for _, i := range list {
+			if !i.exited() {
+				placed++
+			}
+			if i.running() {
+				running++
+			}
+		}
+	}
+	return placed, running
+}
+
 // ---- the loop
 
 const (
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -277,9 +277,14 @@
 
 // within is how soon the users want tasks of a class to start, if they say.
 func (o *Owner) within(class string, otherwise time.Duration) time.Duration {
+	return o.aim(class, "wait", otherwise)
+}
+
+// aim is the shortest time of the users' aims of a kind for a class.
+func (o *Owner) aim(class, kind string, otherwise time.Duration) time.Duration {
 	within := time.Duration(math.MaxInt64)
 	for _, a := range o.cfg.Deployment.Objectives {
-		if a.Class == class && a.Kind == "wait" && a.WithinS > 0 {
+		if a.Class == class && a.Kind == kind && a.WithinS > 0 {
 			within = min(within, protocol.Seconds(a.WithinS))
 		}
 	}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		age := now.Sub(time.UnixMilli(m.RentedMs))
-		late, never := bootLimits(protocol.Seconds(t.BootS), l.boots[m.Type].durations)
+		late, never := bootLimits(protocol.Seconds(t.BootS), l.boots[m.Type])
 		if up := st.up[id]; !up && age > never || up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
 			gone = append(gone, id) // never came up, or never came back
 			continue
@@ -136,11 +136,6 @@
 	since time.Time
 }
 
-// bootTimes is what was seen of a type's machines that came up lately.
-type bootTimes struct {
-	durations []time.Duration // bounded, newest last
-}
-
 // maxBoots is of how many machines of a type the boot times are kept.
 const maxBoots = 24
 
@@ -153,8 +148,8 @@
 		case !st.seen[id]:
 			coming[id] = !st.up[id]
 		case l.coming[id] && age > 0:
-			b := append(l.boots[m.Type].durations, age)
-			l.boots[m.Type] = bootTimes{b[max(0, len(b)-maxBoots):]}
+			b := append(l.boots[m.Type], age)
+			l.boots[m.Type] = b[max(0, len(b)-maxBoots):]
 		}
 	}
 	l.coming = coming
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -132,17 +132,7 @@
 	if w := o.window(); w != nil {
 		v.Owner = w.Owner(js.job.Token)
 	}
-	for _, list := range o.board.tasks[s.ID] {
-		for _, i := range list {
-			if i.exited() {
-				continue
-			}
-			v.Placed++
-			if i.running() {
-				v.Running++
-			}
-		}
-	}
+	v.Placed, v.Running = o.placed(s.ID)
 	switch {
 	case js.job.State == protocol.Done:
 		v.Done = s.Tasks
@@ -157,8 +147,9 @@
 	return v
 }
 
-// overview adds what the owner knows to a controller's overview.
-func (o *Owner) overview(v *protocol.Overview, now time.Time) {
+// overview is what the owner adds to a controller's overview.
+func (o *Owner) overview() (v protocol.OwnerView) {
+	now := time.Now()
 	if w := o.window(); w != nil {
 		v.Window = &protocol.WindowView{Number: w.Number, Owners: w.Owners, Newest: max(w.Number, o.latest.Number)}
 	}
@@ -224,6 +215,7 @@
 		}
 		v.Siblings = append(v.Siblings, protocol.SiblingView{Name: name, Session: p.valid, HeardS: heard})
 	}
+	return v
 }
 
 // standstillAfter is how long jobs may wait for the first of their tasks to be
--- a/internal/protocol/machine.go
+++ b/internal/protocol/machine.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"math"
 	"strconv"
 	"time"
 )
@@ -24,6 +25,19 @@
 	return need.Cores <= r.Cores+roomSlack && need.Accels <= r.Accels+roomSlack && need.RAM <= r.RAM+roomSlack
 }
 
+// Times tells how often need goes into r, up to a bound.
+func (r Room) Times(need Room, most int) int {
+	n := float64(most)
+	for _, p := range [3][2]float64{{r.Cores, need.Cores}, {r.Accels, need.Accels}, {r.RAM, need.RAM}} {
+		if p[1] > 0 {
+			n = min(n, math.Floor((p[0]+roomSlack)/p[1]))
+		} else if p[0] < -roomSlack {
+			return 0
+		}
+	}
+	return int(max(0, n))
+}
+
 // Share is the largest part of whole that r is, over all kinds of room.
 func (r Room) Share(whole Room) float64 {
 	s := 0.0
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -4,25 +4,30 @@
 // controller knows itself: nothing is asked of the state service, the cloud or
 // the siblings for it.
 type Overview struct {
-	Controller string        `json:"controller"`
-	Zone       string        `json:"zone"`
-	UpS        float64       `json:"upS"`
-	Session    SessionView   `json:"session"`
-	Window     *WindowView   `json:"window"`
-	Leader     string        `json:"leader"`
-	Slots      []SlotState   `json:"slots"`
-	Holds      MachineCount  `json:"holds"`
-	Fleet      []FleetCount  `json:"fleet"`
-	Jobs       JobCount      `json:"jobs"`
-	Waiting    []JobView     `json:"waiting"` // the longest waiting, no more than MaxWaiting
-	Siblings   []SiblingView `json:"siblings"`
-	State      ClientView    `json:"stateService"`
-	Cloud      ClientView    `json:"cloud"`
+	Controller string       `json:"controller"`
+	Zone       string       `json:"zone"`
+	UpS        float64      `json:"upS"`
+	Session    SessionView  `json:"session"`
+	Leader     string       `json:"leader"`
+	Holds      MachineCount `json:"holds"`
+	OwnerView
+	State ClientView `json:"stateService"`
+	Cloud ClientView `json:"cloud"`
+	// Busy are parts of the controller that did not answer in time.
+	Busy []string `json:"busy,omitempty"`
+}
+
+// OwnerView is the part of an overview that the controller's owner knows.
+type OwnerView struct {
+	Window   *WindowView   `json:"window"`
+	Slots    []SlotState   `json:"slots"`
+	Fleet    []FleetCount  `json:"fleet"`
+	Jobs     JobCount      `json:"jobs"`
+	Waiting  []JobView     `json:"waiting"` // the longest waiting, no more than MaxWaiting
+	Siblings []SiblingView `json:"siblings"`
 	// NoCapacity are kinds of machines that the cloud had none of a while ago;
 	// only the leader knows.
 	NoCapacity []string `json:"noCapacity"`
-	// Busy are parts of the controller that did not answer in time.
-	Busy []string `json:"busy,omitempty"`
 }
 
 // MaxWaiting bounds the jobs that an overview lists.
--- a/internal/transport/cloud.go
+++ b/internal/transport/cloud.go
@@ -35,28 +35,26 @@
 		c.Counts.NoBudget.Add(1)
 		return err
 	}
-	code, raw, err := call(ctx, c.http, method, c.base+path, body)
-	if err != nil {
-		c.Counts.note(err)
+	raw, err := c.request(ctx, method, path, body)
+	c.Counts.note(err)
+	if err != nil || into == nil {
 		return err
 	}
-	if code != http.StatusOK {
-		var e struct {
-			Error string `json:"error"`
-		}
-		if decode(raw, &e) == nil && e.Error == "no capacity" {
-			c.Counts.note(nil)
-			return ErrNoCapacity
-		}
-		err := fmt.Errorf("%w: cloud answers %d %.80s", ErrRefused, code, raw)
-		c.Counts.note(err)
-		return err
+	return decode(raw, into)
+}
+
+func (c *Cloud) request(ctx context.Context, method, path string, body any) ([]byte, error) {
+	code, raw, err := call(ctx, c.http, method, c.base+path, body)
+	if err != nil || code == http.StatusOK {
+		return raw, err
 	}
-	c.Counts.note(nil)
-	if into == nil {
-		return nil
+	var e struct {
+		Error string `json:"error"`
 	}
-	return decode(raw, into)
+	if decode(raw, &e) == nil && e.Error == "no capacity" {
+		return nil, ErrNoCapacity
+	}
+	return nil, fmt.Errorf("%w: cloud answers %d %.80s", ErrRefused, code, raw)
 }
 
 // Catalog reads the machine types and their current prices.
