--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -13,10 +13,23 @@
 
 // jobRecord is a job's value in the state service. It only moves forward:
 // from pending to cancelled or to done, and stays there.
+//
+// The version before chains bears all that is new here: it ignores Ended, With
+// and Parts, and drops them, as well as what a job needs, when it rewrites a
+// record, which it does only to end a job or to move one that is over. Then
+// when it ended is not known. A record without a description it passes over.
+// Once no such version is left, Ended can be relied on.
 type jobRecord struct {
-	Spec       *protocol.JobSpec `json:"spec"`
+	Spec       *protocol.JobSpec `json:"spec,omitempty"`
 	State      string            `json:"state"`
 	AcceptedMs int64             `json:"at"`
+	EndedMs    int64             `json:"end,omitempty"`
+	// With is the job that it was cancelled with.
+	With string `json:"with,omitempty"`
+	// Parts is in how many further values the description stands, being too
+	// large for this one, and Sum what their names are made of.
+	Parts int    `json:"parts,omitempty"`
+	Sum   string `json:"sum,omitempty"`
 }
 
 // chunkRecord is a bitmap of tasks with a recorded result, as hex-free JSON
@@ -28,9 +41,12 @@
 // Job is a controller's picture of a job. Jobs are never changed once they
 // are published; a change makes a new one, so actors may share them.
 type Job struct {
-	Spec     *protocol.JobSpec
-	State    string
-	Accepted time.Time
+	Spec *protocol.JobSpec
+	// Record is the state that the record says, State what the job is for all
+	// purposes: cancelled too if a job that it needs is.
+	Record, State   string
+	Accepted, Ended time.Time
+	Place
 	// Created and Version are the revisions of the record's first and latest
 	// version that this controller has seen.
 	Created, Version uint64
@@ -38,6 +54,9 @@
 	Token            int64
 	// Archived: the record stands with those of jobs that are over.
 	Archived bool
+	// parts and sum tell where else the description stands.
+	parts int
+	sum   string
 }
 
 // Chunk is a part of a job's results.
@@ -84,15 +103,28 @@
 
 // withRecord gives the job as a newer record has it.
 func (j *Job) withRecord(r *jobRecord, version uint64) *Job {
-	if j == nil {
-		return &Job{Spec: r.Spec, State: r.State, Accepted: time.UnixMilli(r.AcceptedMs), Created: version, Version: version}
+	n := &Job{Spec: r.Spec, Accepted: time.UnixMilli(r.AcceptedMs), Created: version, parts: r.Parts, sum: r.Sum}
+	if j != nil {
+		if version <= j.Version {
+			return j
+		}
+		was := *j
+		n = &was
 	}
-	if version <= j.Version {
-		return j
+	n.Record, n.State, n.With, n.Version = r.State, r.State, r.With, version
+	if r.EndedMs > 0 {
+		n.Ended = time.UnixMilli(r.EndedMs)
 	}
-	n := *j
-	n.State, n.Version = r.State, version
-	return &n
+	return n
+}
+
+// ended is the record of a job that is over. What only placing asks for is left
+// out: a description that just fitted into a value must not keep its job from
+// ending once values are to be smaller.
+func (j *Job) ended(state, with string, at time.Time) *jobRecord {
+	spec := *j.Spec
+	spec.Needs, spec.Types = nil, nil
+	return &jobRecord{Spec: &spec, State: state, AcceptedMs: j.Accepted.UnixMilli(), EndedMs: at.UnixMilli(), With: with, Parts: j.parts, Sum: j.sum}
 }
 
 // marked gives the bits of a chunk with more tasks recorded.
--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -16,30 +16,34 @@
 const Root = "d/"
 
 const (
-	keyTerm      = Root + "term"
-	keyLeader    = Root + "leader"
-	keyWindow    = Root + "window"
-	keyCatalog   = Root + "catalog"
-	jobPrefix    = Root + "j/"
-	overPrefix   = Root + "z/" // sorts last: a controller that starts stops there
-	resultPrefix = Root + "r/"
-	memberPrefix = Root + "m/"
-	slotPrefix   = Root + "s/"
-	lotPrefix    = Root + "l/"
+	keyTerm       = Root + "term"
+	keyLeader     = Root + "leader"
+	keyWindow     = Root + "window"
+	keyCatalog    = Root + "catalog"
+	jobPrefix     = Root + "j/"
+	overPrefix    = Root + "z/" // sorts last: a controller that starts stops there
+	resultPrefix  = Root + "r/"
+	partPrefix    = Root + "p/" // of descriptions that are too large for one value
+	catalogPrefix = keyCatalog + "/"
+	memberPrefix  = Root + "m/"
+	slotPrefix    = Root + "s/"
+	lotPrefix     = Root + "l/"
 )
 
-func jobKey(id string) string               { return jobPrefix + id }
-func overKey(id string) string              { return overPrefix + id }
-func resultKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", resultPrefix, id, chunk) }
-func memberKey(name string) string          { return memberPrefix + name }
-func slotKey(slot int) string               { return fmt.Sprintf("%s%d", slotPrefix, slot) }
-func lotKey(name string) string             { return lotPrefix + name }
+func jobKey(id string) string                 { return jobPrefix + id }
+func overKey(id string) string                { return overPrefix + id }
+func resultKey(id string, chunk int) string   { return fmt.Sprintf("%s%s/%d", resultPrefix, id, chunk) }
+func partKeys(id, sum string) string          { return partPrefix + id + "/" + sum + "/" }
+func partKey(id, sum string, part int) string { return fmt.Sprintf("%s%03d", partKeys(id, sum), part) }
+func memberKey(name string) string            { return memberPrefix + name }
+func slotKey(slot int) string                 { return fmt.Sprintf("%s%d", slotPrefix, slot) }
+func lotKey(name string) string               { return lotPrefix + name }
 
 // kinds are the kinds of records, as operators are told of them, by how their
 // keys begin.
 var kinds = []struct{ prefix, name string }{
 	{keyTerm, "term"}, {keyLeader, "leader"}, {keyWindow, "window"}, {keyCatalog, "catalogue"}, {jobPrefix, "job"},
-	{overPrefix, "over"}, {resultPrefix, "result"}, {memberPrefix, "session"}, {slotPrefix, "slot"}, {lotPrefix, "lot"},
+	{overPrefix, "over"}, {resultPrefix, "result"}, {partPrefix, "part"}, {memberPrefix, "session"}, {slotPrefix, "slot"}, {lotPrefix, "lot"},
 }
 
 // kindOf tells what kind of record a key holds.
@@ -65,10 +69,20 @@
 	Term uint64 `json:"term"`
 	// Deaf asks that no workers be dealt to this controller for now.
 	Deaf bool `json:"deaf,omitempty"`
+	// Generation is what the process understands, see Generation; a version
+	// that has none is of the first.
+	Generation int `json:"gen,omitempty"`
 	// Version is the record's version, not part of its value.
 	Version uint64 `json:"-"`
 }
 
+// Generation is what this version understands of records: 2 with chains of
+// jobs, which a process of the first would run at once.
+const Generation = 2
+
+// Chains tells whether the controller understands chains of jobs.
+func (m *Member) Chains() bool { return m.Generation >= 2 }
+
 // Leader names the controller that leads.
 type Leader struct {
 	Name    string `json:"name"`
@@ -86,8 +100,12 @@
 	// Roster are the slot's machines on which tasks may have been started.
 	Roster Roster `json:"up,omitempty"`
 	// Listed: the record was written by a version that keeps rosters.
-	Listed  bool   `json:"listed,omitempty"`
-	Version uint64 `json:"-"`
+	Listed bool `json:"listed,omitempty"`
+	// Packed is the roster in a smaller form, where it would be too large for a
+	// value, and Unlisted says then that no roster was kept; see packed.
+	Packed   []byte `json:"packed,omitempty"`
+	Unlisted bool   `json:"unlisted,omitempty"`
+	Version  uint64 `json:"-"`
 }
 
 // Roster is a set of machines by their numbers. In a record it is the list of
--- a/internal/bookkeeping/records_test.go
+++ b/internal/bookkeeping/records_test.go
@@ -65,7 +65,7 @@
 // only when both have dropped it: a machine told to be gone is never awaited.
 func TestMachinesGoWithTheirLastLot(t *testing.T) {
 	h := &heard{machines: map[string]bool{}}
-	r := NewReplica(nil, nil, h, nil)
+	r := NewReplica(nil, nil, nil, h, nil)
 	lot := func(name string, version uint64, ids ...string) {
 		raw, _ := json.Marshal(Lot{Type: "small", Zone: "a", Machines: ids, RentedMs: time.Now().UnixMilli()})
 		r.apply(lotKey(name), len(ids) == 0, raw, version)
@@ -95,7 +95,7 @@
 // Jobs come for ever: what a controller keeps of those that are over is
 // bounded, and those that are not over are all kept.
 func TestJobsThatAreOverDontPileUp(t *testing.T) {
-	r := NewReplica(nil, func(*protocol.JobSpec) int64 { return 0 }, &heard{}, nil)
+	r := NewReplica(nil, func(*protocol.JobSpec) int64 { return 0 }, func(*Job) Urgency { return Urgency{} }, &heard{}, nil)
 	record := func(id, state string) []byte {
 		raw, _ := json.Marshal(jobRecord{Spec: &protocol.JobSpec{ID: id, Tasks: 1}, State: state})
 		return raw
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -42,15 +42,31 @@
 	// found by several at once.
 	homes map[string]int
 	early map[string]map[int]Chunk
+	// chains are the jobs that name one another.
+	chains *chains
+	// divided are jobs whose descriptions stand in parts that are not read yet.
+	divided map[string]bool
+	// finding: what the records don't tell is being read; found are answers.
+	finding  bool
+	findFrom time.Time
+	found    chan []finding
+	store    *Store
+	catalog  catalogParts
 	// caught hears up to which revision the listeners were told everything.
 	caught func(revision uint64)
 	// tokenOf gives a job its place on the ring.
 	tokenOf func(*protocol.JobSpec) int64
 }
 
-// NewReplica makes a replica.
-func NewReplica(s *transport.State, tokenOf func(*protocol.JobSpec) int64, to Listener, caught func(uint64)) *Replica {
-	return &Replica{state: s, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{}, homes: map[string]int{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf}
+// NewReplica makes a replica; weigh gives a job's own urgency.
+func NewReplica(st *Store, tokenOf func(*protocol.JobSpec) int64, weigh func(*Job) Urgency, to Listener, caught func(uint64)) *Replica {
+	r := &Replica{store: st, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{},
+		homes: map[string]int{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf, chains: newChains(weigh),
+		divided: map[string]bool{}, found: make(chan []finding, 1)}
+	if st != nil {
+		r.state = st.state
+	}
+	return r
 }
 
 // watchBlock bounds one wait for changes, and so how stale a replica can be
@@ -69,7 +85,11 @@
 			loaded = err == nil
 		} else {
 			var ev protocol.Events
-			ev, err = r.state.Watch(ctx, Root, from, watchBlock)
+			block := watchBlock
+			if r.find(ctx) {
+				block = findBlock
+			}
+			ev, err = r.state.Watch(ctx, Root, from, block)
 			if err == nil {
 				for _, e := range ev.Events {
 					r.apply(e.Set+e.Drop, e.Drop != "", e.Value, e.Version)
@@ -85,11 +105,82 @@
 			pause(ctx, 300*time.Millisecond)
 			continue
 		}
+		select {
+		case found := <-r.found:
+			r.learn(found)
+		default:
+		}
 		r.caught(from)
 		r.to.Synced(sent)
 	}
 }
 
+// What the records at hand don't tell is read a few jobs at a time, beside the
+// watch, which meanwhile waits for no longer than findBlock. findAgain is when
+// what could not be found out is asked for again.
+const (
+	findBlock = 100 * time.Millisecond
+	findMost  = 8
+	findAgain = 500 * time.Millisecond
+)
+
+// finding is what was read of a job, nil if it was never accepted.
+type finding struct {
+	id  string
+	job *Job
+	err error
+}
+
+// find has jobs looked up that others name and that the replica doesn't have,
+// being long over, and such whose descriptions stand in parts. It tells whether
+// there are any.
+func (r *Replica) find(ctx context.Context) bool {
+	ids := r.chains.lookUps(findMost)
+	for id := range r.divided {
+		if len(ids) == 2*findMost {
+			break
+		}
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 || r.finding || time.Now().Before(r.findFrom) {
+		return len(ids) > 0
+	}
+	r.finding = true
+	go func() {
+		var out []finding
+		for _, id := range ids {
+			j, err := r.store.ReadOver(ctx, id)
+			out = append(out, finding{id, j, err})
+		}
+		r.found <- out // there is room: nothing else is asked for meanwhile
+	}()
+	return true
+}
+
+// learn takes in what was found.
+func (r *Replica) learn(found []finding) {
+	r.finding = false
+	for _, f := range found {
+		switch {
+		case f.err != nil:
+			r.findFrom = time.Now().Add(findAgain)
+			slog.Debug("job not looked up", "job", f.id, "err", f.err)
+		case r.divided[f.id] && f.job != nil:
+			delete(r.divided, f.id)
+			if r.jobs[f.id] == nil {
+				r.put(f.id, f.job)
+			}
+		case f.job != nil && !f.job.Final():
+			r.findFrom = time.Now().Add(findAgain) // it is about to come by the watch
+		default:
+			if f.job == nil {
+				slog.Error("a record names a job that was never accepted", "job", f.id)
+			}
+			r.publish(r.chains.learn(f.id, f.job))
+		}
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -128,7 +219,7 @@
 	}
 	clear(r.early) // results that a job of a great many tasks left behind
 	for id, j := range r.jobs {
-		if j.Final() || seen[jobKey(id)] {
+		if final(j.Record) || seen[jobKey(id)] {
 			continue
 		}
 		// It ended while the replica could not follow.
@@ -169,7 +260,17 @@
 	if ok || archived {
 		// A dropped record of a job says nothing: it is over, and the record
 		// that says so came with it.
-		if rec := parse[jobRecord](key, raw, dropped); rec != nil && rec.Spec != nil {
+		rec := parse[jobRecord](key, raw, dropped)
+		switch {
+		case rec == nil:
+		case rec.Spec == nil && r.jobs[id] == nil:
+			if rec.Parts > 0 {
+				r.divided[id] = true
+			} else {
+				slog.Error("senseless record", "key", key)
+			}
+		default:
+			delete(r.divided, id)
 			j := r.jobs[id].withRecord(rec, version)
 			if archived && !j.Archived {
 				moved := *j
@@ -200,6 +301,7 @@
 		slot, err := strconv.Atoi(num)
 		s := parse[Slot](key, raw, dropped)
 		if s != nil && err == nil {
+			s.unpack()
 			s.Version = version
 			r.to.SlotChanged(slot, s)
 		}
@@ -222,9 +324,11 @@
 			w.Version = version
 			r.to.WindowChanged(w)
 		}
-	} else if key == keyCatalog {
-		if c := parse[protocol.Catalog](key, raw, dropped); c != nil {
-			r.to.CatalogChanged(c)
+	} else if key == keyCatalog || strings.HasPrefix(key, catalogPrefix) {
+		if rec := parse[catalogRecord](key, raw, dropped); rec != nil {
+			if c := r.catalog.take(*rec, version); c != nil {
+				r.to.CatalogChanged(c)
+			}
 		}
 	}
 }
@@ -261,7 +365,8 @@
 	}
 }
 
-// put publishes a job. Results may have been listed before their job.
+// put takes in a job as its record has it, and publishes it with all whose
+// place that changes. Results may have been listed before their job.
 func (r *Replica) put(id string, j *Job) {
 	old := r.jobs[id]
 	if j == old {
@@ -273,7 +378,29 @@
 			j = j.withChunk(c, chunk)
 		}
 		delete(r.early, id)
+	} else if !final(old.Record) && final(j.Record) && j.Ended.IsZero() {
+		j.Ended = time.Now() // the version before chains does not say
 	}
+	others := r.chains.take(j, func(id string) *Job { return r.jobs[id] })
+	r.chains.place(j)
+	r.show(j, old)
+	r.publish(others)
+}
+
+// publish publishes jobs whose place changed.
+func (r *Replica) publish(ids []string) {
+	for _, id := range ids {
+		if old := r.jobs[id]; old != nil {
+			j := *old
+			r.chains.place(&j)
+			r.show(&j, old)
+		}
+	}
+}
+
+// show publishes a job in place of what was published before, if anything.
+func (r *Replica) show(j, old *Job) {
+	id := j.Spec.ID
 	r.jobs[id] = j
 	r.to.JobChanged(j)
 	if !j.Final() || old != nil && old.Final() {
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -20,34 +21,76 @@
 
 // Store writes and reads records in the state service. It keeps nothing.
 type Store struct {
-	state  *transport.State
-	txnOps int
-	// counts are the changes asked for, by kind of record.
-	counts map[string]*atomic.Int64
+	state *transport.State
+	// txnOps and valueBytes are the smallest limits that are known: on the
+	// changes of a transaction, and on a value.
+	txnOps, valueBytes int
+	kinds              map[string]*kindCount
+}
+
+// kindCount is what became of the changes of one kind of record.
+type kindCount struct {
+	asked atomic.Int64
+	// refused is the size of the largest value in a transaction that the state
+	// service called malformed, refusedAt when that was, by its milliseconds.
+	refused, refusedAt atomic.Int64
 }
 
 // NewStore makes a store.
-func NewStore(s *transport.State, txnOps int) *Store {
-	counts := map[string]*atomic.Int64{}
+func NewStore(s *transport.State, txnOps, valueBytes int) *Store {
+	counts := map[string]*kindCount{}
 	for _, kind := range kinds {
-		counts[kind.name] = &atomic.Int64{}
+		counts[kind.name] = &kindCount{}
 	}
-	return &Store{state: s, txnOps: txnOps, counts: counts}
+	return &Store{state: s, txnOps: txnOps, valueBytes: valueBytes, kinds: counts}
 }
 
-// try makes a transaction and counts what it would change.
+// refusalHolds is for how long a value is not sent that is as large as one that
+// the state service called malformed.
+const refusalHolds = 30 * time.Second
+
+// try makes a transaction and counts what it would change. What can't be
+// written as it is would be tried for ever by the loops above: it is not sent,
+// or not again for a while.
 func (s *Store) try(ctx context.Context, u transport.Urgency, timeout time.Duration, conds []protocol.Condition, then []protocol.Change) (protocol.TxnAnswer, bool, error) {
+	large, largest := "", 0
 	for _, c := range then {
-		s.counts[kindOf(c.Set+c.Drop)].Add(1)
+		kind := kindOf(c.Set + c.Drop)
+		s.kinds[kind].asked.Add(1)
+		if n := size(c.Value); n > largest {
+			large, largest = kind, n
+		}
+	}
+	var k *kindCount
+	if k = s.kinds[large]; k != nil {
+		held := k.refused.Load() > 0 && int64(largest) >= k.refused.Load()
+		recent := time.Since(time.UnixMilli(k.refusedAt.Load())) < refusalHolds
+		if held && recent {
+			return protocol.TxnAnswer{}, false, transport.ErrInvalid
+		}
+		if largest > s.valueBytes {
+			k.refuse(large, largest, errors.New("it exceeds the limit that the settings name"))
+			return protocol.TxnAnswer{}, false, transport.ErrInvalid
+		}
+	}
+	ans, ok, err := s.state.Commit(ctx, u, timeout, protocol.Txn{If: conds, Then: then})
+	if errors.Is(err, transport.ErrInvalid) && k != nil {
+		k.refuse(large, largest, err)
 	}
-	return s.state.Commit(ctx, u, timeout, protocol.Txn{If: conds, Then: then})
+	return ans, ok, err
+}
+
+func (k *kindCount) refuse(kind string, size int, why error) {
+	k.refused.Store(int64(size))
+	k.refusedAt.Store(time.Now().UnixMilli())
+	slog.Error("the state service can't take a record", "kind", kind, "bytes", size, "err", why)
 }
 
 // Changes is how many changes were asked for so far, by kind of record.
 func (s *Store) Changes() map[string]int64 {
-	out := make(map[string]int64, len(s.counts))
-	for kind, n := range s.counts {
-		out[kind] = n.Load()
+	out := make(map[string]int64, len(s.kinds))
+	for kind, n := range s.kinds {
+		out[kind] = n.asked.Load()
 	}
 	return out
 }
@@ -81,9 +124,24 @@
 // userPatience is how long a user's request may wait for the state service.
 const userPatience = 1700 * time.Millisecond
 
-// CreateJob records a job as accepted. ErrConflict: the id is known already.
-func (s *Store) CreateJob(ctx context.Context, spec *protocol.JobSpec) error {
+// CreateJob records a job as accepted, cancelled from the start if one that it
+// needs was: with names that. ErrConflict: the id is known already.
+func (s *Store) CreateJob(ctx context.Context, spec *protocol.JobSpec, with string) error {
 	rec := &jobRecord{Spec: spec, State: protocol.Pending, AcceptedMs: time.Now().UnixMilli()}
+	if with != "" {
+		now := time.Now()
+		rec = s.brief((&Job{Spec: spec, Accepted: now}).ended(protocol.Cancelled, with, now))
+	}
+	if !s.fits(rec) {
+		parts, sum, err := s.divide(spec)
+		if err == nil {
+			err = s.writeParts(ctx, spec.ID, sum, parts)
+		}
+		if err != nil {
+			return err
+		}
+		rec.Spec, rec.Parts, rec.Sum = nil, len(parts), sum
+	}
 	return s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(spec.ID)}, {Key: overKey(spec.ID)}},
 		set(jobKey(spec.ID), rec, 0))
 }
@@ -95,26 +153,50 @@
 	// is empty now, the second is not, unless there was never such a job.
 	for _, key := range []string{jobKey(id), overKey(id)} {
 		r, version, err := get[jobRecord](ctx, s, transport.Urgent, userPatience, key)
+		if err == nil && r != nil {
+			err = s.whole(ctx, id, r)
+		}
 		if err != nil {
 			return nil, err
 		}
+		if r != nil && r.Spec == nil {
+			return nil, fmt.Errorf("record %s describes no job", key)
+		}
 		if r != nil {
-			return (*Job)(nil).withRecord(r, version), nil
+			j := (*Job)(nil).withRecord(r, version)
+			j.Ready, j.Archived = j.Accepted, key == overKey(id)
+			return j, nil
 		}
 	}
 	return nil, nil
 }
 
+// ReadOver reads the record of a job that is probably long over, by one request
+// if it is.
+func (s *Store) ReadOver(ctx context.Context, id string) (*Job, error) {
+	r, version, err := get[jobRecord](ctx, s, transport.Urgent, userPatience, overKey(id))
+	if err != nil || r == nil || r.Spec == nil {
+		if err == nil {
+			return s.ReadJob(ctx, id)
+		}
+		return nil, err
+	}
+	j := (*Job)(nil).withRecord(r, version)
+	j.Archived = true
+	return j, nil
+}
+
 // over is the one change that ends a job. It is made in place: moving the
 // record to those that are over takes two changes more, which may wait until
 // there is nothing better to write (Archive).
-func over(j *Job, state string) protocol.Change {
-	return set(jobKey(j.Spec.ID), &jobRecord{Spec: j.Spec, State: state, AcceptedMs: j.Accepted.UnixMilli()}, 0)
+func (s *Store) over(j *Job, state string) protocol.Change {
+	return set(jobKey(j.Spec.ID), s.brief(j.ended(state, "", time.Now())), 0)
 }
 
 // Archive moves jobs that are over to where a controller that starts does not
 // read them, and drops their results. A job whose record changed meanwhile
-// fails only those written with it.
+// fails only those written with it. For a job that was cancelled with another
+// one it is the first record that says so.
 func (s *Store) Archive(ctx context.Context, jobs []*Job) {
 	var conds []protocol.Condition
 	var then []protocol.Change
@@ -124,12 +206,7 @@
 		return err == nil
 	}
 	for _, j := range jobs {
-		var drops []protocol.Change
-		for c, ch := range j.Results {
-			if ch.Version > 0 {
-				drops = append(drops, protocol.Change{Drop: resultKey(j.Spec.ID, c)})
-			}
-		}
+		drops := dropsOf(j)
 		// A job of a great many tasks has more results than a transaction takes.
 		for ; len(drops) > s.txnOps-2; drops = drops[s.txnOps-2:] {
 			if s.commit(ctx, transport.Deferred, 10*time.Second, nil, drops[:s.txnOps-2]...) != nil {
@@ -139,10 +216,17 @@
 		if len(then)+len(drops)+2 > s.txnOps && !write() {
 			return
 		}
-		id := j.Spec.ID
+		ended := j.Ended
+		if j.Record == protocol.Pending {
+			ended = time.Now()
+		}
+		id, rec := j.Spec.ID, j.ended(j.State, j.With, ended)
+		if ended.IsZero() {
+			rec.EndedMs = 0 // the version before chains did not say
+		}
+		rec.Parts, rec.Sum = 0, ""
 		conds = append(conds, protocol.Condition{Key: jobKey(id), Version: j.Version})
-		then = append(then, set(overKey(id), &jobRecord{Spec: j.Spec, State: j.State, AcceptedMs: j.Accepted.UnixMilli()}, 0),
-			protocol.Change{Drop: jobKey(id)})
+		then = append(then, set(overKey(id), s.brief(rec), 0), protocol.Change{Drop: jobKey(id)})
 		then = append(then, drops...)
 	}
 	if len(then) > 0 {
@@ -152,6 +236,7 @@
 
 // CancelJob makes a job cancelled unless it is over already; the job that
 // it gives back is as it stands afterwards, nil if it was never accepted.
+// Those that need it are cancelled by the same record (chains).
 func (s *Store) CancelJob(ctx context.Context, id string) (*Job, error) {
 	for range 4 {
 		j, err := s.ReadJob(ctx, id)
@@ -159,9 +244,9 @@
 			return j, err
 		}
 		err = s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(id), Version: j.Version}},
-			over(j, protocol.Cancelled))
+			s.over(j, protocol.Cancelled))
 		if err == nil {
-			j.State = protocol.Cancelled
+			j.Record, j.State = protocol.Cancelled, protocol.Cancelled
 			return j, nil
 		}
 		if !errors.Is(err, ErrConflict) {
@@ -195,6 +280,12 @@
 		byChunk[t/ChunkTasks] = append(byChunk[t/ChunkTasks], t)
 	}
 	id := o.Job.Spec.ID
+	ends := o.Finishes()
+	for c := range byChunk {
+		if !ends && len(byChunk) > s.txnOps {
+			delete(byChunk, c) // a transaction takes no more; the rest comes next
+		}
+	}
 	for c, tasks := range byChunk {
 		var old Chunk
 		if c < len(o.Job.Results) {
@@ -205,13 +296,13 @@
 	}
 	conds = append(conds, protocol.Condition{Key: jobKey(id), Version: o.Job.Version})
 	// All chunks must be the ones counted: guard those not written as well.
-	if o.Finishes() {
+	if ends {
 		for c, ch := range o.Job.Results {
 			if byChunk[c] == nil {
 				conds = append(conds, protocol.Condition{Key: resultKey(id, c), Version: ch.Version})
 			}
 		}
-		then = []protocol.Change{over(o.Job, protocol.Done)}
+		then = []protocol.Change{s.over(o.Job, protocol.Done)}
 	}
 	return conds, then
 }
@@ -324,7 +415,7 @@
 		return 0, 0, sent, err
 	}
 	term, err = s.TakeTerm(ctx, nil, func(term uint64) []protocol.Change {
-		return []protocol.Change{set(memberKey(name), Member{Term: term}, lease)}
+		return []protocol.Change{set(memberKey(name), Member{Term: term, Generation: Generation}, lease)}
 	})
 	return term, lease, sent, err
 }
@@ -338,6 +429,7 @@
 // that of the same process: applied late, after a restart, it must not put a
 // dead process's session in place of the living one's.
 func (s *Store) UpdateMember(ctx context.Context, name string, m Member, lease uint64) error {
+	m.Generation = Generation
 	seen, version, err := get[Member](ctx, s, transport.Ordinary, 3*time.Second, memberKey(name))
 	if err != nil {
 		return err
@@ -418,7 +510,7 @@
 			if c.Seen != nil {
 				rec.Roster = c.Seen.Roster
 			}
-			then = append(then, set(slotKey(c.Slot), rec, 0))
+			then = append(then, set(slotKey(c.Slot), s.packed(rec), 0))
 		}
 		return then
 	})
@@ -438,7 +530,7 @@
 	var then []protocol.Change
 	for _, c := range changes {
 		conds = append(conds, protocol.Condition{Key: slotKey(c.Slot), Version: c.Seen})
-		then = append(then, set(slotKey(c.Slot), c.To, 0))
+		then = append(then, set(slotKey(c.Slot), s.packed(c.To), 0))
 	}
 	return s.commit(ctx, u, 3*time.Second, conds, then...)
 }
@@ -476,35 +568,69 @@
 
 // AddLot registers machines under a lot's name that was never used.
 func (s *Store) AddLot(ctx context.Context, u transport.Urgency, name string, l Lot) error {
-	return s.commit(ctx, u, 4*time.Second, []protocol.Condition{{Key: lotKey(name)}}, set(lotKey(name), l, 0))
+	for part, l := range s.divided(name, l) {
+		err := s.commit(ctx, u, 4*time.Second, []protocol.Condition{{Key: lotKey(part)}}, set(lotKey(part), l, 0))
+		// One that is there already was written by an earlier try.
+		if err != nil && !errors.Is(err, ErrConflict) {
+			return err
+		}
+	}
+	return nil
 }
 
 // DropMachines takes machines that are gone out of the lots given, as these
 // were last seen. A lot that changed meanwhile fails only those written with it.
 func (s *Store) DropMachines(ctx context.Context, ids map[string]bool, lots map[string]*Lot) error {
 	var failed error
-	for names := range slices.Chunk(slices.Sorted(maps.Keys(lots)), s.txnOps) {
-		var conds []protocol.Condition
-		var then []protocol.Change
-		for _, name := range names {
-			l := *lots[name]
-			conds = append(conds, protocol.Condition{Key: lotKey(name), Version: l.Version})
-			l.Machines = slices.DeleteFunc(slices.Clone(l.Machines), func(id string) bool { return ids[id] })
-			if len(l.Machines) == 0 {
-				then = append(then, protocol.Change{Drop: lotKey(name)})
-			} else {
-				then = append(then, set(lotKey(name), l, 0))
-			}
+	var conds []protocol.Condition
+	var then []protocol.Change
+	write := func() {
+		if len(then) == 0 {
+			return
 		}
 		if err := s.commit(ctx, transport.Ordinary, 4*time.Second, conds, then...); err != nil {
 			failed = err
 		}
+		conds, then = nil, nil
 	}
+	for _, name := range slices.Sorted(maps.Keys(lots)) {
+		l := *lots[name]
+		seen := protocol.Condition{Key: lotKey(name), Version: l.Version}
+		l.Machines = slices.DeleteFunc(slices.Clone(l.Machines), func(id string) bool { return ids[id] })
+		change := set(lotKey(name), l, 0)
+		if rest := l.Machines; len(rest) > 0 && !s.fits(l) {
+			// It was stored when values could be larger. The rest is registered
+			// anew first: a machine that no lot names counts as gone.
+			if err := s.AddLot(ctx, transport.Ordinary, name+"."+rest[0], l); err != nil {
+				failed = err
+				continue
+			}
+			l.Machines = nil
+		}
+		if len(l.Machines) == 0 {
+			change = protocol.Change{Drop: lotKey(name)}
+		}
+		if len(then) == s.txnOps {
+			write()
+		}
+		conds, then = append(conds, seen), append(then, change)
+	}
+	write()
 	return failed
 }
 
 // SaveCatalog records the catalogue, so that a controller that starts while
 // the cloud is silent knows the machine types.
 func (s *Store) SaveCatalog(ctx context.Context, c protocol.Catalog) error {
-	return s.commit(ctx, transport.Ordinary, 3*time.Second, nil, set(keyCatalog, c, 0))
+	recs := s.catalogRecords(c, time.Now().UnixMilli())
+	for _, r := range recs {
+		key := keyCatalog
+		if r.Of > 0 {
+			key = fmt.Sprintf("%s%03d", catalogPrefix, r.Part)
+		}
+		if err := s.commit(ctx, transport.Ordinary, 3*time.Second, nil, set(key, r, 0)); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,6 +83,13 @@
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			// Next are limits that will hold from some moment on, without
+			// notice; what is absent stays as it is.
+			Next struct {
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -111,7 +118,11 @@
 	if _, err := toml.DecodeFile(platformFile, &c.Platform); err != nil {
 		return nil, fmt.Errorf("settings %s: %w", platformFile, err)
 	}
-	if err := c.check(); err != nil {
+	err := c.lower()
+	if err == nil {
+		err = c.check()
+	}
+	if err != nil {
 		return nil, fmt.Errorf("settings %s: %w", platformFile, err)
 	}
 	if operatorFile != "" {
@@ -181,6 +192,37 @@
 // the workers' lease, so that a successor can take them over before it ends.
 func (c *Config) SessionTTL() time.Duration { return c.WorkerLease() / 2 }
 
+// lower plans for the smaller of the present and the coming limits of the state
+// service from the start: they come without notice.
+func (c *Config) lower() error {
+	s := &c.Deployment.State
+	for name, v := range map[string]*float64{"write_rps": s.Next.WriteRPS, "value_kb": s.Next.ValueKB} {
+		if v != nil && !(*v > 0) {
+			return fmt.Errorf("deployment.state.next.%s must be positive, not %v", name, *v)
+		}
+	}
+	if v := s.Next.WriteRPS; v != nil {
+		s.WriteRPS = min(s.WriteRPS, *v)
+	}
+	if v := s.Next.ValueKB; v != nil {
+		s.ValueKB = min(s.ValueKB, *v)
+	}
+	if v := s.Next.TxnOps; v != nil {
+		if *v <= 0 {
+			return fmt.Errorf("deployment.state.next.txn_ops must be positive, not %d", *v)
+		}
+		s.TxnOps = min(s.TxnOps, *v)
+	}
+	return nil
+}
+
+// ValueBytes is the size that no value in the state service may exceed.
+func (c *Config) ValueBytes() int { return int(c.Deployment.State.ValueKB * 1024) }
+
+// leastValue is the least size of a value that daledyke can do with: a chunk of
+// results is the largest that can't be divided.
+const leastValue = 1536
+
 func (c *Config) check() error {
 	d := &c.Deployment
 	for name, addr := range map[string]string{"front": c.Front, "internal_addr": c.Internal,
@@ -215,16 +257,23 @@
 			return fmt.Errorf("%s must be positive, not %v", name, v)
 		}
 	}
-	if d.State.TxnOps < 3 {
-		return fmt.Errorf("deployment.state.txn_ops must be at least 3, not %d: a term, a slot and a result go with other changes", d.State.TxnOps)
+	if d.State.TxnOps < 4 {
+		return fmt.Errorf("deployment.state: the smallest txn_ops must be at least 4, not %d: a term, slots and results go with other changes, and the largest job ends under 14 conditions", d.State.TxnOps)
 	}
 	// A window names a controller for each of n(n-1) slots, in one value.
 	deal := 0
 	for name := range seen {
 		deal += (len(name) + len(`"",`)) * len(seen)
 	}
-	if limit := int(d.State.ValueKB * 1024); deal > limit {
-		return fmt.Errorf("siblings: %d controllers are too many for deployment.state.value_kb: a window takes about %d bytes of %d", len(seen), deal, limit)
+	for name := range seen {
+		deal += len(name) + len(`"",`) // as owners of the ring
+	}
+	deal += 100
+	if limit := c.ValueBytes(); deal > limit {
+		return fmt.Errorf("siblings: %d controllers are too many for the smallest deployment.state value_kb: a window takes about %d bytes of %d", len(seen), deal, limit)
+	}
+	if limit := c.ValueBytes(); limit < leastValue {
+		return fmt.Errorf("deployment.state: the smallest value_kb must be at least %v: a chunk of results takes that much", float64(leastValue)/1024)
 	}
 	if d.Workers.LeaseS < 2*d.Workers.ReportS {
 		return errors.New("deployment.workers.lease_s must be at least twice report_s")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,8 +58,13 @@
 		"services.state": {`state = "10.2.0.1:2379"`, `state = "nowhere"`},
 		"lease_s":        {`lease_s = 26.0`, `lease_s = -1.0`},
 		"txn_ops":        {`txn_ops = 12`, ``},
-		"at least 3":     {`txn_ops = 12`, `txn_ops = 2`},
+		"at least 4":     {`txn_ops = 12`, `txn_ops = 2`},
 		"too many":       {`value_kb = 8.0`, `value_kb = 0.01`},
+		"least 1.5":      {`txn_ops = 12`, "txn_ops = 12\nnext = { value_kb = 1.0 }"},
+		"next.value_kb":  {`txn_ops = 12`, "txn_ops = 12\nnext = { value_kb = -2.0 }"},
+		"next.write_rps": {`txn_ops = 12`, "txn_ops = 12\nnext = { write_rps = 0.0 }"},
+		"next.txn_ops":   {`txn_ops = 12`, "txn_ops = 12\nnext = { txn_ops = 0 }"},
+		"4, not 2":       {`txn_ops = 12`, "txn_ops = 12\nnext = { txn_ops = 2 }"},
 		"n0":             {`host_name = "n1"`, `host_name = "n0"`},
 		"line":           {`[deployment]`, `[deployment`},
 	} {
@@ -70,6 +75,15 @@
 	}
 }
 
+// Limits that are to fall are planned for from the start, and what is to rise
+// is not counted on.
+func TestTheSmallerLimitsCount(t *testing.T) {
+	c, err := load(t, strings.Replace(sound, "txn_ops = 12", "txn_ops = 12\nnext = { txn_ops = 4, value_kb = 2.0, write_rps = 60.0 }", 1))
+	if s := &c.Deployment.State; err != nil || s.TxnOps != 4 || c.ValueBytes() != 2048 || s.WriteRPS != 40 {
+		t.Errorf("read as %+v, %v", s, err)
+	}
+}
+
 func TestOperatorSettings(t *testing.T) {
 	o := Defaults()
 	if err := o.parse([]byte("; ours\n(daledyke (window-s 20) (publish-offset-s 7.5) (sample 3) (spare 0))")); err != nil ||
--- /dev/null
+++ b/internal/coordination/chains.go
@@ -0,0 +1,160 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
+	"daledyke/internal/protocol"
+)
+
+// Chains of jobs, as a submission sees them. What follows for a job from the
+// others is worked out with the replica (bookkeeping, chains.go).
+
+// urgency is how much the end of a job is wanted for its own sake.
+func urgency(c *config.Config, j *bookkeeping.Job) bookkeeping.Urgency {
+	u := bookkeeping.Urgency{Rank: j.Spec.Priority.Rank(), Filler: c.Filler(j.Spec)}
+	if j.Spec.DeadlineS != nil {
+		u.End = j.Accepted.Add(protocol.Seconds(*j.Spec.DeadlineS))
+	}
+	return u
+}
+
+// errNever: the jobs that a submission names can't all be done some day.
+var errNever = errors.New("awaits")
+
+// needsWithin bounds how long a submission waits for what is known of the jobs
+// that it names, and needsAtOnce how many are read at a time.
+const (
+	needsWithin = bookkeeping.FreshWithin
+	needsAtOnce = 8
+)
+
+// needs finds out what became of the jobs that a submission names, and leaves
+// in it those that are not over: what is done needs not be waited for, and
+// would have to be looked up by every controller that starts. with is one that
+// was cancelled. What is found is kept for a retry: a list of jobs long over
+// may take several.
+func (k *Controller) needs(ctx context.Context, spec *protocol.JobSpec) (with string, err error) {
+	if len(spec.Needs) == 0 {
+		return "", nil
+	}
+	if k.mixed.Load() {
+		// A controller of the version before chains may own the job, and would
+		// run it at once. Once no such version is left, this can go.
+		return "", ErrLater
+	}
+	ctx, cancel := context.WithTimeout(ctx, needsWithin)
+	defer cancel()
+	known, ok := askFor(ctx, &k.owner.actor, func() map[string]*bookkeeping.Job {
+		out := make(map[string]*bookkeeping.Job, len(spec.Needs))
+		for _, id := range spec.Needs {
+			if js := k.owner.jobs[id]; js != nil {
+				out[id] = js.job
+			}
+		}
+		return out
+	})
+	if !ok {
+		return "", ErrLater
+	}
+	if err := k.readNeeds(ctx, spec, known); err != nil {
+		return "", err
+	}
+	var open []string
+	for _, id := range spec.Needs {
+		j := known[id]
+		switch {
+		case id == spec.ID || j == nil:
+			return "", fmt.Errorf("%w: %s was never accepted", errNever, id)
+		case j.Spec.Shape == protocol.Service:
+			return "", fmt.Errorf("%w: %s is a service, which is never done", errNever, id)
+		case j.State == protocol.Cancelled:
+			if with = j.With; with == "" {
+				with = id
+			}
+		case j.State != protocol.Done:
+			open = append(open, id)
+		}
+	}
+	spec.Needs = open
+	return with, nil
+}
+
+// readNeeds reads the jobs that a submission names and that are not known. That
+// one was never accepted is proved by reads that begin after the submission.
+func (k *Controller) readNeeds(ctx context.Context, spec *protocol.JobSpec, known map[string]*bookkeeping.Job) error {
+	type answer struct {
+		id  string
+		job *bookkeeping.Job
+		err error
+	}
+	var unknown []string
+	for _, id := range spec.Needs {
+		if known[id] == nil && id != spec.ID {
+			unknown = append(unknown, id)
+		}
+	}
+	answers := make(chan answer)
+	asked := 0
+	ask := func() {
+		id := unknown[asked]
+		asked++
+		go func() {
+			j, err := k.store.ReadOver(ctx, id)
+			answers <- answer{id, j, err}
+		}()
+	}
+	for asked < min(needsAtOnce, len(unknown)) {
+		ask()
+	}
+	var failed error
+	for taken := 0; taken < asked; taken++ {
+		a := <-answers
+		switch {
+		case a.err != nil:
+			failed = ErrLater
+		case a.job != nil:
+			known[a.id] = a.job
+			if a.job.Final() {
+				k.foundOver(a.job) // for the retry
+			}
+		}
+		if failed == nil && ctx.Err() == nil && asked < len(unknown) {
+			ask()
+		}
+	}
+	if failed == nil && asked < len(unknown) {
+		failed = ErrLater
+	}
+	return failed
+}
+
+// foundOver takes in a job that is over and that the replica does not have.
+func (k *Controller) foundOver(j *bookkeeping.Job) {
+	j.Token = Token(k.cfg, j.Spec)
+	k.holder.tell(func() {
+		if k.holder.jobs[j.Spec.ID] == nil {
+			k.holder.jobChanged(j)
+		}
+	})
+	k.owner.tell(func() {
+		if k.owner.jobs[j.Spec.ID] == nil {
+			k.owner.jobChanged(j)
+		}
+	})
+}
+
+// memberChanged notes what a sibling's version understands.
+func (o *Owner) memberChanged(name string, m *bookkeeping.Member) {
+	p := o.peers[name]
+	switch {
+	case p == nil:
+	case m == nil:
+		p.generation = 0
+	default:
+		p.generation = max(1, m.Generation)
+	}
+}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -30,6 +30,10 @@
 
 	catalog atomic.Pointer[protocol.Catalog]
 	loaded  atomic.Bool
+	// older are controllers whose version knows no chains; only the replica's
+	// goroutine touches it, and mixed tells all others whether there are any.
+	older map[string]bool
+	mixed atomic.Bool
 }
 
 // sibling reaches a holder over net/rpc. Feeds wait, so they have a
@@ -65,18 +69,19 @@
 	d := &c.Deployment
 	share := float64(len(c.Siblings) + 1)
 	state := transport.NewState(dial, c.Services.State, d.State.RPS/share, d.State.WriteRPS/share)
-	k := &Controller{cfg: c, started: time.Now(), state: state, store: bookkeeping.NewStore(state, d.State.TxnOps)}
+	k := &Controller{cfg: c, started: time.Now(), state: state, store: bookkeeping.NewStore(state, d.State.TxnOps, c.ValueBytes()),
+		older: map[string]bool{}}
 	k.session = NewSession(c, k.store, func() { k.holder.ask(ctx, k.holder.reset) })
 	k.holder = NewHolder(ctx, c, k.session, k.store, transport.NewWorkers(dial))
 	holders := map[string]HolderCaller{c.Name: local{HolderRPC{k.holder}}}
 	for _, s := range c.Siblings {
 		holders[s.Name] = sibling{transport.NewPeer(ctx, dial, s.Addr), transport.NewPeer(ctx, dial, s.Addr)}
 	}
-	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.JobChanged,
+	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.foundOver,
 		func(job string, op opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) })
 	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
 	k.reader = bookkeeping.NewReader(k.store)
-	k.replica = bookkeeping.NewReplica(state, func(s *protocol.JobSpec) int64 { return Token(c, s) }, k,
+	k.replica = bookkeeping.NewReplica(k.store, func(s *protocol.JobSpec) int64 { return Token(c, s) }, func(j *bookkeeping.Job) bookkeeping.Urgency { return urgency(c, j) }, k,
 		func(revision uint64) { k.reader.Caught(ctx, revision) })
 	return k
 }
@@ -105,6 +110,11 @@
 }
 
 func (k *Controller) MemberChanged(name string, m *bookkeeping.Member) {
+	if delete(k.older, name); m != nil && !m.Chains() {
+		k.older[name] = true
+	}
+	k.mixed.Store(len(k.older) > 0)
+	k.owner.tell(func() { k.owner.memberChanged(name, m) })
 	if m == nil {
 		k.holder.tell(func() { delete(k.holder.members, name) })
 		k.leader.tell(func() { delete(k.leader.members, name) })
@@ -211,14 +221,19 @@
 		if err != nil || found == nil {
 			return nil, err
 		}
+		if !found.Final() && len(found.Spec.Needs) > 0 {
+			return nil, ErrLater // one of those may be cancelled, and it with it
+		}
 		return k.answer(&standing{job: found}), nil
 	}
 	if err := k.reader.Fresh(ctx); err != nil {
 		return nil, err
 	}
 	st := k.owner.Status(ctx, id)
-	if st == nil {
-		return nil, ErrLater // it ended and is no longer kept at hand
+	if st == nil || st.job.Unclear {
+		// It ended and is no longer kept at hand; or one that it needs did so,
+		// and whether it was cancelled is being looked up.
+		return nil, ErrLater
 	}
 	return k.answer(st), nil
 }
@@ -310,10 +325,21 @@
 	if err := k.judge(spec); err != nil {
 		return k.known(ctx, id, func() (int, any) { return http.StatusUnprocessableEntity, err })
 	}
+	with, err := k.needs(ctx, spec)
+	switch {
+	case errors.Is(err, errNever):
+		return k.known(ctx, id, func() (int, any) { return http.StatusUnprocessableEntity, err })
+	case err != nil:
+		return k.known(ctx, id, nil)
+	}
 	for range 2 {
-		err = k.store.CreateJob(ctx, spec)
+		err = k.store.CreateJob(ctx, spec, with)
 		if err == nil {
-			return http.StatusCreated, &protocol.JobStatus{ID: id, Status: protocol.Pending}
+			st := &protocol.JobStatus{ID: id, Status: protocol.Pending}
+			if with != "" {
+				st.Status = protocol.Cancelled
+			}
+			return http.StatusCreated, st
 		}
 		if errors.Is(err, bookkeeping.ErrConflict) {
 			return k.known(ctx, id, nil)
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -318,23 +318,28 @@
 	}
 	o := &Owner{cfg: c}
 	use := map[string]protocol.Room{"free": {Cores: 4}, "bound": {Cores: 8}}
-	job := func(team string, p protocol.Priority) *protocol.JobSpec {
-		return spec(func(s *protocol.JobSpec) { s.Team, s.Priority, s.Accels = team, p, 0 })
+	job := func(team string, p protocol.Priority) *bookkeeping.Job {
+		s := spec(func(s *protocol.JobSpec) { s.Team, s.Priority, s.Accels = team, p, 0 })
+		return &bookkeeping.Job{Spec: s, Place: bookkeeping.Place{Urgency: urgency(c, &bookkeeping.Job{Spec: s})}}
 	}
-	if !o.guaranteed(job("free", "idle"), use) || o.guaranteed(job("bound", "idle"), use) {
+	// One that an urgent job needs is as urgent, as who asks and as who may go.
+	needed := func(j *bookkeeping.Job) *bookkeeping.Job { j.Rank = 2; return j }
+	if !o.guaranteed(job("free", "idle").Spec, use) || o.guaranteed(job("bound", "idle").Spec, use) {
 		t.Error("4 of 8 cores leave room for 4 more; 8 of 4 don't")
 	}
 	for _, x := range []struct {
-		victim, by *protocol.JobSpec
+		victim, by *bookkeeping.Job
 		want       bool
 	}{
 		{job("bound", "high"), job("free", "idle"), true},
 		{job("free", "high"), job("bound", "idle"), false},
 		{job("free", "idle"), job("bound", "high"), true},
 		{job("free", "high"), job("free", "high"), false},
+		{job("free", "normal"), needed(job("free", "idle")), true},
+		{needed(job("free", "idle")), job("free", "high"), false},
 	} {
-		if got := o.mayStop(x.victim, x.by, o.guaranteed(x.by, use), use); got != x.want {
-			t.Errorf("%s of %s for %s of %s: %v", x.victim.Priority, x.victim.Team, x.by.Priority, x.by.Team, got)
+		if got := o.mayStop(x.victim, x.by, o.guaranteed(x.by.Spec, use), use); got != x.want {
+			t.Errorf("%d of %s for %d of %s: %v", x.victim.Rank, x.victim.Spec.Team, x.by.Rank, x.by.Spec.Team, got)
 		}
 	}
 }
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -79,10 +79,10 @@
 			for _, i := range m.insts {
 				if js := o.jobs[i.job]; js != nil && !i.exited() {
 					f.pinned = f.pinned || js.job.Spec.Shape == protocol.Service
-					if o.cfg.Filler(js.job.Spec) {
+					if js.job.Filler {
 						f.yields = f.yields.Add(js.job.Spec.Need())
 					}
-					f.byRank[js.job.Spec.Priority.Rank()] = f.byRank[js.job.Spec.Priority.Rank()].Add(js.job.Spec.Need())
+					f.byRank[js.job.Rank] = f.byRank[js.job.Rank].Add(js.job.Spec.Need())
 				}
 			}
 			if !m.emptySince.IsZero() {
@@ -102,6 +102,9 @@
 func (o *Owner) demands(now, started time.Time) []demand {
 	var out []demand
 	for id, js := range o.active {
+		if js.waits {
+			continue // nothing is kept for it that others could use now
+		}
 		s := js.job.Spec
 		missing := s.Tasks - js.job.DoneCount() - len(js.pending)
 		zones := map[string]int{}
@@ -122,9 +125,9 @@
 		}
 		if s.Shape == protocol.Array && o.within(s.Class, 0) == 0 {
 			ready, _ := o.ready(s, s.ImageGB)
-			missing = inTurn(missing, s.Estimate(), o.finish(s)-now.Sub(js.job.Accepted)-ready)
+			missing = inTurn(missing, s.Estimate(), o.finish(js).Sub(now)-ready)
 		}
-		d := demand{spec: s, count: missing, filler: o.cfg.Filler(s), left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Accepted))}
+		d := demand{spec: s, raised: js.job.Rank, count: missing, filler: js.job.Filler, left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Ready))}
 		if s.Scatter || s.OneZone {
 			d.zoneLeft = map[string]int{}
 			for _, z := range o.cfg.Deployment.Zones {
@@ -154,14 +157,16 @@
 	return out
 }
 
-// finish is how soon the users want jobs like this one to be done, 0 (at once)
-// without an aim or a deadline.
-func (o *Owner) finish(s *protocol.JobSpec) time.Duration {
-	otherwise := time.Duration(0)
-	if s.DeadlineS != nil {
-		otherwise = protocol.Seconds(*s.DeadlineS)
+// finish is when the users want a job to be done: by the aim of its class, or
+// by its deadline, and in any case by what those that need it leave; as soon as
+// it was ready if nobody says.
+func (o *Owner) finish(js *jobState) time.Time {
+	j := js.job
+	by := j.Ready.Add(o.aim(j.Spec.Class, "finished", 0))
+	if !j.End.IsZero() && (by.Equal(j.Ready) || j.Needed && j.End.Before(by)) {
+		return j.End
 	}
-	return o.aim(s.Class, "finished", otherwise)
+	return by
 }
 
 // betweenTasks is what passes from one task to the next in the same room.
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -34,7 +34,7 @@
 	c.spec = s
 	c.image += (s.ImageGB - c.image) / 8
 	for range min(s.Tasks, 32) {
-		c.arrivals = append(c.arrivals, js.job.Accepted)
+		c.arrivals = append(c.arrivals, js.job.Ready)
 	}
 	if over := len(c.arrivals) - maxArrivals; over > 0 {
 		c.arrivals = slices.Clone(c.arrivals[over:])
@@ -61,6 +61,8 @@
 type demand struct {
 	spec  *protocol.JobSpec
 	count int
+	// raised is the rank of the priority that the job has for others.
+	raised int
 	// spare: for work that is expected, not there yet. Room that can be had
 	// by preemption will do if preempt is set.
 	spare   bool
@@ -73,6 +75,8 @@
 	zoneLeft map[string]int
 }
 
+func (d *demand) rank() int { return max(d.spec.Priority.Rank(), d.raised) }
+
 // fleetMachine is a machine as renting sees it.
 type fleetMachine struct {
 	id, rig, zone string
@@ -126,7 +130,7 @@
 		return -1
 	}
 	slices.SortStableFunc(in.demands, func(a, b demand) int {
-		return cmp.Or(last(a.filler, b.filler), last(a.spare, b.spare), cmp.Compare(b.spec.Priority.Rank(), a.spec.Priority.Rank()),
+		return cmp.Or(last(a.filler, b.filler), last(a.spare, b.spare), cmp.Compare(b.rank(), a.rank()),
 			cmp.Compare(b.spec.Accels, a.spec.Accels), cmp.Compare(b.spec.Cores, a.spec.Cores))
 	})
 	slices.SortFunc(in.machines, func(a, b *fleetMachine) int { return cmp.Compare(a.id, b.id) })
@@ -289,11 +293,11 @@
 	r := b.free
 	switch {
 	case !d.spare || !d.preempt:
-		if d.spec.Priority.Rank() >= preempts {
+		if d.rank() >= preempts {
 			r = r.Add(b.yields)
 		}
 	default:
-		for rank := range d.spec.Priority.Rank() {
+		for rank := range d.rank() {
 			r = r.Add(b.byRank[rank])
 		}
 	}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -291,6 +291,7 @@
 // ---- the records
 
 func (h *Holder) jobChanged(j *bookkeeping.Job) {
+	old := h.jobs[j.Spec.ID]
 	h.jobs[j.Spec.ID] = j
 	if !j.Final() && len(j.Results) == 0 {
 		return
@@ -300,6 +301,9 @@
 		return
 	}
 	delete(h.opinions, j.Spec.ID)
+	if old != nil && old.Final() {
+		return
+	}
 	if h.over = append(h.over, j.Spec.ID); len(h.over) > maxFinal {
 		delete(h.jobs, h.over[0])
 		h.over = h.over[1:]
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -88,12 +88,16 @@
 	fence                uint64 // sequence below which requests are void
 	valid                bool
 	heard                time.Time
+	generation           int // of its process, as its session's record says
 }
 
 type jobState struct {
 	job *bookkeeping.Job
-	// known is when this controller first saw the job.
-	known time.Time
+	// known is when this controller first saw the job, ready when it saw that
+	// all those that it needs are done; waits: they are not.
+	known, ready time.Time
+	waits        bool
+	counted      bool // as an arrival of its class
 	// gain is the window since which we own the job without a break, 0 if we
 	// don't; settled: all that may be left of former owners' starts is known.
 	gain    uint64
@@ -157,15 +161,14 @@
 // ---- records
 
 func (o *Owner) jobChanged(j *bookkeeping.Job) {
-	id := j.Spec.ID
+	id, now := j.Spec.ID, time.Now()
 	js := o.jobs[id]
 	if js == nil {
-		js = &jobState{job: j, known: time.Now(), pending: map[int]*pendingStart{}, retryAt: map[int]time.Time{}, badOn: map[string]bool{}, seen: map[int]bool{}}
+		js = &jobState{job: j, known: now, pending: map[int]*pendingStart{}, retryAt: map[int]time.Time{}, badOn: map[string]bool{}, seen: map[int]bool{}}
 		o.jobs[id] = js
 		if !j.Final() {
 			o.active[id] = js
 			o.settle(js)
-			o.countArrival(js)
 		}
 	}
 	js.job, js.stale = j, true
@@ -174,6 +177,10 @@
 	} else {
 		delete(o.ended, id)
 	}
+	if js.waits = j.Waits > 0; !js.waits && !js.counted && !j.Final() {
+		js.counted, js.ready = true, now
+		o.countArrival(js)
+	}
 	if j.Final() && o.active[id] != nil {
 		delete(o.active, id)
 		delete(o.unclear, id)
@@ -345,19 +352,19 @@
 				}
 			}
 		}
-		if js.settled && js.missing > 0 && !now.Before(js.blocked) && o.onTrial(js, now) {
+		if js.settled && js.missing > 0 && !js.waits && !now.Before(js.blocked) && o.onTrial(js, now) {
 			ready = append(ready, js)
 		}
 	}
 	o.record(outcomes)
 	slices.SortFunc(ready, func(a, b *jobState) int {
-		if x, y := o.cfg.Filler(a.job.Spec), o.cfg.Filler(b.job.Spec); x != y {
+		if x, y := a.job.Filler, b.job.Filler; x != y {
 			if x {
 				return 1
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(b.job.Spec.Priority.Rank(), a.job.Spec.Priority.Rank()), o.due(a).Compare(o.due(b)),
+		return cmp.Or(cmp.Compare(b.job.Rank, a.job.Rank), o.due(a).Compare(o.due(b)),
 			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
 	o.usable, o.scarceNow = nil, o.scarce()
@@ -377,11 +384,10 @@
 
 // due orders jobs of one priority: by what is due first.
 func (o *Owner) due(js *jobState) time.Time {
-	s := js.job.Spec
-	if s.DeadlineS != nil {
-		return js.job.Accepted.Add(protocol.Seconds(*s.DeadlineS) - s.Estimate())
+	if end := js.job.End; !end.IsZero() {
+		return end.Add(-js.job.Spec.Estimate())
 	}
-	return js.job.Accepted.Add(time.Minute)
+	return js.job.Ready.Add(time.Minute)
 }
 
 // promise adds up the room of starts that the board does not show yet.
@@ -409,7 +415,7 @@
 func (o *Owner) start(js *jobState, index int, attempt uint64, c choice, reserve bool, rq requests) {
 	m := c.machine
 	slog.Debug("placing", "job", js.job.Spec.ID, "index", index, "class", js.job.Spec.Class, "machine", m.ID, "evict", len(c.evict),
-		"cached", slices.Contains(m.Images, js.job.Spec.Image), "waited", time.Since(js.job.Accepted))
+		"cached", slices.Contains(m.Images, js.job.Spec.Image), "waited", time.Since(js.job.Ready))
 	a := o.to(rq, m)
 	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.evict, Reserve: reserve})
 	ps := &pendingStart{machine: m.ID, holder: m.holder, inc: o.peers[m.holder].incarnation, slot: m.Slot, term: m.Term,
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"daledyke/internal/bookkeeping"
 	"daledyke/internal/protocol"
 )
 
@@ -36,7 +37,7 @@
 	if s.Shape == protocol.Service && runsOnOthers(s, o.types, o.scarceNow) {
 		// Other machines can be had in about the time that they take to boot.
 		ready, _ := o.ready(s, s.ImageGB)
-		p.keep = time.Since(js.job.Accepted) < o.within(s.Class, 0)+ready
+		p.keep = time.Since(js.job.Ready) < o.within(s.Class, 0)+ready
 	}
 	if js.opinion == atFault {
 		p.avoid = nil // no machine is to blame
@@ -112,28 +113,28 @@
 	return t != nil && t.Guarantees(use[s.Team].Add(s.Need()))
 }
 
-// mayStop tells whether a task of victim may be stopped for one of s: it has a
-// lower priority, or its team runs it beyond its guarantee and s is within its
-// own.
-func (o *Owner) mayStop(victim, s *protocol.JobSpec, guaranteed bool, use map[string]protocol.Room) bool {
-	if victim.Priority.Rank() < s.Priority.Rank() {
+// mayStop tells whether a task of victim may be stopped for one of j: it has a
+// lower priority, or its team runs it beyond its guarantee and j is within its
+// own. A job has the priority of those that need it, also as a victim.
+func (o *Owner) mayStop(victim, j *bookkeeping.Job, guaranteed bool, use map[string]protocol.Room) bool {
+	if victim.Rank < j.Rank {
 		return true
 	}
-	t := o.cfg.Team(victim.Team)
-	return guaranteed && t != nil && victim.Team != s.Team && !t.Guarantees(use[victim.Team])
+	t := o.cfg.Team(victim.Spec.Team)
+	return guaranteed && t != nil && victim.Spec.Team != j.Spec.Team && !t.Guarantees(use[victim.Spec.Team])
 }
 
 // price is what stopping a task for one of the given job costs.
-func (o *Owner) price(s *protocol.JobSpec, guaranteed bool, use map[string]protocol.Room, now time.Time) func(*inst) (evictable, bool) {
+func (o *Owner) price(j *bookkeeping.Job, guaranteed bool, use map[string]protocol.Room, now time.Time) func(*inst) (evictable, bool) {
 	return func(i *inst) (evictable, bool) {
 		js := o.jobs[i.job]
-		if js == nil || !o.mayStop(js.job.Spec, s, guaranteed, use) || i.exited() || i.State == protocol.TaskFlushing ||
+		if js == nil || !o.mayStop(js.job, j, guaranteed, use) || i.exited() || i.State == protocol.TaskFlushing ||
 			unconfirmed(i.State) || js.job.Spec.Shape == protocol.Gang && js.job.Spec.Tasks > 1 {
 			return evictable{}, false
 		}
 		v := js.job.Spec
-		price := 10 + 10*float64(v.Priority.Rank())
-		if o.cfg.Filler(v) {
+		price := 10 + 10*float64(js.job.Rank)
+		if js.job.Filler {
 			price = 2
 		}
 		if !v.Saves() {
@@ -222,7 +223,7 @@
 // find finds a machine with room, or one where room may be made.
 func (o *Owner) find(js *jobState, p *placing, now time.Time) (choice, bool) {
 	c, ok := p.bestFit()
-	if ok && p.fetch(c.machine) <= o.within(js.job.Spec.Class, time.Minute)-now.Sub(js.job.Accepted) {
+	if ok && p.fetch(c.machine) <= o.within(js.job.Spec.Class, time.Minute)-now.Sub(js.job.Ready) {
 		return c, true
 	}
 	if e, found := o.makeRoom(js, p, c.machine, now); found {
@@ -239,7 +240,7 @@
 func (o *Owner) onlyFiller(c *choice) bool {
 	for _, task := range c.evict {
 		job, _, _ := protocol.SplitTask(task)
-		if js := o.jobs[job]; js == nil || !o.cfg.Filler(js.job.Spec) {
+		if js := o.jobs[job]; js == nil || !js.job.Filler {
 			return false
 		}
 	}
@@ -258,18 +259,18 @@
 		use = o.teamUse()
 	}
 	guaranteed := o.guaranteed(s, use)
-	if s.Priority.Rank() < preempts && !guaranteed || now.Sub(js.known) < 500*time.Millisecond {
+	if js.job.Rank < preempts && !guaranteed || now.Sub(js.known) < 500*time.Millisecond {
 		return choice{}, false
 	}
 	other := math.Inf(1)
 	if free != nil {
 		other = p.cost(free)
 	}
-	e, found := p.preempt(o.machinesNow(), other, o.price(s, guaranteed, use, now))
+	e, found := p.preempt(o.machinesNow(), other, o.price(js.job, guaranteed, use, now))
 	// Stopping other work is the last resort: as long as the aim leaves time,
 	// room may come free by itself.
 	within := o.within(s.Class, time.Minute)
-	if found && free == nil && within-now.Sub(js.job.Accepted)-p.fetch(e.machine)-10*time.Second >= within/5 {
+	if found && free == nil && within-now.Sub(js.job.Ready)-p.fetch(e.machine)-10*time.Second >= within/5 {
 		found = o.onlyFiller(&e)
 	}
 	return e, found
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -60,7 +60,8 @@
 	}
 	var jobs []*bookkeeping.Job
 	for _, j := range o.ended {
-		if o.gainOf(j.Token) != 0 {
+		// What unfinished jobs need stays where a controller that starts reads it.
+		if o.gainOf(j.Token) != 0 && !j.Needed {
 			if jobs = append(jobs, j); len(jobs) == archiveMost {
 				break
 			}
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -70,6 +70,8 @@
 		return "not held here"
 	case j == nil || j.Final() || index >= j.Spec.Tasks || j.TaskDone(index):
 		return "not to be run"
+	case j.Waits > 0:
+		return "waits for other jobs" // what is not known to be done is not
 	case h.window.Owner(j.Token) != a.Caller:
 		return "not the owner"
 	case now.Sub(h.syncedAt) > maxStale:
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -77,6 +77,8 @@
 	switch {
 	case js.job.Final():
 		return "", -1
+	case js.waits:
+		return protocol.ReasonNeeds, -1
 	case js.opinion == atFault:
 		return protocol.ReasonFailing, -1
 	case fetching >= 0:
@@ -107,7 +109,7 @@
 	switch {
 	case coming:
 		return protocol.ReasonBooting, best
-	case now.Sub(js.job.Accepted) < 2*time.Second:
+	case now.Sub(js.job.Ready) < 2*time.Second:
 		return protocol.ReasonPlacing, -1
 	case o.noCapacityFor(s):
 		return protocol.ReasonNoCapacity, -1
@@ -139,6 +141,21 @@
 	case js.job.State == protocol.Pending && v.Running > 0:
 		v.Status = protocol.Running
 	}
+	j := js.job
+	v.Needs, v.NeededBy, v.CancelledWith = j.For, j.Behind, j.With
+	if j.Rank != s.Priority.Rank() {
+		v.RaisedTo = string(protocol.PriorityOf(j.Rank))
+	}
+	left := func(end time.Time) *float64 {
+		in := float64(end.Sub(now).Round(100*time.Millisecond)) / float64(time.Second)
+		return &in
+	}
+	if s.DeadlineS != nil {
+		v.DueInS = left(j.Accepted.Add(protocol.Seconds(*s.DeadlineS)))
+	}
+	if !j.End.IsZero() && !j.Final() {
+		v.MustEndInS = left(j.End)
+	}
 	if !js.job.Final() {
 		var in time.Duration
 		v.Reason, in = o.why(js, now)
@@ -213,7 +230,7 @@
 		if !p.heard.IsZero() {
 			heard = *seconds(now.Sub(p.heard))
 		}
-		v.Siblings = append(v.Siblings, protocol.SiblingView{Name: name, Session: p.valid, HeardS: heard})
+		v.Siblings = append(v.Siblings, protocol.SiblingView{Name: name, Session: p.valid, HeardS: heard, Generation: p.generation})
 	}
 	return v
 }
@@ -232,7 +249,7 @@
 	oldest, total := "", 0
 	var since time.Duration
 	for id, js := range o.active {
-		if js.gain == 0 || now.Sub(js.known) < standstillAfter || len(o.board.tasks[id]) > 0 || js.job.DoneCount() > 0 {
+		if js.gain == 0 || js.waits || now.Sub(js.ready) < standstillAfter || len(o.board.tasks[id]) > 0 || js.job.DoneCount() > 0 {
 			continue
 		}
 		reason, _ := o.why(js, now)
@@ -241,7 +258,7 @@
 		}
 		reasons[reason]++
 		total++
-		if age := now.Sub(js.known); age > since {
+		if age := now.Sub(js.ready); age > since {
 			oldest, since = id, age
 		}
 	}
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -34,6 +35,16 @@
 // Rank is the place of a priority among the others, 0 the lowest.
 func (p Priority) Rank() int { return priorityRank[p] }
 
+// PriorityOf is the priority of a rank, "" if there is none.
+func PriorityOf(rank int) Priority {
+	for p, r := range priorityRank {
+		if r == rank {
+			return p
+		}
+	}
+	return ""
+}
+
 // MaxTasks bounds the tasks of one job.
 const MaxTasks = 100_000
 
@@ -62,6 +73,8 @@
 	CheckpointS float64  `json:"snapshotS"`
 	SaveS       float64  `json:"flushS"`
 	DeadlineS   *float64 `json:"dueS"`
+	// Needs are the jobs that have to be done before any task starts.
+	Needs []string `json:"awaits,omitempty"`
 }
 
 // Need is what one task of the job takes of its machine.
@@ -117,7 +130,7 @@
 	return p.ID
 }
 
-// jobFields must be there; rigs, plaza and dueS may be null, and so absent.
+// jobFields must be there; rigs, plaza, dueS and awaits may be null, and so absent.
 var jobFields = []string{"id", "laneClass", "crew", "shape", "urgency", "passes", "cores", "accelerators", "ramGb",
 	"build", "pullGb", "oneZone", "scatter", "standby", "expectedS", "snapshotS", "flushS"}
 
@@ -137,6 +150,8 @@
 	if err := json.Unmarshal(body, &s); err != nil {
 		return nil, fmt.Errorf("a field is invalid: %w", err)
 	}
+	slices.Sort(s.Needs)
+	s.Needs = slices.Compact(s.Needs) // the same job twice counts once
 	return &s, s.Validate()
 }
 
@@ -157,6 +172,11 @@
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return errors.New("field passes is out of range")
 	}
+	for _, id := range s.Needs {
+		if !ValidJobID(id) {
+			return errors.New("field awaits names something that is no job id")
+		}
+	}
 	amounts := []float64{s.Cores, s.Accels, s.RAM, s.ImageGB, s.EstimateS, s.CheckpointS, s.SaveS}
 	if s.DeadlineS != nil {
 		amounts = append(amounts, *s.DeadlineS)
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -94,6 +94,9 @@
 	Name    string  `json:"name"`
 	Session bool    `json:"session"`
 	HeardS  float64 `json:"heardS"` // since its last news, negative if there were none
+	// Generation is what its version understands, 0 if that is not known, 1 for
+	// versions that don't say.
+	Generation int `json:"generation"`
 }
 
 // ClientView is what requests to a service came to.
@@ -123,6 +126,17 @@
 	// StartsInS is when the first waiting task should start, nil if it can't
 	// be told.
 	StartsInS *float64 `json:"startsInS"`
+	// Needs are jobs that it waits for, NeededBy some that wait for it, and
+	// CancelledWith is the one that it was cancelled with.
+	Needs         []string `json:"needs,omitempty"`
+	NeededBy      []string `json:"neededBy,omitempty"`
+	CancelledWith string   `json:"cancelledWith,omitempty"`
+	// RaisedTo is the priority that it has for those that need it, if that is
+	// higher than its own; DueInS is what is left until its own deadline,
+	// MustEndInS until it has to end for all.
+	RaisedTo   string   `json:"raisedTo,omitempty"`
+	DueInS     *float64 `json:"dueInS,omitempty"`
+	MustEndInS *float64 `json:"mustEndInS,omitempty"`
 	// FailedOn are machines on which tasks of the job failed.
 	FailedOn int `json:"failedOn,omitempty"`
 }
@@ -138,4 +152,5 @@
 	ReasonNoCapacity = "no capacity"
 	ReasonNoRoom     = "no room"
 	ReasonPlacing    = "being placed"
+	ReasonNeeds      = "waits for other jobs"
 )
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -16,24 +17,31 @@
 		t.Fatalf("a sound submission was read as %+v, %v", s, err)
 	}
 	for name, change := range map[string][2]string{
-		"no tasks":         {`"passes":16`, `"passes":0`},
-		"too many tasks":   {`"passes":16`, `"passes":100001`},
-		"half a task":      {`"passes":16`, `"passes":1.5`},
-		"wrong id":         {`wk-000412`, `job-1`},
-		"missing field":    {`"cores":8.0,`, ``},
-		"null field":       {`"cores":8.0`, `"cores":null`},
-		"negative amount":  {`"cores":8.0`, `"cores":-1`},
-		"endless amount":   {`"cores":8.0`, `"cores":1e400`},
-		"unknown shape":    {`ensemble`, `heap`},
-		"unknown urgency":  {`"high"`, `"urgent"`},
-		"text for a truth": {`"oneZone":true`, `"oneZone":"yes"`},
-		"not an object":    {sound, `[1]`},
-		"not JSON":         {sound, `{"id":`},
+		"no tasks":          {`"passes":16`, `"passes":0`},
+		"too many tasks":    {`"passes":16`, `"passes":100001`},
+		"half a task":       {`"passes":16`, `"passes":1.5`},
+		"wrong id":          {`wk-000412`, `job-1`},
+		"missing field":     {`"cores":8.0,`, ``},
+		"null field":        {`"cores":8.0`, `"cores":null`},
+		"negative amount":   {`"cores":8.0`, `"cores":-1`},
+		"endless amount":    {`"cores":8.0`, `"cores":1e400`},
+		"unknown shape":     {`ensemble`, `heap`},
+		"unknown urgency":   {`"high"`, `"urgent"`},
+		"text for a truth":  {`"oneZone":true`, `"oneZone":"yes"`},
+		"one id for a list": {`"dueS":900.0`, `"dueS":900.0,"awaits":"wk-1"`},
+		"no id in a list":   {`"dueS":900.0`, `"dueS":900.0,"awaits":["wk-1","job-2"]`},
+		"null in a list":    {`"dueS":900.0`, `"dueS":900.0,"awaits":[null]`},
+		"not an object":     {sound, `[1]`},
+		"not JSON":          {sound, `{"id":`},
 	} {
 		if _, err := ParseJob([]byte(strings.Replace(sound, change[0], change[1], 1))); err == nil {
 			t.Errorf("%s was taken", name)
 		}
 	}
+	chain := strings.Replace(sound, `"dueS":900.0`, `"awaits":["wk-2","wk-1","wk-2"]`, 1)
+	if s, err := ParseJob([]byte(chain)); err != nil || !slices.Equal(s.Needs, []string{"wk-1", "wk-2"}) {
+		t.Errorf("awaits were read as %+v, %v", s, err)
+	}
 	for _, optional := range []string{`"rigs":["g8"],`, `"plaza":null,`} {
 		if _, err := ParseJob([]byte(strings.Replace(sound, optional, "", 1))); err != nil {
 			t.Errorf("without %s: %v", optional, err)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -24,6 +24,10 @@
 // ErrUnknown: no answer; it may have been done, or may yet be done later.
 var ErrUnknown = errors.New("no answer, outcome unknown")
 
+// ErrInvalid: the other side calls the request malformed; it will never be
+// carried out as it is.
+var ErrInvalid = errors.New("refused as malformed")
+
 // Counts are what a client's requests came to. They may be read at any time.
 type Counts struct {
 	Requests, Refused, Unanswered, NoBudget atomic.Int64
@@ -119,10 +123,14 @@
 	return b
 }
 
-// wait blocks until n requests of this urgency fit, or ctx ends.
+// wait blocks until n requests of this urgency fit, or ctx ends. All of them are
+// charged, also where a small share has a smaller burst than a transaction has
+// changes: together the controllers would overdraw the rate.
 func (b *budget) wait(ctx context.Context, u Urgency, n int) error {
-	if l := b.tiers[u]; l.WaitN(ctx, min(n, l.Burst())) != nil {
-		return fmt.Errorf("%w: no budget in time", ErrRefused)
+	for l := b.tiers[u]; n > 0; n -= l.Burst() {
+		if l.WaitN(ctx, min(n, l.Burst())) != nil {
+			return fmt.Errorf("%w: no budget in time", ErrRefused)
+		}
 	}
 	return nil
 }
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -121,6 +121,7 @@
 		if json.Unmarshal(raw, &e) == nil && e.Error == "no such lease" {
 			return ans, false, ErrNoLease
 		}
+		return ans, false, fmt.Errorf("%w: %.80s", ErrInvalid, raw)
 	}
 	return ans, false, unexpected(code, raw)
 }
