--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -386,7 +386,7 @@
 
 // settingsWith writes the traces' settings with guarantees for both teams.
 func settingsWith(t *testing.T, free, bound string) string {
-	text := strings.Replace(fmt.Sprintf(settingsText, "c0", "c0", "c0", "", "1"), "name = \"free\"\n", "name = \"free\"\n"+free, 1)
+	text := strings.Replace(fmt.Sprintf(settingsText, "c0", "c0", "c0", "", "1", ""), "name = \"free\"\n", "name = \"free\"\n"+free, 1)
 	text = strings.Replace(text, "name = \"bound\"\n", "name = \"bound\"\n"+bound, 1)
 	file := filepath.Join(t.TempDir(), "c0.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/internal/coordination/standin_test.go
+++ b/internal/coordination/standin_test.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/protocol"
 )
@@ -167,8 +169,22 @@
 	down     bool
 	refuses  map[string]bool          // controllers that get 503
 	lags     map[string]time.Duration // controllers that hear of changes late
+	limits   stateLimits
+	spent    *rate.Limiter // changes
 	writes   int
 	requests int
+	// malformed counts requests that were answered 400.
+	malformed int
+}
+
+// stateLimits are what the state service enforces; they may change at any time.
+type stateLimits struct {
+	valueKB, writeRPS float64
+	txnOps            int
+}
+
+func (s *stateService) limit(l stateLimits) {
+	s.limits, s.spent = l, rate.NewLimiter(rate.Limit(l.writeRPS), int(l.writeRPS))
 }
 
 type stateLease struct {
@@ -179,6 +195,7 @@
 func newStateService() *stateService {
 	s := &stateService{keys: map[string]protocol.Pair{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}), refuses: map[string]bool{},
 		lags: map[string]time.Duration{}}
+	s.limit(stateLimits{valueKB: 8, writeRPS: 100, txnOps: 12}) // as the settings of the tests say
 	return s
 }
 
@@ -301,15 +318,22 @@
 	return nil
 }
 
-// maxOps is the limit that the settings of the tests name.
-const maxOps = 12
-
 func (s *stateService) multi(w http.ResponseWriter, t protocol.Txn) {
-	if len(t.Then) > maxOps || len(t.If) > 4*maxOps {
+	if most := s.limits.txnOps; len(t.Then) > most || len(t.If) > 4*most {
+		s.malformed++
 		answer(w, 400, map[string]string{"error": "too many operations"})
 		return
 	}
+	if n := len(t.Then); n > 0 && !s.spent.AllowN(time.Now(), n) {
+		answer(w, 429, nil)
+		return
+	}
 	for _, c := range t.Then {
+		if raw, _ := json.Marshal(c.Value); float64(len(raw)) > s.limits.valueKB*1024 {
+			s.malformed++
+			answer(w, 400, map[string]string{"error": "value too large"})
+			return
+		}
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
 			answer(w, 400, map[string]string{"error": "no such lease"})
 			return
@@ -331,6 +355,24 @@
 	answer(w, 200, protocol.TxnAnswer{Revision: s.revision})
 }
 
+// archive puts a job's record where those of jobs long over stand, in a state.
+func (s *stateService) archive(id, state string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from, to := bookkeeping.Root+"j/"+id, bookkeeping.Root+"z/"+id
+	var rec map[string]any
+	for _, key := range []string{from, to} {
+		if p, ok := s.keys[key]; ok {
+			if err := json.Unmarshal(p.Value, &rec); err != nil {
+				return err
+			}
+		}
+	}
+	rec["state"] = state
+	s.change([]protocol.Change{{Set: to, Value: rec}, {Drop: from}})
+	return nil
+}
+
 func (s *stateService) list(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	page := protocol.Page{Pairs: []protocol.Pair{}, Revision: s.revision}
@@ -563,6 +605,9 @@
 
 func (m *worker1) exit(t *task1, why string) {
 	m.w.rules.off(t.Task, m.id)
+	if why == protocol.CauseDone {
+		m.w.rules.completed(t.Task)
+	}
 	t.State, t.Cause = protocol.TaskExited, why
 }
 
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -54,7 +54,7 @@
 	}
 	defer f.Close()
 	lines := bufio.NewScanner(f)
-	size := 3
+	size, coming := 3, ""
 	var w *world
 	for number := 1; lines.Scan(); number++ {
 		words := strings.Fields(lines.Text())
@@ -71,8 +71,12 @@
 			}
 			continue
 		}
+		if words[1] == "coming" { // before anything else: limits of the state service that the settings announce
+			coming = fmt.Sprintf("next = { value_kb = %s, txn_ops = %s, write_rps = %s }", words[2], words[3], words[4])
+			continue
+		}
 		if w == nil {
-			w = newWorld(t, size)
+			w = newWorld(t, size, coming)
 			defer w.end()
 		}
 		if wait := at - time.Since(w.since); wait > 0 {
@@ -128,6 +132,18 @@
 	switch verb {
 	case "submit":
 		return w.submit(args)
+	case "swarm": // swarm FIRST LAST RUN: so many jobs of one task, one after the other
+		first, err1 := strconv.Atoi(args[0])
+		last, err2 := strconv.Atoi(args[1])
+		errs := make(chan error)
+		for n := first; n <= last; n++ {
+			go func() { errs <- w.submit([]string{fmt.Sprintf("wk-%d", n), "array", "1", "run=" + args[2], "cores=0.1", "accels=0", "ram=1"}) }()
+		}
+		failed := errors.Join(err1, err2)
+		for n := first; n <= last; n++ {
+			failed = errors.Join(failed, <-errs)
+		}
+		return failed
 	case "cancel":
 		status, st := w.ask(http.MethodPost, "/v1/jobs/"+args[0]+"/cancel", []byte("{}"))
 		if status != 200 {
@@ -163,6 +179,21 @@
 		w.state.lags[args[0]] = lag
 		w.state.mu.Unlock()
 		return err
+	case "limits": // limits VALUE_KB TXN_OPS WRITE_RPS: the state service has these from now on
+		var l stateLimits
+		_, err := fmt.Sscan(strings.Join(args, " "), &l.valueKB, &l.txnOps, &l.writeRPS)
+		w.state.mu.Lock()
+		w.state.limit(l)
+		w.state.mu.Unlock()
+		return err
+	case "malformed": // malformed N: no more requests than that were called malformed
+		n, err := strconv.Atoi(args[0])
+		w.state.mu.Lock()
+		defer w.state.mu.Unlock()
+		if w.state.malformed > n {
+			return fmt.Errorf("%d requests were malformed", w.state.malformed)
+		}
+		return err
 	case "crash":
 		for _, n := range args {
 			w.crash(n)
@@ -179,6 +210,8 @@
 		w.state.mu.Unlock()
 	case "older-records": // as a version left them that kept no rosters
 		return w.state.olderRecords()
+	case "archived": // archived JOB STATE: its record stands with those long over
+		return w.state.archive(args[0], args[1])
 	case "cloud-outage":
 		w.cloud.mu.Lock()
 		w.cloud.down = onOff(args)
@@ -248,6 +281,8 @@
 			s.EstimateS = number
 		case "cores":
 			s.Cores = number
+		case "ram":
+			s.RAM = number
 		case "accels":
 			s.Accels = number
 		case "urgency":
@@ -264,6 +299,18 @@
 			s.OneZone = true
 		case "scatter":
 			s.Scatter = true
+		case "due":
+			s.DeadlineS = &number
+		case "awaits":
+			s.Needs = strings.Split(value, ",")
+			if from, to, ok := strings.Cut(value, ".."); ok { // wk-100..wk-199
+				first, _ := strconv.Atoi(strings.TrimPrefix(from, "wk-"))
+				last, _ := strconv.Atoi(strings.TrimPrefix(to, "wk-"))
+				s.Needs = nil
+				for n := first; n <= last; n++ {
+					s.Needs = append(s.Needs, fmt.Sprintf("wk-%d", n))
+				}
+			}
 		case "types":
 			s.Types = strings.Split(value, ",")
 		default:
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -38,18 +38,20 @@
 	wrong map[string]bool // jobs submitted with a mistake
 	since time.Time
 	stops []func()
+	// coming are the limits that the settings announce, as TOML.
+	coming string
 }
 
-func newWorld(t *testing.T, controllers int) *world {
+func newWorld(t *testing.T, controllers int, coming string) *world {
 	w := &world{t: t, net: newMemNet(), state: newStateService(), lease: 20 * time.Second,
-		dir: t.TempDir(), nodes: map[string]context.CancelFunc{}, specs: map[string]*protocol.JobSpec{}, runs: map[string]time.Duration{}, wrong: map[string]bool{}, since: time.Now(),
+		dir: t.TempDir(), nodes: map[string]context.CancelFunc{}, specs: map[string]*protocol.JobSpec{}, runs: map[string]time.Duration{}, wrong: map[string]bool{}, since: time.Now(), coming: coming,
 		types: []protocol.MachineType{
 			{Name: "small", Cores: 8, Accels: 2, RAM: 64, CacheGB: 50, FetchRate: 1, Price: 2, SpotPrice: 0.5, BootS: 10, Zones: []string{"a", "b"}},
 			{Name: "large", Cores: 32, Accels: 8, RAM: 256, CacheGB: 50, FetchRate: 1, Price: 9, SpotPrice: 2, BootS: 20, Zones: []string{"a", "b"}}}}
 	for n := range controllers {
 		w.names = append(w.names, fmt.Sprintf("c%d", n))
 	}
-	w.rules = &rules{w: w, at: map[string]place{}, starts: map[string]int{}, cancelled: map[string]time.Time{}, struck: map[string]string{}}
+	w.rules = &rules{w: w, at: map[string]place{}, starts: map[string]int{}, cancelled: map[string]time.Time{}, done: map[string]bool{}, struck: map[string]string{}}
 	w.cloud = &cloud{w: w, machines: map[string]*worker1{}, booked: map[string][]string{}, capacity: 30}
 	w.stops = append(w.stops, w.net.serve("cloud:1", w.cloud))
 	for _, n := range w.names {
@@ -103,6 +105,7 @@
 write_rps = 100.0
 value_kb = 8.0
 txn_ops = 12
+%s
 [deployment.cloud]
 rps = 10.0
 list_lag_s = 5.0
@@ -120,7 +123,7 @@
 		}
 	}
 	file := filepath.Join(w.dir, name+".toml")
-	if err := os.WriteFile(file, []byte(fmt.Sprintf(settingsText, name, name, name, siblings, portOf(name))), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(fmt.Sprintf(settingsText, name, name, name, siblings, portOf(name), w.coming)), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
 	c, err := config.Load(file, "")
@@ -251,6 +254,7 @@
 	at        map[string]place
 	starts    map[string]int
 	cancelled map[string]time.Time
+	done      map[string]bool // tasks that were completed
 	errors    []string
 	struck    map[string]string
 }
@@ -267,6 +271,19 @@
 	if at, ok := r.cancelled[job]; ok && time.Since(at) > 40*time.Second {
 		r.broken("ran_cancelled: %s started", task)
 	}
+	for _, id := range r.w.spec(job).Needs {
+		for index := range r.w.spec(id).Tasks {
+			if !r.done[protocol.TaskName(id, index)] {
+				r.broken("too_early: %s started before %s/%d was completed", task, id, index)
+			}
+		}
+	}
+}
+
+func (r *rules) completed(task string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done[task] = true
 }
 
 // on notes that a task is on a machine from now.
