--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -137,7 +137,9 @@
 		last, err2 := strconv.Atoi(args[1])
 		errs := make(chan error)
 		for n := first; n <= last; n++ {
-			go func() { errs <- w.submit([]string{fmt.Sprintf("wk-%d", n), "array", "1", "run=" + args[2], "cores=0.1", "accels=0", "ram=1"}) }()
+			go func() {
+				errs <- w.submit([]string{fmt.Sprintf("wk-%d", n), "array", "1", "run=" + args[2], "cores=0.1", "accels=0", "ram=1"})
+			}()
 		}
 		failed := errors.Join(err1, err2)
 		for n := first; n <= last; n++ {
