--- a/cmd/daledyke/main.go
+++ b/cmd/daledyke/main.go
@@ -69,8 +69,8 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "settings are sound: controller %s in %s of %s; window %v, published after %v, summaries every %v, sample %d\n",
-				c.Name, c.Zone, strings.Join(c.Names(), ", "), c.Window, c.PublishOffset, c.SummaryEvery, c.Sample)
+			fmt.Fprintf(cmd.OutOrStdout(), "settings are sound: controller %s in %s of %s; window %v, published after %v, summaries every %v, sample %d; planned for values of %d bytes, %d changes at once and %v a second\n",
+				c.Name, c.Zone, strings.Join(c.Names(), ", "), c.Window, c.PublishOffset, c.SummaryEvery, c.Sample, c.ValueBytes(), c.Deployment.State.TxnOps, c.Deployment.State.WriteRPS)
 			return nil
 		},
 	}, &cobra.Command{
--- a/cmd/daledyke/status.go
+++ b/cmd/daledyke/status.go
@@ -85,7 +85,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	defer w.Flush()
 	line := func(name, format string, args ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, args...)) }
-	line("controller", "%s in %s, up %v", v.Controller, v.Zone, protocol.Seconds(v.UpS).Round(time.Second))
+	line("controller", "%s in %s, up %v, generation %d", v.Controller, v.Zone, protocol.Seconds(v.UpS).Round(time.Second), v.Generation)
 	line("session", "%s, term %d, may act for %v more%s", yesNo(v.Session.Valid, "valid", "NOT VALID: answers workers 503"),
 		v.Session.Term, protocol.Seconds(v.Session.LeftS), yesNo(v.Session.Deaf, "; its workers can't reach it", ""))
 	if v.Window == nil {
@@ -117,8 +117,9 @@
 		line("no capacity", "%s", strings.Join(v.NoCapacity, ", "))
 	}
 	for _, s := range v.Siblings {
-		line("sibling", "%s: %s, %s", s.Name, yesNo(s.Session, "session lives", "no session known"),
-			yesNo(s.HeardS >= 0, fmt.Sprintf("heard %v ago", protocol.Seconds(s.HeardS)), "never heard"))
+		line("sibling", "%s: %s, %s, %s", s.Name, yesNo(s.Session, "session lives", "no session known"),
+			yesNo(s.HeardS >= 0, fmt.Sprintf("heard %v ago", protocol.Seconds(s.HeardS)), "never heard"),
+			yesNo(s.Generation > 0, fmt.Sprintf("generation %d", s.Generation), "generation not known"))
 	}
 	client := func(name string, c protocol.ClientView) {
 		line(name, "%d requests, %d refused, %d unanswered, %d without budget", c.Requests, c.Refused, c.Unanswered, c.NoBudget)
@@ -135,7 +136,7 @@
 		}
 	}
 	line("changes", "%s", strings.Join(changes, ", "))
-	line("jobs", "%d active, %d owned here", v.Jobs.Active, v.Jobs.Owned)
+	line("jobs", "%d active, %d owned here, %d in chains", v.Jobs.Active, v.Jobs.Owned, v.Jobs.Chained)
 	for _, reason := range slices.Sorted(maps.Keys(v.Jobs.Waiting)) {
 		line("waiting", "%d: %s", v.Jobs.Waiting[reason], reason)
 	}
@@ -157,7 +158,7 @@
 	defer w.Flush()
 	line := func(name, format string, args ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, args...)) }
 	line("job", "%s: %s", v.ID, v.Status)
-	line("class", "%s of %s, %s, priority %s", v.Class, v.Team, v.Shape, v.Priority)
+	line("class", "%s of %s, %s, priority %s%s", v.Class, v.Team, v.Shape, v.Priority, yesNo(v.RaisedTo != "", ", raised to "+v.RaisedTo+" for others", ""))
 	line("owner", "%s", yesNo(v.Owner != "", v.Owner, "none yet"))
 	line("age", "%s", span(&v.AgeS))
 	line("tasks", "%d: %d done, %d running, %d on machines", v.Tasks, v.Done, v.Running, v.Placed)
@@ -165,6 +166,21 @@
 		line("waits", "%s", v.Reason)
 		line("starts in", "%s", span(v.StartsInS))
 	}
+	if len(v.Needs) > 0 {
+		line("waits for", "%s", strings.Join(v.Needs, ", "))
+	}
+	if len(v.NeededBy) > 0 {
+		line("needed by", "%s", strings.Join(v.NeededBy, ", "))
+	}
+	if v.DueInS != nil {
+		line("due in", "%s", span(v.DueInS))
+	}
+	if v.MustEndInS != nil {
+		line("must end in", "%s", span(v.MustEndInS))
+	}
+	if v.CancelledWith != "" {
+		line("cancelled with", "%s", v.CancelledWith)
+	}
 	if v.FailedOn > 0 {
 		line("failed on", "%d machines", v.FailedOn)
 	}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -182,6 +182,9 @@
 		o.countArrival(js)
 	}
 	if j.Final() && o.active[id] != nil {
+		if j.With != "" && js.gain != 0 {
+			slog.Info("cancelled with another", "job", id, "with", j.With)
+		}
 		delete(o.active, id)
 		delete(o.unclear, id)
 		js.pending, js.retryAt, js.seen, js.badOn = nil, nil, nil, nil
@@ -340,8 +343,8 @@
 	var ready []*jobState
 	var outcomes []bookkeeping.Outcome
 	for _, js := range o.active {
-		if js.gain == 0 {
-			continue
+		if js.gain == 0 || js.waits && len(o.board.tasks[js.job.Spec.ID]) == 0 {
+			continue // there may be thousands that wait for others
 		}
 		if js.stale || now.Sub(js.reviewed) >= reviewEvery {
 			js.stale, js.reviewed = false, now
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -332,8 +332,8 @@
 	go func() {
 		for range 5 {
 			err := l.store.AddLot(l.ctx, transport.Ordinary, name, lot)
-			if err == nil || errors.Is(err, bookkeeping.ErrConflict) {
-				return // written, by this or by an earlier try
+			if err == nil {
+				return
 			}
 			slog.Debug("machines not registered", "lot", name, "err", err)
 			pause(l.ctx, time.Second)
--- a/internal/coordination/standin_test.go
+++ b/internal/coordination/standin_test.go
@@ -355,6 +355,27 @@
 	answer(w, 200, protocol.TxnAnswer{Revision: s.revision})
 }
 
+// rewrite changes the values of all keys with a prefix, as the version before
+// chains leaves them: it drops what it doesn't know.
+func (s *stateService) rewrite(prefix string, drop ...string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, p := range s.keys {
+		var rec map[string]any
+		if !strings.HasPrefix(key, bookkeeping.Root+prefix) {
+			continue
+		}
+		if err := json.Unmarshal(p.Value, &rec); err != nil {
+			return err
+		}
+		for _, field := range drop {
+			delete(rec, field)
+		}
+		s.change([]protocol.Change{{Set: key, Value: rec, Lease: p.Lease}})
+	}
+	return nil
+}
+
 // archive puts a job's record where those of jobs long over stand, in a state.
 func (s *stateService) archive(id, state string) error {
 	s.mu.Lock()
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -212,6 +212,10 @@
 		w.state.mu.Unlock()
 	case "older-records": // as a version left them that kept no rosters
 		return w.state.olderRecords()
+	case "older": // older CONTROLLER: its session is of the version before chains
+		return w.state.rewrite("m/"+args[0], "gen")
+	case "rewritten": // jobs that are over, as the version before chains writes them
+		return w.state.rewrite("z/", "end", "with")
 	case "archived": // archived JOB STATE: its record stands with those long over
 		return w.state.archive(args[0], args[1])
 	case "cloud-outage":
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -210,6 +210,12 @@
 		if js.gain != 0 {
 			v.Jobs.Owned++
 		}
+		if js.job.Needed || len(js.job.Spec.Needs) > 0 {
+			v.Jobs.Chained++
+		}
+		if js.job.Unclear {
+			v.Jobs.Unclear++
+		}
 		if reason, _ := o.why(js, now); reason != "" {
 			v.Jobs.Waiting[reason]++
 			waiting = append(waiting, js)
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -7,6 +7,7 @@
 	Controller string       `json:"controller"`
 	Zone       string       `json:"zone"`
 	UpS        float64      `json:"upS"`
+	Generation int          `json:"generation"` // what its version understands
 	Session    SessionView  `json:"session"`
 	Leader     string       `json:"leader"`
 	Holds      MachineCount `json:"holds"`
@@ -83,6 +84,10 @@
 	Active  int            `json:"active"`
 	Owned   int            `json:"owned"` // in this controller's range
 	Waiting map[string]int `json:"waiting"`
+	// Chained are jobs that others need or that need others, Unclear those of
+	// which it is being looked up what became of jobs that they need.
+	Chained int `json:"chained"`
+	Unclear int `json:"unclear"`
 	// AsksPending are requests to holders without an answer yet, Unmoved
 	// jobs that are over and whose records still stand with the others.
 	AsksPending int `json:"asksPending"`
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -100,6 +100,11 @@
 	gauge("jobs_active", float64(v.Jobs.Active))
 	gauge("jobs_owned", float64(v.Jobs.Owned))
 	gauge("jobs_unmoved", float64(v.Jobs.Unmoved))
+	gauge("jobs_chained", float64(v.Jobs.Chained))
+	gauge("jobs_unclear", float64(v.Jobs.Unclear))
+	for _, s := range v.Siblings {
+		gauge("sibling_generation", float64(s.Generation), "name", s.Name)
+	}
 	for reason, n := range v.Jobs.Waiting {
 		gauge("jobs_waiting", float64(n), "reason", reason)
 	}
