Vital requests have a budget of their own; the least urgent give way when refused

Cause: with more submissions than 28 changes a second can take, a cancellation waited in line behind them for 55 s (trace swarm-at-low-limits, in-memory), and windows, terms and slots stood in the same line. They, leases and watches now have a tier of their own; a refusal for the rate has results and archiving pay three times for a second.

--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -196,7 +196,7 @@
 	from := ""
 	seen := map[string]bool{}
 	for {
-		page, err := r.state.List(ctx, transport.Urgent, Root, from)
+		page, err := r.state.List(ctx, transport.Vital, Root, from)
 		if err != nil {
 			return 0, err
 		}
@@ -223,7 +223,7 @@
 			continue
 		}
 		// It ended while the replica could not follow.
-		p, found, err := r.state.Get(ctx, transport.Urgent, 3*time.Second, overKey(id))
+		p, found, err := r.state.Get(ctx, transport.Vital, 3*time.Second, overKey(id))
 		if err != nil {
 			return 0, err
 		}
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -243,7 +243,7 @@
 		if err != nil || j == nil || j.Final() {
 			return j, err
 		}
-		err = s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(id), Version: j.Version}},
+		err = s.commit(ctx, transport.Vital, userPatience, []protocol.Condition{{Key: jobKey(id), Version: j.Version}},
 			s.over(j, protocol.Cancelled))
 		if err == nil {
 			j.Record, j.State = protocol.Cancelled, protocol.Cancelled
@@ -383,7 +383,7 @@
 // their terms at once: whoever is late tries again.
 func (s *Store) TakeTerm(ctx context.Context, with func(term uint64) []protocol.Change) (uint64, error) {
 	for try := 1; ; try++ {
-		c, version, err := get[Counter](ctx, s, transport.Urgent, 3*time.Second, keyTerm)
+		c, version, err := get[Counter](ctx, s, transport.Vital, 3*time.Second, keyTerm)
 		if err != nil {
 			return 0, err
 		}
@@ -395,7 +395,7 @@
 		if with != nil {
 			then = append(then, with(next.Term)...)
 		}
-		_, ok, err := s.try(ctx, transport.Urgent, 3*time.Second, []protocol.Condition{{Key: keyTerm, Version: version}}, then)
+		_, ok, err := s.try(ctx, transport.Vital, 3*time.Second, []protocol.Condition{{Key: keyTerm, Version: version}}, then)
 		switch {
 		case err != nil || ok:
 			return next.Term, err
@@ -446,7 +446,7 @@
 	if seen != nil {
 		c.Version = seen.Version
 	}
-	return s.commit(ctx, transport.Ordinary, 3*time.Second, []protocol.Condition{c}, set(keyLeader, me, lease))
+	return s.commit(ctx, transport.Vital, 3*time.Second, []protocol.Condition{c}, set(keyLeader, me, lease))
 }
 
 // PublishWindow writes the next window, provided that the leader's record is
@@ -456,12 +456,12 @@
 	if seen != nil {
 		conds[1].Version = seen.Version
 	}
-	return s.commit(ctx, transport.Urgent, 3*time.Second, conds, set(keyWindow, w, 0))
+	return s.commit(ctx, transport.Vital, 3*time.Second, conds, set(keyWindow, w, 0))
 }
 
 // ReadWindow reads the newest window afresh.
 func (s *Store) ReadWindow(ctx context.Context) (*Window, error) {
-	w, version, err := get[Window](ctx, s, transport.Urgent, 3*time.Second, keyWindow)
+	w, version, err := get[Window](ctx, s, transport.Vital, 3*time.Second, keyWindow)
 	if w != nil {
 		w.Version = version
 	}
@@ -512,7 +512,7 @@
 			conds = append(conds, protocol.Condition{Key: memberKey(c.Former), Version: c.FormerVersion})
 		}
 	}
-	return term, s.commit(ctx, transport.Urgent, 3*time.Second, conds, then...)
+	return term, s.commit(ctx, transport.Vital, 3*time.Second, conds, then...)
 }
 
 // SlotChange is a new value for a slot's record as it was last seen.
@@ -547,7 +547,7 @@
 	var out []*Machine
 	from := ""
 	for {
-		page, err := s.state.List(ctx, transport.Urgent, lotPrefix, from)
+		page, err := s.state.List(ctx, transport.Vital, lotPrefix, from)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/coordination/slots.go
+++ b/internal/coordination/slots.go
@@ -182,7 +182,7 @@
 			changes = append(changes, bookkeeping.SlotChange{Slot: slot, Seen: rec.Version, To: bookkeeping.Slot{Term: rec.Term, Roster: rec.Roster, Listed: rec.Listed}})
 		}
 	}
-	h.changeSlots(transport.Urgent, changes, nil)
+	h.changeSlots(transport.Vital, changes, nil)
 }
 
 // changeSlots writes slots' records, one transaction at a time. What was
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -127,6 +127,15 @@
 	return errors.Join(failed, err1, err2)
 }
 
+// overview is what a controller shows its operators.
+func (w *world) overview(name string) (v protocol.Overview, err error) {
+	_, raw, err := w.call("user", http.MethodGet, "front-"+name+"/operator/status", nil, 3*time.Second)
+	if err == nil {
+		err = json.Unmarshal(raw, &v)
+	}
+	return v, err
+}
+
 func onOff(args []string) bool { return args[len(args)-1] == "on" }
 
 func (w *world) step(verb string, args []string) error {
@@ -147,6 +156,27 @@
 			failed = errors.Join(failed, <-errs)
 		}
 		return failed
+	case "swarm-begins": // the same, and the trace goes on meanwhile
+		go func() {
+			if err := w.step("swarm", args); err != nil {
+				w.rules.mu.Lock()
+				w.rules.broken("swarm: %v", err)
+				w.rules.mu.Unlock()
+			}
+		}()
+	case "cancelled-within": // cancelled-within TIME JOB
+		most, err := time.ParseDuration(args[0])
+		began := time.Now()
+		if err = errors.Join(err, w.step("cancel", args[1:])); err == nil && time.Since(began) > most {
+			err = fmt.Errorf("took %v", time.Since(began))
+		}
+		return err
+	case "window": // window CONTROLLER N: it goes by the window of this number, or a later one
+		v, err := w.overview(args[0])
+		if n, bad := strconv.ParseUint(args[1], 10, 64); err == nil && (bad != nil || v.Window == nil || v.Window.Number < n) {
+			err = fmt.Errorf("%+v", v.Window)
+		}
+		return err
 	case "cancel":
 		status, st := w.ask(http.MethodPost, "/v1/jobs/"+args[0]+"/cancel", []byte("{}"))
 		if status != 200 {
@@ -183,11 +213,7 @@
 		w.state.mu.Unlock()
 		return err
 	case "incomplete": // incomplete CONTROLLER N: of so many slots at most it is not known what is there
-		_, raw, err := w.call("user", http.MethodGet, "front-"+args[0]+"/operator/status", nil, 3*time.Second)
-		var v protocol.Overview
-		if err == nil {
-			err = json.Unmarshal(raw, &v)
-		}
+		v, err := w.overview(args[0])
 		n := 0
 		for _, s := range v.Slots {
 			if !s.Complete {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -103,30 +103,49 @@
 	Deferred Urgency = iota
 	Ordinary
 	Urgent
+	// Vital requests are few, and all else depends on them.
+	Vital
 )
 
 // budget shares a rate: the less urgent a request, the smaller the part of
 // the rate that it may use. Urgent requests never queue behind others: a large
 // transaction of results would hold a user's submission up for a second. All
 // together may so ask for more than the share of one controller, of which the
-// others seldom use all; what is too much is refused and not executed.
+// others seldom use all; what is too much is refused and not executed. When it
+// is, the least urgent give way for a moment: otherwise a swarm of submissions,
+// with what follows from them, has the vital ones refused too.
 type budget struct {
-	tiers [3]*rate.Limiter
+	tiers [Vital + 1]*rate.Limiter
+	// pressed is until when the least urgent give way, by the milliseconds.
+	pressed atomic.Int64
 }
 
+// pressedFor is for how long a refusal for the rate has the least urgent give
+// way, and pressedCost how many times they pay then.
+const (
+	pressedFor  = time.Second
+	pressedCost = 3
+)
+
 func newBudget(perSecond float64) *budget {
 	b := &budget{}
-	for i, part := range [3]float64{0.25, 0.7, 1} {
+	for i, part := range [Vital + 1]float64{0.25, 0.7, 1, 1} {
 		r := perSecond * part
 		b.tiers[i] = rate.NewLimiter(rate.Limit(r), max(1, int(r)))
 	}
 	return b
 }
 
+// refused notes that the other side refused a request for the rate.
+func (b *budget) refused() { b.pressed.Store(time.Now().Add(pressedFor).UnixMilli()) }
+
 // wait blocks until n requests of this urgency fit, or ctx ends. All of them are
 // charged, also where a small share has a smaller burst than a transaction has
 // changes: together the controllers would overdraw the rate.
 func (b *budget) wait(ctx context.Context, u Urgency, n int) error {
+	if u < Urgent && time.Now().UnixMilli() < b.pressed.Load() {
+		n *= pressedCost
+	}
 	for l := b.tiers[u]; n > 0; n -= l.Burst() {
 		if l.WaitN(ctx, min(n, l.Burst())) != nil {
 			return fmt.Errorf("%w: no budget in time", ErrRefused)
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -109,6 +109,9 @@
 		}
 	}
 	code, raw, err := s.call(ctx, u, timeout, http.MethodPost, "/multi", txn)
+	if code == http.StatusTooManyRequests {
+		s.writes.refused()
+	}
 	switch {
 	case err != nil:
 		return ans, false, err
@@ -128,7 +131,7 @@
 
 // OpenLease opens a lease.
 func (s *State) OpenLease(ctx context.Context, ttl time.Duration) (uint64, error) {
-	code, raw, err := s.call(ctx, Urgent, 3*time.Second, http.MethodPost, "/leases", protocol.LeaseRequest{TTLMs: ttl.Milliseconds()})
+	code, raw, err := s.call(ctx, Vital, 3*time.Second, http.MethodPost, "/leases", protocol.LeaseRequest{TTLMs: ttl.Milliseconds()})
 	if err == nil && code != http.StatusOK {
 		err = unexpected(code, raw)
 	}
@@ -141,7 +144,7 @@
 
 // TouchLease renews a lease; ErrNoLease means that it has ended.
 func (s *State) TouchLease(ctx context.Context, timeout time.Duration, lease uint64) error {
-	code, raw, err := s.call(ctx, Urgent, timeout, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/touch", nil)
+	code, raw, err := s.call(ctx, Vital, timeout, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/touch", nil)
 	switch {
 	case err != nil:
 		return err
@@ -156,7 +159,7 @@
 // Watch waits for changes after a revision.
 func (s *State) Watch(ctx context.Context, prefix string, from uint64, block time.Duration) (ev protocol.Events, err error) {
 	path := fmt.Sprintf("/changes?prefix=%s&from=%d&blockMs=%d", url.QueryEscape(prefix), from, block.Milliseconds())
-	code, raw, err := s.call(ctx, Urgent, block+2*time.Second, http.MethodGet, path, nil)
+	code, raw, err := s.call(ctx, Vital, block+2*time.Second, http.MethodGet, path, nil)
 	switch {
 	case err != nil:
 		return ev, err
