--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -311,9 +311,8 @@
 func (s *Store) MostOutcomes() int { return s.txnOps }
 
 // Record writes outcomes, as many in one transaction as it may hold. A
-// condition that fails fails all of them: then each is tried alone. It gives
-// back the jobs whose outcome is recorded for certain.
-func (s *Store) Record(ctx context.Context, outcomes []Outcome) (recorded []string) {
+// condition that fails fails all of them: then each is tried alone.
+func (s *Store) Record(ctx context.Context, u transport.Urgency, outcomes []Outcome) {
 	for len(outcomes) > 0 {
 		var conds []protocol.Condition
 		var then []protocol.Change
@@ -328,19 +327,12 @@
 		}
 		batch := outcomes[:n]
 		outcomes = outcomes[n:]
-		err := s.commit(ctx, transport.Ordinary, 3*time.Second, conds, then...)
-		switch {
-		case err == nil:
-			for _, o := range batch {
-				recorded = append(recorded, o.Job.Spec.ID)
-			}
-		case errors.Is(err, ErrConflict) && n > 1:
+		if err := s.commit(ctx, u, 3*time.Second, conds, then...); errors.Is(err, ErrConflict) && n > 1 {
 			for _, o := range batch {
-				recorded = append(recorded, s.Record(ctx, []Outcome{o})...)
+				s.Record(ctx, u, []Outcome{o})
 			}
 		}
 	}
-	return recorded
 }
 
 // present asks for the present revision, and which of the jobs named have a
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -58,7 +58,8 @@
 	judged  time.Time
 	think   func(job string, o opinion)
 
-	recording bool // results are being written
+	// ending and recording: what ends jobs, and other results, is being written.
+	ending, recording bool
 	// ended are jobs that are over and whose records have not been moved yet.
 	ended     map[string]*bookkeeping.Job
 	archiving bool
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -8,6 +8,7 @@
 
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
 )
 
 // What is there of a job: results, exits, tasks that must stop.
@@ -82,31 +83,39 @@
 // only the last ones are waited for.
 const resultsEvery = time.Second
 
-// record writes results; a worker may forget one only afterwards. Those that
-// finish a job come first, then those of jobs with most to tell.
+// record writes results; a worker may forget one only afterwards. What ends a
+// job is waited for, by its users and by the jobs that need it: it does not
+// stand in line behind results that end nothing. Of those, jobs with most to
+// tell come first.
 func (o *Owner) record(outcomes []bookkeeping.Outcome) {
-	if len(outcomes) == 0 || o.recording {
+	var ends, results []bookkeeping.Outcome
+	for _, out := range outcomes {
+		if out.Finishes() {
+			ends = append(ends, out)
+		} else {
+			results = append(results, out)
+		}
+	}
+	slices.SortFunc(results, func(a, b bookkeeping.Outcome) int { return cmp.Compare(len(b.Tasks), len(a.Tasks)) })
+	o.write(&o.ending, transport.Urgent, ends)
+	o.write(&o.recording, transport.Ordinary, results)
+}
+
+// write writes outcomes, one round at a time for those of a kind, as busy says.
+func (o *Owner) write(busy *bool, u transport.Urgency, outcomes []bookkeeping.Outcome) {
+	if len(outcomes) == 0 || *busy {
 		return
 	}
-	slices.SortFunc(outcomes, func(a, b bookkeeping.Outcome) int {
-		if x, y := a.Finishes(), b.Finishes(); x != y {
-			if x {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(len(b.Tasks), len(a.Tasks))
-	})
 	outcomes = outcomes[:min(len(outcomes), o.store.MostOutcomes())]
 	for _, out := range outcomes {
 		o.active[out.Job.Spec.ID].recorded = time.Now()
 	}
-	o.recording = true
+	*busy = true
 	go func() {
-		o.store.Record(o.ctx, outcomes)
+		o.store.Record(o.ctx, u, outcomes)
 		// What was written comes back through the replica.
 		pause(o.ctx, 100*time.Millisecond)
-		o.tell(func() { o.recording, o.dirty = false, true })
+		o.tell(func() { *busy, o.dirty = false, true })
 	}()
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -116,10 +116,23 @@
 // with what follows from them, has the vital ones refused too.
 type budget struct {
 	tiers [Vital + 1]*rate.Limiter
-	// pressed is until when the least urgent give way, by the milliseconds.
-	pressed atomic.Int64
+	// share is this controller's part of the rate.
+	share float64
+	// pressed is until when the least urgent give way, raised when urgent ones
+	// were last given more than their share, both by the milliseconds.
+	pressed, raised atomic.Int64
 }
 
+// Urgent requests that find no budget get more than their share as long as
+// nothing is refused: after many controllers ended at once, those that are back
+// first have all the users. It grows by raiseBy every raiseEvery, up to
+// mostShares, and falls back at the first refusal.
+const (
+	raiseBy    = 1.2
+	raiseEvery = 100 * time.Millisecond
+	mostShares = 4
+)
+
 // pressedFor is for how long a refusal for the rate has the least urgent give
 // way, and pressedCost how many times they pay then.
 const (
@@ -128,7 +141,7 @@
 )
 
 func newBudget(perSecond float64) *budget {
-	b := &budget{}
+	b := &budget{share: perSecond}
 	for i, part := range [Vital + 1]float64{0.25, 0.7, 1, 1} {
 		r := perSecond * part
 		b.tiers[i] = rate.NewLimiter(rate.Limit(r), max(1, int(r)))
@@ -137,7 +150,23 @@
 }
 
 // refused notes that the other side refused a request for the rate.
-func (b *budget) refused() { b.pressed.Store(time.Now().Add(pressedFor).UnixMilli()) }
+func (b *budget) refused() {
+	b.pressed.Store(time.Now().Add(pressedFor).UnixMilli())
+	b.allow(b.share)
+}
+
+func (b *budget) allow(perSecond float64) {
+	b.tiers[Urgent].SetLimit(rate.Limit(perSecond))
+	b.tiers[Urgent].SetBurst(max(1, int(perSecond)))
+}
+
+// starved notes that an urgent request found no budget.
+func (b *budget) starved() {
+	now, last := time.Now().UnixMilli(), b.raised.Load()
+	if now >= b.pressed.Load() && now-last >= raiseEvery.Milliseconds() && b.raised.CompareAndSwap(last, now) {
+		b.allow(min(float64(b.tiers[Urgent].Limit())*raiseBy, b.share*mostShares))
+	}
+}
 
 // wait blocks until n requests of this urgency fit, or ctx ends. All of them are
 // charged, also where a small share has a smaller burst than a transaction has
@@ -148,6 +177,9 @@
 	}
 	for l := b.tiers[u]; n > 0; n -= l.Burst() {
 		if l.WaitN(ctx, min(n, l.Burst())) != nil {
+			if u == Urgent {
+				b.starved()
+			}
 			return fmt.Errorf("%w: no budget in time", ErrRefused)
 		}
 	}
