--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -203,6 +203,44 @@
 	}
 }
 
+// A gang that must share a zone goes where all its tasks have their image
+// soonest, not to the first zone that has room.
+func TestGangsGoWhereTheirImageIs(t *testing.T) {
+	c, err := config.Load(settingsWith(t, "", ""), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &Owner{cfg: c, board: newBoard(), types: machineTypes, rng: rand.New(rand.NewPCG(3, 4)), session: &Session{}, peers: map[string]*peerState{"c1": {}},
+		unclear: map[string]*jobState{}}
+	for n := range 12 {
+		m := machine(fmt.Sprintf("m%d", n), "small", protocol.Room{Cores: 8, Accels: 2, RAM: 64})
+		m.holder, m.Zone = "c1", []string{"a", "b", "c"}[n%3]
+		if m.Zone == "b" {
+			m.Images = []string{"img"}
+		}
+		o.usable, o.board.machines[m.ID] = append(o.usable, m), m
+	}
+	for range 8 {
+		js := &jobState{job: &bookkeeping.Job{Spec: spec(func(s *protocol.JobSpec) {
+			s.Team, s.Shape, s.OneZone, s.Tasks = "free", protocol.Gang, true, 3
+		})}, pending: map[int]*pendingStart{}}
+		rq := requests{}
+		o.gatherGang(js, time.Now(), rq)
+		for _, st := range rq["c1"].Starts {
+			m := o.board.machines[st.Machine]
+			if m.Zone != "b" {
+				t.Errorf("%s goes to zone %s", st.Task, m.Zone)
+			}
+		}
+		if len(rq["c1"].Starts) != 3 {
+			t.Errorf("%+v", rq["c1"])
+		}
+		for _, m := range o.board.machines {
+			m.promised = protocol.Room{}
+		}
+	}
+}
+
 // Machines that come late are not replaced while others of their type come late
 // too, and one that never comes is given back all the same.
 func TestLateMachines(t *testing.T) {
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -117,45 +117,56 @@
 		rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
 	}
 	for _, evict := range []bool{false, true} {
+		var picks []choice
+		var soonest time.Duration
 		for _, zone := range zones {
-			picks := o.pickGang(js, zone, evict, now)
-			if picks == nil {
-				continue
-			}
-			attempt := o.newAttempt()
-			for index, c := range picks {
-				c.machine.promised = c.machine.promised.Sub(s.Need()) // start promises it again
-				o.start(js, index, attempt, c, true, rq)
+			// All wait for the one that has its image last. Once, the first zone
+			// with room was taken, while another had the image.
+			if found, fetch := o.pickGang(js, zone, evict, now); found != nil && (picks == nil || fetch < soonest) {
+				picks, soonest = found, fetch
 			}
-			return s.Tasks
 		}
+		if picks == nil {
+			continue
+		}
+		attempt := o.newAttempt()
+		for index, c := range picks {
+			o.start(js, index, attempt, c, true, rq)
+		}
+		return s.Tasks
 	}
 	js.blocked = now.Add(time.Second)
 	return s.Tasks
 }
 
-// pickGang finds a machine for every task of a gang, if there is one; with
-// evict also such where other work has to make room.
-func (o *Owner) pickGang(js *jobState, zone string, evict bool, now time.Time) []choice {
+// pickGang finds a machine for every task of a gang, if there is one, and how
+// long it takes until the last of them has its image; with evict also machines
+// where other work has to make room.
+func (o *Owner) pickGang(js *jobState, zone string, evict bool, now time.Time) (picks []choice, fetch time.Duration) {
 	s := js.job.Spec
 	p := o.placingFor(js, zone)
-	var picks []choice
+	// What is picked is promised for as long as the others are looked for.
+	defer func() {
+		for _, c := range picks {
+			c.machine.promised = c.machine.promised.Sub(s.Need())
+		}
+		if len(picks) < s.Tasks {
+			picks = nil
+		}
+	}()
 	for range s.Tasks {
 		c, ok := p.bestFit()
 		if !ok && evict {
 			c, ok = o.makeRoom(js, p, nil, now)
 		}
 		if !ok {
-			for _, c := range picks {
-				c.machine.promised = c.machine.promised.Sub(s.Need())
-			}
-			return nil
+			break
 		}
 		p.zones[c.machine.Zone]++
 		c.machine.promised = c.machine.promised.Add(s.Need())
-		picks = append(picks, c)
+		picks, fetch = append(picks, c), max(fetch, p.fetch(c.machine))
 	}
-	return picks
+	return picks, fetch
 }
 
 func (o *Owner) completeGang(js *jobState, attempt uint64, now time.Time, rq requests) int {
