--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -196,7 +196,7 @@
 	from := ""
 	seen := map[string]bool{}
 	for {
-		page, err := r.state.List(ctx, transport.Vital, Root, from)
+		page, err := r.state.List(ctx, transport.Vital, Root, from, transport.MaxPage)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/bookkeeping/sizes.go
+++ b/internal/bookkeeping/sizes.go
@@ -101,7 +101,7 @@
 }
 
 func (s *Store) listParts(ctx context.Context, id, sum string) (map[string]json.RawMessage, error) {
-	page, err := s.state.List(ctx, transport.Urgent, partKeys(id, sum), "")
+	page, err := s.state.List(ctx, transport.Urgent, partKeys(id, sum), "", transport.MaxPage)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -186,6 +186,27 @@
 	return j, nil
 }
 
+// ListOver reads records of jobs that are over, so many at most, in the order of
+// their ids and from the one given on. Whoever looks for many that lie close
+// together needs few requests.
+func (s *Store) ListOver(ctx context.Context, from string, most int) (map[string]*Job, error) {
+	last := len(from) - 1
+	page, err := s.state.List(ctx, transport.Urgent, overPrefix, overKey(from[:last])+string(from[last]-1)+"~", most)
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]*Job{}
+	for _, p := range page.Pairs {
+		id, _ := under(p.Key, overPrefix)
+		if r := parse[jobRecord](p.Key, p.Value, false); r != nil && r.Spec != nil {
+			j := (*Job)(nil).withRecord(r, p.Version)
+			j.Archived = true
+			out[id] = j
+		}
+	}
+	return out, nil
+}
+
 // over is the one change that ends a job. It is made in place: moving the
 // record to those that are over takes two changes more, which may wait until
 // there is nothing better to write (Archive).
@@ -539,7 +560,7 @@
 	var out []*Machine
 	from := ""
 	for {
-		page, err := s.state.List(ctx, transport.Vital, lotPrefix, from)
+		page, err := s.state.List(ctx, transport.Vital, lotPrefix, from, transport.MaxPage)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/coordination/chains.go
+++ b/internal/coordination/chains.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
 	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
 )
 
 // Chains of jobs, as a submission sees them. What follows for a job from the
@@ -25,12 +27,9 @@
 // errNever: the jobs that a submission names can't all be done some day.
 var errNever = errors.New("awaits")
 
-// needsWithin bounds how long a submission waits for what is known of the jobs
-// that it names, and needsAtOnce how many are read at a time.
-const (
-	needsWithin = bookkeeping.FreshWithin
-	needsAtOnce = 8
-)
+// needsWithin bounds how long a submission's names are looked up, before its
+// user is told to come again.
+const needsWithin = 2500 * time.Millisecond
 
 // needs finds out what became of the jobs that a submission names, and leaves
 // in it those that are not over: what is done needs not be waited for, and
@@ -83,53 +82,43 @@
 	return with, nil
 }
 
-// readNeeds reads the jobs that a submission names and that are not known. That
-// one was never accepted is proved by reads that begin after the submission.
+// readNeeds reads the jobs that a submission names and that are not known, most
+// of them long over. They are listed a few at a time, the more the closer together
+// they turn out to lie. That one was never accepted is proved by reads that begin
+// after the submission.
 func (k *Controller) readNeeds(ctx context.Context, spec *protocol.JobSpec, known map[string]*bookkeeping.Job) error {
-	type answer struct {
-		id  string
-		job *bookkeeping.Job
-		err error
-	}
-	var unknown []string
-	for _, id := range spec.Needs {
-		if known[id] == nil && id != spec.ID {
-			unknown = append(unknown, id)
+	most := 1
+	for _, id := range spec.Needs { // sorted, as the records are
+		if known[id] != nil || id == spec.ID {
+			continue
 		}
-	}
-	answers := make(chan answer)
-	asked := 0
-	ask := func() {
-		id := unknown[asked]
-		asked++
-		go func() {
-			j, err := k.store.ReadOver(ctx, id)
-			answers <- answer{id, j, err}
-		}()
-	}
-	for asked < min(needsAtOnce, len(unknown)) {
-		ask()
-	}
-	var failed error
-	for taken := 0; taken < asked; taken++ {
-		a := <-answers
-		switch {
-		case a.err != nil:
-			failed = ErrLater
-		case a.job != nil:
-			known[a.id] = a.job
-			if a.job.Final() {
-				k.foundOver(a.job) // for the retry
+		listed, err := k.store.ListOver(ctx, id, most)
+		if err == nil && listed[id] == nil {
+			listed[id], err = k.store.ReadJob(ctx, id)
+		}
+		if err != nil {
+			return ErrLater
+		}
+		if listed[id] == nil {
+			return nil // nothing more need be known
+		}
+		hits := 0
+		for _, id := range spec.Needs {
+			if j := listed[id]; j != nil && known[id] == nil {
+				known[id] = j
+				hits++
+				if j.Final() {
+					k.foundOver(j) // for the retry
+				}
 			}
 		}
-		if failed == nil && ctx.Err() == nil && asked < len(unknown) {
-			ask()
+		if 4*hits >= most {
+			most = min(2*most, transport.MaxPage)
+		} else {
+			most = max(1, most/2)
 		}
 	}
-	if failed == nil && asked < len(unknown) {
-		failed = ErrLater
-	}
-	return failed
+	return nil
 }
 
 // foundOver takes in a job that is over and that the replica does not have.
--- a/internal/coordination/standin_test.go
+++ b/internal/coordination/standin_test.go
@@ -403,8 +403,9 @@
 		}
 	}
 	sort.Slice(page.Pairs, func(i, k int) bool { return page.Pairs[i].Key < page.Pairs[k].Key })
-	if len(page.Pairs) > 40 { // small pages, so that paging is tested too
-		page.Pairs, page.More = page.Pairs[:40], true
+	most, _ := strconv.Atoi(q.Get("limit"))
+	if most = min(most, 40); len(page.Pairs) > most { // small pages, so that paging is tested too
+		page.Pairs, page.More = page.Pairs[:most], true
 	}
 	answer(w, 200, page)
 }
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -75,9 +75,12 @@
 	return p, true, decode(raw, &p)
 }
 
-// List reads a page of the keys with a prefix.
-func (s *State) List(ctx context.Context, u Urgency, prefix, from string) (page protocol.Page, err error) {
-	q := "?prefix=" + url.QueryEscape(prefix) + "&limit=1000"
+// MaxPage is how many keys a listing gives at most.
+const MaxPage = 1000
+
+// List reads a page of the keys with a prefix, of so many at most.
+func (s *State) List(ctx context.Context, u Urgency, prefix, from string, most int) (page protocol.Page, err error) {
+	q := "?prefix=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(most)
 	if from != "" {
 		q += "&from=" + url.QueryEscape(from)
 	}
