--- a/internal/bookkeeping/chains.go
+++ b/internal/bookkeeping/chains.go
@@ -1,6 +1,7 @@
 package bookkeeping
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -190,7 +191,7 @@
 	}
 	for _, n := range l.needs {
 		if n.state == protocol.Cancelled {
-			c.settle(l, protocol.Cancelled, n.root, n.ended)
+			c.settle(l, protocol.Cancelled, cmp.Or(n.root, n.id), n.ended)
 			return
 		}
 	}
@@ -224,9 +225,7 @@
 		}
 		l.state, l.ended = s.state, s.ended
 		if l.state == protocol.Cancelled {
-			if l.root = s.root; l.root == "" {
-				l.root = l.id
-			}
+			l.root = cmp.Or(s.root, l.id)
 		}
 		c.changed[l] = true
 		for a := range l.after {
--- a/internal/bookkeeping/chains_test.go
+++ b/internal/bookkeeping/chains_test.go
@@ -121,6 +121,14 @@
 	}
 	l.accept("wk-5", "high", 0, "wk-3", "wk-1")
 	l.want("wk-5", protocol.Cancelled, 2)
+	// One that nobody had named yet.
+	l.accept("wk-6", "idle", 0)
+	l.end("wk-6", protocol.Cancelled, 0)
+	l.accept("wk-7", "idle", 0, "wk-6")
+	if j := l.want("wk-7", protocol.Cancelled, 1); j.With != "wk-6" {
+		t.Errorf("cancelled with %q", j.With)
+	}
+	l.end("wk-7", protocol.Cancelled, 0)
 	// The first goes on by itself.
 	l.end("wk-1", protocol.Done, 0)
 	l.want("wk-3", protocol.Cancelled, 1)
--- a/internal/bookkeeping/records_test.go
+++ b/internal/bookkeeping/records_test.go
@@ -115,4 +115,23 @@
 	if want := maxOver + (maxOver+500)/2; len(r.jobs) != want || len(r.over) != maxOver {
 		t.Errorf("%d jobs are kept, want %d", len(r.jobs), want)
 	}
+	// What an unfinished job needs is kept too.
+	l := newLedger(t)
+	l.accept("wk-a", "idle", 0)
+	l.accept("wk-c", "idle", 0)
+	l.accept("wk-b", "idle", 0, "wk-a", "wk-c")
+	l.end("wk-a", protocol.Done, 0)
+	for n := range maxOver + 10 {
+		id := fmt.Sprintf("wk-%d", n)
+		l.accept(id, "idle", 0)
+		l.end(id, protocol.Done, 0)
+	}
+	if j := l.r.jobs["wk-a"]; j == nil || !j.Needed || len(l.r.over) > maxOver+1 {
+		t.Errorf("%+v, %d jobs that are over are kept", j, len(l.r.over))
+	}
+	l.end("wk-c", protocol.Done, 0)
+	l.end("wk-b", protocol.Done, 0)
+	if l.f.jobs["wk-a"].Needed {
+		t.Error("nobody was told that it is not needed any more")
+	}
 }
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -406,9 +406,15 @@
 	if !j.Final() || old != nil && old.Final() {
 		return
 	}
-	if r.over = append(r.over, id); len(r.over) > maxOver {
-		delete(r.jobs, r.over[0])
+	r.over = append(r.over, id)
+	for range min(2, max(0, len(r.over)-maxOver)) {
+		oldest := r.over[0]
 		r.over = r.over[1:]
+		if j := r.jobs[oldest]; j != nil && j.Needed {
+			r.over = append(r.over, oldest) // it is to be told when nothing needs it any more
+			continue
+		}
+		delete(r.jobs, oldest)
 	}
 }
 
