An outage of the state service is no deafness

Five of seven controllers called themselves deaf within 0.3 s of the end of an outage, and their slots went to two others. Now nobody judges by silence until three reports after the session is valid again.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -53,6 +53,7 @@
 	// probing: most workers went silent together, so it is this controller
 	// that they can't reach.
 	probing bool
+	invalid time.Time // when the session was last seen not to be valid
 }
 
 type goneMachine struct {
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -179,7 +179,13 @@
 // has lost them alone would let their leases run out, all the while answering
 // to the state service and its siblings as if nothing were wrong.
 func (h *Holder) listen(now time.Time) {
-	if h.session.Deaf() || !h.session.Valid() {
+	if !h.session.Valid() {
+		h.invalid = now
+	}
+	// Workers that were answered 503 for want of a session have tried others
+	// meanwhile: once, an outage of the state service had all controllers call
+	// themselves deaf together, and their slots change hands.
+	if h.session.Deaf() || now.Sub(h.invalid) < h.cfg.ReportEvery()*3 {
 		return
 	}
 	total, quiet := 0, 0
