--- a/internal/coordination/chains.go
+++ b/internal/coordination/chains.go
@@ -24,6 +24,14 @@
 	return u
 }
 
+// due is a job's deadline from its submission on, negative if it has none.
+func due(s *protocol.JobSpec) time.Duration {
+	if s.DeadlineS == nil {
+		return -1
+	}
+	return protocol.Seconds(*s.DeadlineS)
+}
+
 // errNever: the jobs that a submission names can't all be done some day.
 var errNever = errors.New("awaits")
 
