--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -335,7 +335,7 @@
 	for range 2 {
 		err = k.store.CreateJob(ctx, spec, with)
 		if err == nil {
-			slog.Debug("accepted", "job", id, "class", spec.Class, "tasks", spec.Tasks, "waits for", spec.Needs, "due", seconds(due(spec)), "cancelled with", with)
+			slog.Debug("accepted", "job", id, "class", spec.Class, "tasks", spec.Tasks, "waits for", spec.Needs, "due", due(spec), "cancelled with", with)
 			st := &protocol.JobStatus{ID: id, Status: protocol.Pending}
 			if with != "" {
 				st.Status = protocol.Cancelled
