--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -112,13 +112,12 @@
 // transaction of results would hold a user's submission up for a second. All
 // together may so ask for more than the share of one controller, of which the
 // others seldom use all; what is too much is refused and not executed. When it
-// is, the least urgent give way for a moment: otherwise a swarm of submissions,
-// with what follows from them, has the vital ones refused too.
+// is, the deferred ones give way for a moment.
 type budget struct {
 	tiers [Vital + 1]*rate.Limiter
 	// share is this controller's part of the rate.
 	share float64
-	// pressed is until when the least urgent give way, raised when urgent ones
+	// pressed is until when deferred requests give way, raised when urgent ones
 	// were last given more than their share, both by the milliseconds.
 	pressed, raised atomic.Int64
 }
@@ -133,7 +132,7 @@
 	mostShares = 4
 )
 
-// pressedFor is for how long a refusal for the rate has the least urgent give
+// pressedFor is for how long a refusal for the rate has deferred requests give
 // way, and pressedCost how many times they pay then.
 const (
 	pressedFor  = time.Second
@@ -172,7 +171,7 @@
 // charged, also where a small share has a smaller burst than a transaction has
 // changes: together the controllers would overdraw the rate.
 func (b *budget) wait(ctx context.Context, u Urgency, n int) error {
-	if u < Urgent && time.Now().UnixMilli() < b.pressed.Load() {
+	if u == Deferred && time.Now().UnixMilli() < b.pressed.Load() {
 		n *= pressedCost
 	}
 	for l := b.tiers[u]; n > 0; n -= l.Burst() {
