--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -133,7 +133,7 @@
 
 // find has jobs looked up that others name and that the replica doesn't have,
 // being long over, and such whose descriptions stand in parts. It tells whether
-// there are any.
+// an answer is due soon.
 func (r *Replica) find(ctx context.Context) bool {
 	ids := r.chains.lookUps(findMost)
 	for id := range r.divided {
@@ -143,7 +143,7 @@
 		ids = append(ids, id)
 	}
 	if len(ids) == 0 || r.finding || time.Now().Before(r.findFrom) {
-		return len(ids) > 0
+		return r.finding
 	}
 	r.finding = true
 	go func() {
