Tidying: what chains wrote twice, and state that could be derived

A job's deadline is known in one place (JobSpec.Deadline), a record of a job long over becomes a job in one place (longOver), a record says no end where none is known (Job.ended, in place of a special case in the archive). Whether an older controller is there is read off the generations that the owner keeps, not off a second set beside them; whether a job waits, and was counted as an arrival, off the job and the time when it became ready. The replica reaches the state service through its store. Nothing decides otherwise.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -118,13 +118,24 @@
 	return n
 }
 
+// longOver is the job of a record that stands with those of jobs long over.
+func longOver(r *jobRecord, version uint64) *Job {
+	j := (*Job)(nil).withRecord(r, version)
+	j.Archived = true
+	return j
+}
+
 // ended is the record of a job that is over. What only placing asks for is left
 // out: a description that just fitted into a value must not keep its job from
 // ending once values are to be smaller.
 func (j *Job) ended(state, with string, at time.Time) *jobRecord {
 	spec := *j.Spec
 	spec.Needs, spec.Types = nil, nil
-	return &jobRecord{Spec: &spec, State: state, AcceptedMs: j.Accepted.UnixMilli(), EndedMs: at.UnixMilli(), With: with, Parts: j.parts, Sum: j.sum}
+	r := &jobRecord{Spec: &spec, State: state, AcceptedMs: j.Accepted.UnixMilli(), With: with, Parts: j.parts, Sum: j.sum}
+	if !at.IsZero() { // the version before chains did not say
+		r.EndedMs = at.UnixMilli()
+	}
+	return r
 }
 
 // marked gives the bits of a chunk with more tasks recorded.
--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -80,9 +80,6 @@
 // jobs, which a process of the first would run at once.
 const Generation = 2
 
-// Chains tells whether the controller understands chains of jobs.
-func (m *Member) Chains() bool { return m.Generation >= 2 }
-
 // Leader names the controller that leads.
 type Leader struct {
 	Name    string `json:"name"`
--- a/internal/bookkeeping/production_test.go
+++ b/internal/bookkeeping/production_test.go
@@ -103,7 +103,7 @@
 	if s == nil || s.Holder != "c0" || !s.Listed || !s.Roster[0] || !s.Roster[6] || s.Term != 5 {
 		t.Errorf("slot 0 is read as %+v", s)
 	}
-	if m := e.members["c1"]; m == nil || m.Term != 2 || m.Chains() {
+	if m := e.members["c1"]; m == nil || m.Term != 2 || m.Generation != 0 {
 		t.Errorf("the session of c1 is read as %+v", m)
 	}
 	if e.leader == nil || e.leader.Name != "c2" || e.window == nil || len(e.window.Deal) != 6 || e.catalog == nil || len(e.catalog.Types) != 2 {
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -32,7 +32,7 @@
 
 // Replica follows the records and tells listeners. It is an actor of its own.
 type Replica struct {
-	state *transport.State
+	store *Store
 	to    Listener
 	jobs  map[string]*Job
 	over  []string        // jobs that are over, in the order in which they ended
@@ -50,7 +50,6 @@
 	finding  bool
 	findFrom time.Time
 	found    chan []finding
-	store    *Store
 	catalog  catalogParts
 	// caught hears up to which revision the listeners were told everything.
 	caught func(revision uint64)
@@ -60,13 +59,9 @@
 
 // NewReplica makes a replica; weigh gives a job's own urgency.
 func NewReplica(st *Store, tokenOf func(*protocol.JobSpec) int64, weigh func(*Job) Urgency, to Listener, caught func(uint64)) *Replica {
-	r := &Replica{store: st, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{},
+	return &Replica{store: st, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{},
 		homes: map[string]int{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf, chains: newChains(weigh),
 		divided: map[string]bool{}, found: make(chan []finding, 1)}
-	if st != nil {
-		r.state = st.state
-	}
-	return r
 }
 
 // watchBlock bounds one wait for changes, and so how stale a replica can be
@@ -89,7 +84,7 @@
 			if r.find(ctx) {
 				block = findBlock
 			}
-			ev, err = r.state.Watch(ctx, Root, from, block)
+			ev, err = r.store.state.Watch(ctx, Root, from, block)
 			if err == nil {
 				for _, e := range ev.Events {
 					r.apply(e.Set+e.Drop, e.Drop != "", e.Value, e.Version)
@@ -196,7 +191,7 @@
 	from := ""
 	seen := map[string]bool{}
 	for {
-		page, err := r.state.List(ctx, transport.Vital, Root, from, transport.MaxPage)
+		page, err := r.store.state.List(ctx, transport.Vital, Root, from, transport.MaxPage)
 		if err != nil {
 			return 0, err
 		}
@@ -223,7 +218,7 @@
 			continue
 		}
 		// It ended while the replica could not follow.
-		p, found, err := r.state.Get(ctx, transport.Vital, 3*time.Second, overKey(id))
+		p, found, err := r.store.state.Get(ctx, transport.Vital, 3*time.Second, overKey(id))
 		if err != nil {
 			return 0, err
 		}
--- a/internal/bookkeeping/store_jobs.go
+++ b/internal/bookkeeping/store_jobs.go
@@ -18,9 +18,9 @@
 // CreateJob records a job as accepted, cancelled from the start if one that it
 // needs was: with names that. ErrConflict: the id is known already.
 func (s *Store) CreateJob(ctx context.Context, spec *protocol.JobSpec, with string) error {
-	rec := &jobRecord{Spec: spec, State: protocol.Pending, AcceptedMs: time.Now().UnixMilli()}
+	now := time.Now()
+	rec := &jobRecord{Spec: spec, State: protocol.Pending, AcceptedMs: now.UnixMilli()}
 	if with != "" {
-		now := time.Now()
 		rec = s.brief((&Job{Spec: spec, Accepted: now}).ended(protocol.Cancelled, with, now))
 	}
 	if !s.fits(rec) {
@@ -66,15 +66,13 @@
 // if it is.
 func (s *Store) ReadOver(ctx context.Context, id string) (*Job, error) {
 	r, version, err := get[jobRecord](ctx, s, transport.Urgent, userPatience, overKey(id))
-	if err != nil || r == nil || r.Spec == nil {
-		if err == nil {
-			return s.ReadJob(ctx, id)
-		}
+	switch {
+	case err != nil:
 		return nil, err
+	case r == nil || r.Spec == nil:
+		return s.ReadJob(ctx, id)
 	}
-	j := (*Job)(nil).withRecord(r, version)
-	j.Archived = true
-	return j, nil
+	return longOver(r, version), nil
 }
 
 // ListOver reads records of jobs that are over, so many at most, in the order of
@@ -90,9 +88,7 @@
 	for _, p := range page.Pairs {
 		id, _ := under(p.Key, overPrefix)
 		if r := parse[jobRecord](p.Key, p.Value, false); r != nil && r.Spec != nil {
-			j := (*Job)(nil).withRecord(r, p.Version)
-			j.Archived = true
-			out[id] = j
+			out[id] = longOver(r, p.Version)
 		}
 	}
 	return out, nil
@@ -133,9 +129,6 @@
 			ended = time.Now()
 		}
 		id, rec := j.Spec.ID, j.ended(j.State, j.With, ended)
-		if ended.IsZero() {
-			rec.EndedMs = 0 // the version before chains did not say
-		}
 		rec.Parts, rec.Sum = 0, ""
 		conds = append(conds, protocol.Condition{Key: jobKey(id), Version: j.Version})
 		then = append(then, set(overKey(id), s.brief(rec), 0), protocol.Change{Drop: jobKey(id)})
--- a/internal/coordination/chains.go
+++ b/internal/coordination/chains.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,20 +19,12 @@
 // urgency is how much the end of a job is wanted for its own sake.
 func urgency(c *config.Config, j *bookkeeping.Job) bookkeeping.Urgency {
 	u := bookkeeping.Urgency{Rank: j.Spec.Priority.Rank(), Filler: c.Filler(j.Spec)}
-	if j.Spec.DeadlineS != nil {
-		u.End = j.Accepted.Add(protocol.Seconds(*j.Spec.DeadlineS))
+	if due, ok := j.Spec.Deadline(); ok {
+		u.End = j.Accepted.Add(due)
 	}
 	return u
 }
 
-// due is a job's deadline from its submission on, negative if it has none.
-func due(s *protocol.JobSpec) time.Duration {
-	if s.DeadlineS == nil {
-		return -1
-	}
-	return protocol.Seconds(*s.DeadlineS)
-}
-
 // errNever: the jobs that a submission names can't all be done some day.
 var errNever = errors.New("awaits")
 
@@ -48,14 +41,16 @@
 	if len(spec.Needs) == 0 {
 		return "", nil
 	}
-	if k.mixed.Load() {
-		// A controller of the version before chains may own the job, and would
-		// run it at once. Once no such version is left, this can go.
-		return "", ErrLater
-	}
 	ctx, cancel := context.WithTimeout(ctx, needsWithin)
 	defer cancel()
 	known, ok := askFor(ctx, &k.owner.actor, func() map[string]*bookkeeping.Job {
+		for _, p := range k.owner.peers {
+			if p.generation == 1 {
+				// A controller of the version before chains may own the job, and
+				// would run it at once. Once no such version is left, this can go.
+				return nil
+			}
+		}
 		out := make(map[string]*bookkeeping.Job, len(spec.Needs))
 		for _, id := range spec.Needs {
 			if js := k.owner.jobs[id]; js != nil {
@@ -64,7 +59,7 @@
 		}
 		return out
 	})
-	if !ok {
+	if !ok || known == nil {
 		return "", ErrLater
 	}
 	if err := k.readNeeds(ctx, spec, known); err != nil {
@@ -79,9 +74,7 @@
 		case j.Spec.Shape == protocol.Service:
 			return "", fmt.Errorf("%w: %s is a service, which is never done", errNever, id)
 		case j.State == protocol.Cancelled:
-			if with = j.With; with == "" {
-				with = id
-			}
+			with = cmp.Or(j.With, id)
 		case j.State != protocol.Done:
 			open = append(open, id)
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -30,10 +30,6 @@
 
 	catalog atomic.Pointer[protocol.Catalog]
 	loaded  atomic.Bool
-	// older are controllers whose version knows no chains; only the replica's
-	// goroutine touches it, and mixed tells all others whether there are any.
-	older map[string]bool
-	mixed atomic.Bool
 }
 
 // sibling reaches a holder over net/rpc. Feeds wait, so they have a
@@ -69,8 +65,7 @@
 	d := &c.Deployment
 	share := float64(len(c.Siblings) + 1)
 	state := transport.NewState(dial, c.Services.State, d.State.RPS/share, d.State.WriteRPS/share)
-	k := &Controller{cfg: c, started: time.Now(), state: state, store: bookkeeping.NewStore(state, d.State.TxnOps, c.ValueBytes()),
-		older: map[string]bool{}}
+	k := &Controller{cfg: c, started: time.Now(), state: state, store: bookkeeping.NewStore(state, d.State.TxnOps, c.ValueBytes())}
 	k.session = NewSession(c, k.store, func() { k.holder.ask(ctx, k.holder.reset) })
 	k.holder = NewHolder(ctx, c, k.session, k.store, transport.NewWorkers(dial))
 	holders := map[string]HolderCaller{c.Name: local{HolderRPC{k.holder}}}
@@ -110,10 +105,6 @@
 }
 
 func (k *Controller) MemberChanged(name string, m *bookkeeping.Member) {
-	if delete(k.older, name); m != nil && !m.Chains() {
-		k.older[name] = true
-	}
-	k.mixed.Store(len(k.older) > 0)
 	k.owner.tell(func() { k.owner.memberChanged(name, m) })
 	if m == nil {
 		k.holder.tell(func() { delete(k.holder.members, name) })
@@ -335,7 +326,8 @@
 	for range 2 {
 		err = k.store.CreateJob(ctx, spec, with)
 		if err == nil {
-			slog.Debug("accepted", "job", id, "class", spec.Class, "tasks", spec.Tasks, "waits for", spec.Needs, "due", due(spec), "cancelled with", with)
+			due, _ := spec.Deadline()
+			slog.Debug("accepted", "job", id, "class", spec.Class, "tasks", spec.Tasks, "waits for", spec.Needs, "due", due, "cancelled with", with)
 			st := &protocol.JobStatus{ID: id, Status: protocol.Pending}
 			if with != "" {
 				st.Status = protocol.Cancelled
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -102,7 +102,7 @@
 func (o *Owner) demands(now, started time.Time) []demand {
 	var out []demand
 	for id, js := range o.active {
-		if js.waits {
+		if js.job.Waits > 0 {
 			continue // nothing is kept for it that others could use now
 		}
 		s := js.job.Spec
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -95,10 +95,8 @@
 type jobState struct {
 	job *bookkeeping.Job
 	// known is when this controller first saw the job, ready when it saw that
-	// all those that it needs are done; waits: they are not.
+	// all those that it needs are done.
 	known, ready time.Time
-	waits        bool
-	counted      bool // as an arrival of its class
 	// gain is the window since which we own the job without a break, 0 if we
 	// don't; settled: all that may be left of former owners' starts is known.
 	gain    uint64
@@ -178,8 +176,8 @@
 	} else {
 		delete(o.ended, id)
 	}
-	if js.waits = j.Waits > 0; !js.waits && !js.counted && !j.Final() {
-		js.counted, js.ready = true, now
+	if j.Waits == 0 && js.ready.IsZero() && !j.Final() {
+		js.ready = now
 		o.countArrival(js)
 	}
 	if j.Final() && o.active[id] != nil {
@@ -344,7 +342,7 @@
 	var ready []*jobState
 	var outcomes []bookkeeping.Outcome
 	for _, js := range o.active {
-		if js.gain == 0 || js.waits && len(o.board.tasks[js.job.Spec.ID]) == 0 {
+		if js.gain == 0 || js.job.Waits > 0 && len(o.board.tasks[js.job.Spec.ID]) == 0 {
 			continue // there may be thousands that wait for others
 		}
 		if js.stale || now.Sub(js.reviewed) >= reviewEvery {
@@ -356,7 +354,7 @@
 				}
 			}
 		}
-		if js.settled && js.missing > 0 && !js.waits && !now.Before(js.blocked) && o.onTrial(js, now) {
+		if js.settled && js.missing > 0 && js.job.Waits == 0 && !now.Before(js.blocked) && o.onTrial(js, now) {
 			ready = append(ready, js)
 		}
 	}
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -77,7 +77,7 @@
 	switch {
 	case js.job.Final():
 		return "", -1
-	case js.waits:
+	case js.job.Waits > 0:
 		return protocol.ReasonNeeds, -1
 	case js.opinion == atFault:
 		return protocol.ReasonFailing, -1
@@ -150,8 +150,8 @@
 		in := float64(end.Sub(now).Round(100*time.Millisecond)) / float64(time.Second)
 		return &in
 	}
-	if s.DeadlineS != nil {
-		v.DueInS = left(j.Accepted.Add(protocol.Seconds(*s.DeadlineS)))
+	if due, ok := s.Deadline(); ok {
+		v.DueInS = left(j.Accepted.Add(due))
 	}
 	if !j.End.IsZero() && !j.Final() {
 		v.MustEndInS = left(j.End)
@@ -255,7 +255,7 @@
 	oldest, total := "", 0
 	var since time.Duration
 	for id, js := range o.active {
-		if js.gain == 0 || js.waits || now.Sub(js.ready) < standstillAfter || len(o.board.tasks[id]) > 0 || js.job.DoneCount() > 0 {
+		if js.gain == 0 || js.job.Waits > 0 || now.Sub(js.ready) < standstillAfter || len(o.board.tasks[id]) > 0 || js.job.DoneCount() > 0 {
 			continue
 		}
 		reason, _ := o.why(js, now)
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -86,6 +86,15 @@
 // Estimate is the owner's guess of a task's run time.
 func (s *JobSpec) Estimate() time.Duration { return Seconds(s.EstimateS) }
 
+// Deadline is when the job should be complete, counted from its submission;
+// false if it has none.
+func (s *JobSpec) Deadline() (time.Duration, bool) {
+	if s.DeadlineS == nil {
+		return 0, false
+	}
+	return Seconds(*s.DeadlineS), true
+}
+
 // AllowsType tells whether tasks may run on machines of the named type.
 func (s *JobSpec) AllowsType(name string) bool {
 	if s.Types == nil {
