--- /dev/null
+++ b/internal/board/news.go
@@ -0,0 +1,90 @@
+package board
+
+import "daledyke/internal/protocol"
+
+// What holders tell of their machines. These types travel between controllers
+// by net/rpc: fields may be added, none may change its name or meaning.
+// TaskView is a task as its machine's holder knows it.
+type TaskView struct {
+	Task    string
+	Attempt uint64
+	// State is the worker's word for it, or one of the holder's own below
+	// for a start that the worker has not confirmed yet.
+	State string
+	Cause string
+	Saved bool
+}
+
+// The holder's own states of a task that is to be started.
+const (
+	TaskReserved = "reserved" // room is kept, nothing is started
+	TaskQueued   = "queued"   // will be started once there is room
+	TaskStarting = "starting" // the command is on its way
+)
+
+// Unconfirmed tells whether a state is one of the holder's own.
+func Unconfirmed(state string) bool {
+	return state == TaskReserved || state == TaskQueued || state == TaskStarting
+}
+
+// Exited: it ended, in whatever way, and its worker still remembers it.
+func (t *TaskView) Exited() bool { return t.State == protocol.TaskExited }
+
+// Running: it makes progress, or is seen to.
+func (t *TaskView) Running() bool { return t.State == protocol.TaskRunning }
+
+// Begun: it runs, or did so until it was told to stop.
+func (t *TaskView) Begun() bool { return t.Running() || t.State == protocol.TaskFlushing }
+
+// MachineView is a machine as its holder sums it up.
+type MachineView struct {
+	ID, Type, Zone string
+	Spot           bool
+	Slot           int
+	// Term is the slot's term under which the view was made.
+	Term uint64
+	Free protocol.Room
+	// Usable: tasks may be started here.
+	Usable bool
+	// Silent: no report for longer than a healthy worker would let pass.
+	Silent bool
+	// Suspect: fails what it is given. Failed are jobs that failed here since
+	// something last succeeded; Sound tells that this was lately.
+	Suspect bool
+	Failed  []string
+	Sound   bool
+	// Leaving: the cloud gave notice.
+	Leaving bool
+	// Drained is the wish since which it is kept free without a break, if
+	// nothing can be on it; else 0.
+	Drained uint64
+	// Images are cached, or being fetched as Pulling says.
+	Images  []string
+	Pulling []string
+	Tasks   []TaskView
+}
+
+// SlotView says whether a holder knows all that may be on a slot's machines.
+type SlotView struct {
+	Slot     int
+	Term     uint64
+	Complete bool
+	// Awaited machines may have tasks and have been silent since the slot
+	// was taken, for longer than a healthy worker would let pass.
+	Awaited []string
+}
+
+// News is a holder's answer to a request for all that changed since a version.
+type News struct {
+	Incarnation uint64
+	Version     uint64
+	// Full: the reply holds all machines, not only those that changed.
+	Full bool
+	// Window is the newest window whose owners the holder obeys.
+	Window uint64
+	// Valid: the holder's session surely lives.
+	Valid    bool
+	Slots    []SlotView
+	Machines []MachineView
+	Gone     []string
+}
--- a/internal/coordination/blame.go
+++ b/internal/coordination/blame.go
@@ -4,78 +4,15 @@
 	"log/slog"
 	"time"
 
+	"daledyke/internal/board"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 )
 
-// Who is to blame when tasks fail. A faulty machine fails the tasks of every
-// job, a job that was submitted with a mistake fails on every machine; both
-// show as a task that ends in an error as soon as it has its image. Holders
+// Who is to blame when tasks fail (placement.JudgeJob, JudgeMachine). Holders
 // say which jobs failed on a machine since something last succeeded there;
 // every controller judges the jobs by that, and each holder its machines.
 
-// opinion is what is thought of a job that failed somewhere.
-type opinion int
-
-const (
-	undecided opinion = iota
-	atFault           // it fails wherever it is started
-	innocent          // it succeeds elsewhere
-)
-
-const (
-	// provenAfter is how long a task must run to show that it can: one that
-	// fails does so at once.
-	provenAfter = 5 * time.Second
-	// soundFor is how long a success vouches for a machine.
-	soundFor = 3 * time.Minute
-	// mostDoubt is how long a machine is left alone while it is not clear
-	// whether the fault is its own.
-	mostDoubt = time.Minute
-	// maxFailed bounds the jobs that a machine's view names as failed there.
-	maxFailed = 8
-)
-
-// judgeJob judges a job by the machines on which its tasks failed, each with
-// whether something else succeeded there lately, and by whether any task of
-// the job succeeded. Two sound machines tell against the job, or three of which
-// nothing is known: that many are seldom faulty at once.
-func judgeJob(failedOn map[string]bool, succeeded bool) opinion {
-	if succeeded {
-		return innocent
-	}
-	weight := 0
-	for _, sound := range failedOn {
-		weight += 2
-		if sound {
-			weight++
-		}
-	}
-	if weight >= 6 {
-		return atFault
-	}
-	return undecided
-}
-
-// judgeMachine judges a machine by what is thought of the jobs that failed on
-// it since the last success. Two that are innocent, or three that may be, tell
-// against it; with two that may be it is left alone, but not for ever.
-func judgeMachine(by []opinion, doubted time.Duration) (doubt, suspect bool) {
-	clean, open := 0, 0
-	for _, o := range by {
-		switch o {
-		case innocent:
-			clean++
-		case undecided:
-			open++
-		}
-	}
-	if clean >= 2 || clean+open >= 3 {
-		return true, true
-	}
-	doubt = clean+open >= 2
-	return doubt, doubt && doubted > mostDoubt
-}
-
 // ---- the holder's side: machines
 
 // failed notes that a job's task failed on a machine, succeeded that one
@@ -93,12 +30,12 @@
 
 // judge brings up to date what is thought of a machine.
 func (h *Holder) judge(w *worker) {
-	var by []opinion
+	var by []placement.Opinion
 	for job := range w.errorsBy {
 		j, o := h.jobs[job], h.opinions[job]
 		switch {
 		case j != nil && j.State == protocol.Done:
-			o = innocent
+			o = placement.Innocent
 		case j != nil && j.Final():
 			delete(w.errorsBy, job) // cancelled: it will never be known
 			continue
@@ -109,7 +46,7 @@
 	if !w.doubted.IsZero() {
 		doubted = time.Since(w.doubted)
 	}
-	doubt, suspect := judgeMachine(by, doubted)
+	doubt, suspect := placement.JudgeMachine(by, doubted)
 	if doubt != !w.doubted.IsZero() {
 		w.doubted = time.Time{}
 		if doubt {
@@ -125,7 +62,7 @@
 }
 
 // hearOpinion takes in what is thought of a job.
-func (h *Holder) hearOpinion(job string, o opinion) {
+func (h *Holder) hearOpinion(job string, o placement.Opinion) {
 	if j := h.jobs[job]; j == nil || j.Final() {
 		return
 	}
@@ -140,7 +77,7 @@
 // ---- the owner's side: jobs
 
 // noteFailures takes in which jobs failed on a machine.
-func (o *Owner) noteFailures(v *MachineView) {
+func (o *Owner) noteFailures(v *board.MachineView) {
 	for _, id := range v.Failed {
 		js := o.active[id]
 		if js == nil || len(js.badOn) >= 64 {
@@ -161,17 +98,17 @@
 			continue
 		}
 		was := js.opinion
-		if was == innocent {
+		if was == placement.Innocent {
 			continue
 		}
-		js.opinion = judgeJob(js.badOn, o.succeeded(js, now))
+		js.opinion = placement.JudgeJob(js.badOn, o.succeeded(js, now))
 		if js.opinion == was {
 			continue
 		}
-		if js.opinion == atFault {
+		if js.opinion == placement.AtFault {
 			slog.Info("job fails everywhere", "job", id, "machines", len(js.badOn))
-			js.trials, js.trialAt = 0, now.Add(trialAfter)
-		} else if was == atFault {
+			js.trials, js.trialAt = 0, now.Add(placement.TrialAfter)
+		} else if was == placement.AtFault {
 			slog.Info("job fails no longer", "job", id)
 		}
 		js.stale = true
@@ -184,9 +121,9 @@
 	if js.job.DoneCount() > 0 {
 		return true
 	}
-	for _, list := range o.board.tasks[js.job.Spec.ID] {
+	for _, list := range o.board.Tasks[js.job.Spec.ID] {
 		for _, i := range list {
-			if i.exited() && i.Cause == protocol.CauseDone || i.running() && now.Sub(i.ran) >= provenAfter {
+			if i.Exited() && i.Cause == protocol.CauseDone || i.Running() && now.Sub(i.Ran) >= placement.ProvenAfter {
 				return true
 			}
 		}
@@ -194,23 +131,16 @@
 	return false
 }
 
-// trialAfter is how long a job at fault is left alone first; the pause doubles
-// with each trial, up to trialMost.
-const (
-	trialAfter = 10 * time.Second
-	trialMost  = 2 * time.Minute
-)
-
 // onTrial tells whether a job at fault may be tried now: one task at a time
 // (all of a gang), more and more rarely.
 func (o *Owner) onTrial(js *jobState, now time.Time) bool {
-	if js.opinion != atFault {
+	if js.opinion != placement.AtFault {
 		return true
 	}
 	there := len(js.pending) > 0
-	for _, list := range o.board.tasks[js.job.Spec.ID] {
+	for _, list := range o.board.Tasks[js.job.Spec.ID] {
 		for _, i := range list {
-			there = there || !i.exited()
+			there = there || !i.Exited()
 		}
 	}
 	if js.job.Spec.Shape == protocol.Gang && there {
@@ -221,6 +151,6 @@
 
 // tried puts the next trial off.
 func (js *jobState) tried(now time.Time) {
-	js.trialAt = now.Add(min(trialMost, trialAfter<<min(js.trials, 8)))
+	js.trialAt = now.Add(placement.NextTrial(js.trials))
 	js.trials++
 }
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/protocol"
 )
 
@@ -25,7 +26,7 @@
 	}
 	r := t.Room()
 	for _, e := range w.entries {
-		if !e.exited() && (queued || e.state != taskQueued) {
+		if !e.exited() && (queued || e.state != board.TaskQueued) {
 			if h.jobs[e.job] == nil {
 				return protocol.Room{} // what it takes will be known soon
 			}
@@ -63,7 +64,7 @@
 	}
 	room := h.free(w, false)
 	for _, e := range w.entries {
-		if e.state != taskQueued {
+		if e.state != board.TaskQueued {
 			continue
 		}
 		if j := h.jobs[e.job]; j == nil || j.Final() || !h.startable(w) {
@@ -72,7 +73,7 @@
 		}
 		if need := h.need(e); room.Fits(need) {
 			room = room.Sub(need)
-			e.state = taskStarting
+			e.state = board.TaskStarting
 			out = append(out, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
 		}
 	}
@@ -136,7 +137,7 @@
 	if !executed {
 		// Refused for good: the starts in it will never happen.
 		for _, c := range o.Commands {
-			if e := w.entries[c.Task]; c.Verb == protocol.VerbStart && e != nil && e.state == taskStarting && e.token == o.Token {
+			if e := w.entries[c.Task]; c.Verb == protocol.VerbStart && e != nil && e.state == board.TaskStarting && e.token == o.Token {
 				delete(w.entries, c.Task)
 			}
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -8,8 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
@@ -41,7 +43,7 @@
 // rpcName is the name that holders are served under.
 const rpcName = "Holder"
 
-func (s sibling) Feed(ctx context.Context, a FeedArgs, r *FeedReply) error {
+func (s sibling) Feed(ctx context.Context, a FeedArgs, r *board.News) error {
 	return s.feeds.Call(ctx, time.Duration(a.WaitMs)*time.Millisecond+2*time.Second, rpcName+".Feed", a, r)
 }
 
@@ -56,9 +58,9 @@
 // local reaches this controller's own holder.
 type local struct{ rpc HolderRPC }
 
-func (l local) Feed(_ context.Context, a FeedArgs, r *FeedReply) error { return l.rpc.Feed(a, r) }
-func (l local) Ask(_ context.Context, a AskArgs, r *AskReply) error    { return l.rpc.Ask(a, r) }
-func (l local) Drain(_ context.Context, a DrainArgs) error             { return l.rpc.Drain(a, &Nothing{}) }
+func (l local) Feed(_ context.Context, a FeedArgs, r *board.News) error { return l.rpc.Feed(a, r) }
+func (l local) Ask(_ context.Context, a AskArgs, r *AskReply) error     { return l.rpc.Ask(a, r) }
+func (l local) Drain(_ context.Context, a DrainArgs) error              { return l.rpc.Drain(a, &Nothing{}) }
 
 // NewController puts a controller together.
 func NewController(ctx context.Context, c *config.Config, dial transport.Dialer) *Controller {
@@ -73,7 +75,7 @@
 		holders[s.Name] = sibling{transport.NewPeer(ctx, dial, s.Addr), transport.NewPeer(ctx, dial, s.Addr)}
 	}
 	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.foundOver,
-		func(job string, op opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) })
+		func(job string, op placement.Opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) })
 	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
 	k.reader = bookkeeping.NewReader(k.store)
 	k.replica = bookkeeping.NewReplica(k.store, func(s *protocol.JobSpec) int64 { return Token(c, s) }, func(j *bookkeeping.Job) bookkeeping.Urgency { return urgency(c, j) }, k,
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/protocol"
 )
 
@@ -26,7 +27,7 @@
 			pause(o.ctx, 100*time.Millisecond)
 			continue
 		}
-		var r FeedReply
+		var r board.News
 		sent := time.Now()
 		if err := h.Feed(o.ctx, a, &r); err != nil {
 			slog.Debug("no feed", "holder", name, "err", err)
@@ -41,7 +42,7 @@
 }
 
 // feed takes in a holder's reply to a request that was sent at the time.
-func (o *Owner) feed(name string, a *FeedArgs, r *FeedReply, sent time.Time) {
+func (o *Owner) feed(name string, a *FeedArgs, r *board.News, sent time.Time) {
 	p := o.peers[name]
 	p.incarnation, p.version, p.valid, p.heard = r.Incarnation, r.Version, r.Valid, time.Now()
 	if w := o.window(); o.latest != nil && r.Window == o.latest.Number && w != nil && w.Number < r.Window {
@@ -57,7 +58,7 @@
 	for i := range r.Machines {
 		o.noteFailures(&r.Machines[i])
 	}
-	o.touched(o.board.apply(name, r, time.Now()))
+	o.touched(o.board.Apply(name, r, time.Now()))
 	o.dirty = true
 	for id, js := range o.unclear {
 		for i, ps := range js.pending {
@@ -95,9 +96,9 @@
 
 // resolved tells whether a start that was asked for shows on the board by
 // now, or never will.
-func (o *Owner) resolved(ps *pendingStart, name string, a *FeedArgs, r *FeedReply) bool {
-	s := o.board.slots[ps.slot]
-	if s != nil && s.term > ps.term && s.complete {
+func (o *Owner) resolved(ps *pendingStart, name string, a *FeedArgs, r *board.News) bool {
+	s := o.board.Slots[ps.slot]
+	if s != nil && s.Term > ps.term && s.Complete {
 		return true // a new holder knows all that is there
 	}
 	if name != ps.holder || !o.shown(ps, name, r.Incarnation, r.Version) {
@@ -111,8 +112,8 @@
 // machine, covers what it said of the start. A holder that takes a start on
 // and then gives the slot up never shows it: only its successor will.
 func (o *Owner) shown(ps *pendingStart, name string, incarnation, version uint64) bool {
-	s := o.board.slots[ps.slot]
-	if s == nil || s.holder != name || s.term != ps.term || s.version != version {
+	s := o.board.Slots[ps.slot]
+	if s == nil || s.Holder != name || s.Term != ps.term || s.Version != version {
 		return false
 	}
 	return ps.acked && incarnation == ps.ackInc && version >= ps.version || !ps.acked && incarnation == ps.inc
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -1,11 +1,10 @@
 package coordination
 
 import (
+	"daledyke/internal/placement"
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"daledyke/internal/protocol"
 )
 
 // Gangs: all tasks at once or none.
@@ -17,48 +16,26 @@
 	if len(js.pending) > 0 {
 		return 0
 	}
-	tasks := o.board.tasks[s.ID]
-	live, reserved, begun, present := 0, 0, 0, 0
-	var attempt uint64
-	same := true
-	for _, list := range tasks {
-		for _, i := range list {
-			present++
-			if i.exited() {
-				continue
-			}
-			live++
-			if attempt != 0 && attempt != i.Attempt {
-				same = false
-			}
-			attempt = i.Attempt
-			switch i.State {
-			case taskReserved:
-				reserved++
-			case protocol.TaskRunning, protocol.TaskFlushing:
-				begun++
-			}
-		}
-	}
-	switch {
-	case live == 0 && present > 0:
-		return 0 // exited attempts are being cleared away
-	case live == 0:
+	tasks := o.board.Tasks[s.ID]
+	gang := placement.NextOfGang(tasks, s.Tasks)
+	switch gang.Step {
+	case placement.GangClears:
+		return 0
+	case placement.GangGathers:
 		return o.gatherGang(js, now, rq)
-	case reserved == s.Tasks && same:
+	case placement.GangStarts:
 		for index, list := range tasks {
-			o.start(js, index, attempt, choice{machine: list[0].machine}, false, rq)
+			o.start(js, index, gang.Attempt, placement.Choice{Machine: list[0].Machine}, false, rq)
 		}
 		return s.Tasks
-	case reserved == live || !same:
+	case placement.GangYields:
 		o.stopGang(js, 0, now, rq)
 		js.blocked = now.Add(time.Second)
 		return 1
-	case live < s.Tasks && begun == 0 && reserved == 0 && present == live:
-		// Not started yet: a replacement with the same attempt completes it.
-		return o.completeGang(js, attempt, now, rq)
-	case live < s.Tasks && begun > 0:
-		// The rest notices by itself; make sure of it after a while.
+	case placement.GangCompletes:
+		return o.completeGang(js, gang.Attempt, now, rq)
+	case placement.GangBroke:
+		// Make sure after a while that the rest notices.
 		if js.waitFrom.IsZero() {
 			js.waitFrom = now
 		} else if now.Sub(js.waitFrom) > 2*o.cfg.GangPeer() {
@@ -71,9 +48,9 @@
 }
 
 func (o *Owner) stopGang(js *jobState, grace float64, now time.Time, rq requests) {
-	for _, list := range o.board.tasks[js.job.Spec.ID] {
+	for _, list := range o.board.Tasks[js.job.Spec.ID] {
 		for _, i := range list {
-			if !i.exited() {
+			if !i.Exited() {
 				o.askStop(i, grace, now, rq)
 			}
 		}
@@ -91,7 +68,7 @@
 	}
 	clear(js.retryAt)
 	js.waitFrom = time.Time{}
-	if js.opinion == atFault {
+	if js.opinion == placement.AtFault {
 		js.tried(now)
 	}
 	if !o.teamRoom(js, s.Tasks) {
@@ -117,7 +94,7 @@
 		rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
 	}
 	for _, evict := range []bool{false, true} {
-		var picks []choice
+		var picks []placement.Choice
 		var soonest time.Duration
 		for _, zone := range zones {
 			// All wait for the one that has its image last. Once, the first zone
@@ -142,31 +119,13 @@
 // pickGang finds a machine for every task of a gang, if there is one, and how
 // long it takes until the last of them has its image; with evict also machines
 // where other work has to make room.
-func (o *Owner) pickGang(js *jobState, zone string, evict bool, now time.Time) (picks []choice, fetch time.Duration) {
-	s := js.job.Spec
+func (o *Owner) pickGang(js *jobState, zone string, evict bool, now time.Time) (picks []placement.Choice, fetch time.Duration) {
 	p := o.placingFor(js, zone)
-	// What is picked is promised for as long as the others are looked for.
-	defer func() {
-		for _, c := range picks {
-			c.machine.promised = c.machine.promised.Sub(s.Need())
-		}
-		if len(picks) < s.Tasks {
-			picks = nil
-		}
-	}()
-	for range s.Tasks {
-		c, ok := p.bestFit()
-		if !ok && evict {
-			c, ok = o.makeRoom(js, p, nil, now)
-		}
-		if !ok {
-			break
-		}
-		p.zones[c.machine.Zone]++
-		c.machine.promised = c.machine.promised.Add(s.Need())
-		picks, fetch = append(picks, c), max(fetch, p.fetch(c.machine))
+	var makeRoom func() (placement.Choice, bool)
+	if evict {
+		makeRoom = func() (placement.Choice, bool) { return o.makeRoom(js, p, nil, now) }
 	}
-	return picks, fetch
+	return p.PickGang(js.job.Spec.Tasks, makeRoom)
 }
 
 func (o *Owner) completeGang(js *jobState, attempt uint64, now time.Time, rq requests) int {
@@ -174,7 +133,7 @@
 	p := o.placingFor(js, "")
 	looked := 0
 	for index := 0; index < s.Tasks && looked < 32; index++ {
-		if len(o.board.tasks[s.ID][index]) > 0 || js.pending[index] != nil {
+		if len(o.board.Tasks[s.ID][index]) > 0 || js.pending[index] != nil {
 			continue
 		}
 		looked++
@@ -183,7 +142,7 @@
 		}
 		if c, ok := o.find(js, p, now); ok {
 			o.start(js, index, attempt, c, false, rq)
-			p.zones[c.machine.Zone]++
+			p.Zones[c.Machine.Zone]++
 		}
 	}
 	return looked
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -6,9 +6,12 @@
 	"slices"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
+	"daledyke/internal/ring"
 	"daledyke/internal/transport"
 )
 
@@ -46,9 +49,9 @@
 	// releasing are slots given up whose records don't say so yet.
 	releasing    map[int]*heldSlot
 	writingSlots bool
-	drainsFor    uint64             // the last wish to drain
-	opinions     map[string]opinion // of jobs that failed somewhere
-	found        uint64             // lots of machines that nobody had registered
+	drainsFor    uint64                       // the last wish to drain
+	opinions     map[string]placement.Opinion // of jobs that failed somewhere
+	found        uint64                       // lots of machines that nobody had registered
 	finding      bool
 	// probing: most workers went silent together, so it is this controller
 	// that they can't reach.
@@ -136,7 +139,7 @@
 	proven bool
 }
 
-func (e *entry) unconfirmed() bool { return unconfirmed(e.state) }
+func (e *entry) unconfirmed() bool { return board.Unconfirmed(e.state) }
 
 func (e *entry) exited() bool { return e.state == protocol.TaskExited }
 
@@ -145,23 +148,14 @@
 	return &Holder{actor: newActor(ctx), cfg: c, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
-		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]opinion{}, releasing: map[int]*heldSlot{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
+		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]placement.Opinion{}, releasing: map[int]*heldSlot{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
 }
 
 // Run runs the actor until its context ends.
 func (h *Holder) Run() { h.loop(250*time.Millisecond, h.tick) }
 
-// SlotCount is into how many shares the workers are dealt: enough that those
-// of one lost controller spread over all others.
-func SlotCount(controllers int) int { return max(1, controllers*(controllers-1)) }
-
 func (h *Holder) slotOf(machine string) int {
-	return slotOf(machine, SlotCount(len(h.cfg.Siblings)+1))
-}
-
-// slotOf deals a machine to one of the slots.
-func slotOf(machine string, slots int) int {
-	return int(protocol.MachineNumber(machine) % uint64(slots))
+	return ring.SlotOf(machine, ring.SlotCount(len(h.cfg.Siblings)+1))
 }
 
 func (h *Holder) bump() uint64 {
@@ -253,7 +247,7 @@
 			if h.changedJobs[e.job] {
 				e.sent, w.settled = time.Time{}, false // what was sent may no longer be what is wanted
 			}
-			if (e.state == taskReserved || e.state == taskQueued) && now.After(e.until) {
+			if (e.state == board.TaskReserved || e.state == board.TaskQueued) && now.After(e.until) {
 				delete(w.entries, name)
 				h.touch(w)
 			}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
+	"daledyke/internal/fleet"
 	"daledyke/internal/protocol"
+	"daledyke/internal/ring"
 	"daledyke/internal/transport"
 )
 
@@ -31,7 +32,7 @@
 	// the fleet, while leading
 	busy     bool
 	bookings uint64
-	refusals map[machineKind]time.Time
+	refusals map[fleet.Kind]time.Time
 	listed   map[string]protocol.Machine
 	listedAt time.Time
 	priced   time.Time
@@ -50,7 +51,7 @@
 // NewLeader makes the actor.
 func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
 	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
-		members: map[string]*bookkeeping.Member{}, refusals: map[machineKind]time.Time{}, listed: map[string]protocol.Machine{},
+		members: map[string]*bookkeeping.Member{}, refusals: map[fleet.Kind]time.Time{}, listed: map[string]protocol.Machine{},
 		draining: map[string]drainWish{}, boots: map[string][]time.Duration{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
 }
 
@@ -103,50 +104,6 @@
 // not there yet.
 const firstWait = 2 * time.Second
 
-// nextWindow works out the window to publish, nil if it is not time yet: in
-// the middle of the present one, or at once when controllers came or went.
-func nextWindow(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string, now time.Time, every, offset time.Duration) *bookkeeping.Window {
-	var owners, hearing []string
-	for _, n := range names {
-		if m := members[n]; m != nil {
-			owners = append(owners, n)
-			if !m.Deaf {
-				hearing = append(hearing, n)
-			}
-		}
-	}
-	if len(owners) == 0 {
-		return nil
-	}
-	if len(hearing) == 0 {
-		hearing = owners
-	}
-	deal := make([]string, SlotCount(len(names)))
-	for s := range deal {
-		home := names[s%len(names)]
-		if slices.Contains(hearing, home) {
-			deal[s] = home
-		} else {
-			deal[s] = hearing[(s/len(names))%len(hearing)]
-		}
-	}
-	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: deal}
-	if cur == nil {
-		return w
-	}
-	w.Number = cur.Number + 1
-	start := time.UnixMilli(cur.StartMs)
-	if !slices.Equal(cur.Owners, owners) || !slices.Equal(cur.Deal, deal) {
-		w.StartMs = max(now.Add(300*time.Millisecond).UnixMilli(), cur.StartMs)
-		return w
-	}
-	if now.Before(start.Add(offset)) && start.Sub(now) < 2*every {
-		return nil
-	}
-	w.StartMs = max(now.UnixMilli(), start.Add(every).UnixMilli())
-	return w
-}
-
 func (l *Leader) publish() {
 	if l.writing {
 		return
@@ -154,7 +111,7 @@
 	if l.window == nil && len(l.members) < len(l.cfg.Siblings)+1 && time.Since(l.leadFrom) < firstWait {
 		return // all start together: what was dealt now would soon change hands
 	}
-	w := nextWindow(l.window, l.members, l.cfg.Names(), time.Now(), l.cfg.Window, l.cfg.PublishOffset)
+	w := ring.NextWindow(l.window, l.members, l.cfg.Names(), time.Now(), l.cfg.Window, l.cfg.PublishOffset)
 	if w == nil {
 		return
 	}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -10,15 +10,19 @@
 	"sync/atomic"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
+	"daledyke/internal/fleet"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
+	"daledyke/internal/ring"
 	"daledyke/internal/transport"
 )
 
 // HolderCaller reaches a holder: a sibling's over net/rpc, or our own.
 type HolderCaller interface {
-	Feed(ctx context.Context, a FeedArgs, r *FeedReply) error
+	Feed(ctx context.Context, a FeedArgs, r *board.News) error
 	Ask(ctx context.Context, a AskArgs, r *AskReply) error
 	Drain(ctx context.Context, a DrainArgs) error
 }
@@ -33,7 +37,7 @@
 	holders map[string]HolderCaller
 	slots   int
 
-	board  *board
+	board  *board.Board
 	types  map[string]protocol.MachineType
 	jobs   map[string]*jobState
 	active map[string]*jobState // not final
@@ -56,7 +60,7 @@
 	// thought of them.
 	failing map[string]*jobState
 	judged  time.Time
-	think   func(job string, o opinion)
+	think   func(job string, o placement.Opinion)
 
 	// ending and recording: what ends jobs, and other results, is being written.
 	ending, recording bool
@@ -67,18 +71,18 @@
 	found     func(*bookkeeping.Job)
 	dirty     bool
 	planned   time.Time
-	classes   map[string]*classStats
+	classes   map[string]*fleet.Class
 	rng       *rand.Rand
 
 	// usable and scarceNow are worked out once a round.
-	usable    []*boardMachine
+	usable    []*board.Machine
 	scarceNow map[string]bool
 
 	// boots and toldStill serve what is told of jobs that wait; refused are
 	// kinds of machines that the cloud has none of, as a leader knows.
 	boots     boots
 	toldStill time.Time
-	refused   []machineKind
+	refused   []fleet.Kind
 
 	// othersValid: some sibling says that its session lives.
 	othersValid atomic.Bool
@@ -108,7 +112,7 @@
 	// badOn are machines on which tasks of the job failed, each with whether
 	// it was sound otherwise; opinion is what is thought of the job for it.
 	badOn   map[string]bool
-	opinion opinion
+	opinion placement.Opinion
 	trials  int
 	trialAt time.Time
 	// waitFrom is since when a running gang lacks a task.
@@ -138,14 +142,14 @@
 }
 
 // NewOwner makes the actor.
-func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller, found func(*bookkeeping.Job), think func(string, opinion)) *Owner {
+func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller, found func(*bookkeeping.Job), think func(string, placement.Opinion)) *Owner {
 	return &Owner{actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders, found: found, think: think,
-		slots: SlotCount(len(c.Siblings) + 1), board: newBoard(), types: map[string]protocol.MachineType{},
+		slots: ring.SlotCount(len(c.Siblings) + 1), board: board.New(), types: map[string]protocol.MachineType{},
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, unclear: map[string]*jobState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
 		rosters: map[int]bookkeeping.Roster{}, gone: map[string]bool{},
 		born: map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
-		classes: map[string]*classStats{}, ended: map[string]*bookkeeping.Job{}, failing: map[string]*jobState{}}
+		classes: map[string]*fleet.Class{}, ended: map[string]*bookkeeping.Job{}, failing: map[string]*jobState{}}
 }
 
 // Run follows all holders' feeds and runs the actor until its context ends.
@@ -200,7 +204,7 @@
 func (o *Owner) evict() {
 	n := maxFinal / 4
 	for id, js := range o.jobs {
-		if js.job.Final() && o.board.tasks[id] == nil {
+		if js.job.Final() && o.board.Tasks[id] == nil {
 			delete(o.jobs, id)
 			if n--; n == 0 {
 				return
@@ -223,7 +227,7 @@
 	}
 	o.gone[id] = true
 	touched := map[string]bool{}
-	o.board.remove(id, touched)
+	o.board.Remove(id, touched)
 	o.touched(touched)
 	for _, js := range o.unclear {
 		for i, ps := range js.pending {
@@ -275,12 +279,12 @@
 
 // placed is how many of a job's tasks are on machines, and run.
 func (o *Owner) placed(id string) (placed, running int) {
-	for _, list := range o.board.tasks[id] {
+	for _, list := range o.board.Tasks[id] {
 		for _, i := range list {
-			if !i.exited() {
+			if !i.Exited() {
 				placed++
 			}
-			if i.running() {
+			if i.Running() {
 				running++
 			}
 		}
@@ -323,11 +327,11 @@
 // requests collects what a planning round asks of each holder.
 type requests map[string]*AskArgs
 
-func (o *Owner) to(rq requests, m *boardMachine) *AskArgs {
-	a := rq[m.holder]
+func (o *Owner) to(rq requests, m *board.Machine) *AskArgs {
+	a := rq[m.Holder]
 	if a == nil {
 		a = &AskArgs{Caller: o.cfg.Name}
-		rq[m.holder] = a
+		rq[m.Holder] = a
 	}
 	return a
 }
@@ -342,7 +346,7 @@
 	var ready []*jobState
 	var outcomes []bookkeeping.Outcome
 	for _, js := range o.active {
-		if js.gain == 0 || js.job.Waits > 0 && len(o.board.tasks[js.job.Spec.ID]) == 0 {
+		if js.gain == 0 || js.job.Waits > 0 && len(o.board.Tasks[js.job.Spec.ID]) == 0 {
 			continue // there may be thousands that wait for others
 		}
 		if js.stale || now.Sub(js.reviewed) >= reviewEvery {
@@ -394,13 +398,13 @@
 
 // promise adds up the room of starts that the board does not show yet.
 func (o *Owner) promise() {
-	for _, m := range o.board.machines {
-		m.promised = protocol.Room{}
+	for _, m := range o.board.Machines {
+		m.Promised = protocol.Room{}
 	}
 	for _, js := range o.unclear {
 		for _, ps := range js.pending {
-			if m := o.board.machines[ps.machine]; m != nil {
-				m.promised = m.promised.Add(ps.need)
+			if m := o.board.Machines[ps.machine]; m != nil {
+				m.Promised = m.Promised.Add(ps.need)
 			}
 		}
 	}
@@ -414,18 +418,18 @@
 }
 
 // start adds a start to the round's requests.
-func (o *Owner) start(js *jobState, index int, attempt uint64, c choice, reserve bool, rq requests) {
-	m := c.machine
-	slog.Debug("placing", "job", js.job.Spec.ID, "index", index, "class", js.job.Spec.Class, "machine", m.ID, "evict", len(c.evict),
+func (o *Owner) start(js *jobState, index int, attempt uint64, c placement.Choice, reserve bool, rq requests) {
+	m := c.Machine
+	slog.Debug("placing", "job", js.job.Spec.ID, "index", index, "class", js.job.Spec.Class, "machine", m.ID, "evict", len(c.Evict),
 		"cached", slices.Contains(m.Images, js.job.Spec.Image), "waited", time.Since(js.job.Ready))
 	a := o.to(rq, m)
-	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.evict, Reserve: reserve})
-	ps := &pendingStart{machine: m.ID, holder: m.holder, inc: o.peers[m.holder].incarnation, slot: m.Slot, term: m.Term,
+	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.Evict, Reserve: reserve})
+	ps := &pendingStart{machine: m.ID, holder: m.Holder, inc: o.peers[m.Holder].incarnation, slot: m.Slot, term: m.Term,
 		need: js.job.Spec.Need()}
 	js.pending[index] = ps
 	js.stale = true
 	o.unclear[js.job.Spec.ID] = js
-	m.promised = m.promised.Add(ps.need)
+	m.Promised = m.Promised.Add(ps.need)
 }
 
 // send makes a request of a holder. Its outcome, if it doesn't come in time,
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -4,7 +4,10 @@
 	"math"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
+	"daledyke/internal/fleet"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 )
 
@@ -12,7 +15,7 @@
 
 // machinesNow are the machines on which tasks may be started, as this round
 // sees them.
-func (o *Owner) machinesNow() []*boardMachine {
+func (o *Owner) machinesNow() []*board.Machine {
 	if o.usable != nil {
 		return o.usable
 	}
@@ -20,9 +23,9 @@
 	for name, p := range o.peers {
 		heard[name] = p.valid && time.Since(p.heard) < 6*time.Second
 	}
-	o.usable = make([]*boardMachine, 0, len(o.board.machines))
-	for _, m := range o.board.machines {
-		if m.current && m.Usable && heard[m.holder] {
+	o.usable = make([]*board.Machine, 0, len(o.board.Machines))
+	for _, m := range o.board.Machines {
+		if m.Current && m.Usable && heard[m.Holder] {
 			o.usable = append(o.usable, m)
 		}
 	}
@@ -31,65 +34,51 @@
 
 // placingFor prepares to place tasks of a job on machines of a zone, or of any
 // if it is empty.
-func (o *Owner) placingFor(js *jobState, zone string) *placing {
+func (o *Owner) placingFor(js *jobState, zone string) *placement.Placing {
 	s := js.job.Spec
-	p := &placing{spec: s, avoid: js.badOn, types: o.types, scarce: o.scarceNow, sample: o.cfg.Sample, rng: o.rng}
-	if s.Shape == protocol.Service && runsOnOthers(s, o.types, o.scarceNow) {
+	p := &placement.Placing{Spec: s, Zone: zone, Avoid: js.badOn, Types: o.types, Scarce: o.scarceNow, Sample: o.cfg.Sample, Rand: o.rng}
+	if s.Shape == protocol.Service && placement.RunsOnOthers(s, o.types, o.scarceNow) {
 		// Other machines can be had in about the time that they take to boot.
-		ready, _ := o.ready(s, s.ImageGB)
-		p.keep = time.Since(js.job.Ready) < o.within(s.Class, 0)+ready
+		ready, _ := fleet.Ready(o.types, s, s.ImageGB)
+		p.Keep = time.Since(js.job.Ready) < o.within(s.Class, 0)+ready
 	}
-	if js.opinion == atFault {
-		p.avoid = nil // no machine is to blame
+	if js.opinion == placement.AtFault {
+		p.Avoid = nil // no machine is to blame
 	}
-	p.zones = map[string]int{}
+	p.Zones = map[string]int{}
 	if s.OneZone || s.Scatter {
-		for _, list := range o.board.tasks[s.ID] {
+		for _, list := range o.board.Tasks[s.ID] {
 			for _, i := range list {
-				if !i.exited() {
-					p.zones[i.machine.Zone]++
+				if !i.Exited() {
+					p.Zones[i.Machine.Zone]++
 				}
 			}
 		}
 		for _, ps := range js.pending {
-			if m := o.board.machines[ps.machine]; m != nil {
-				p.zones[m.Zone]++
+			if m := o.board.Machines[ps.machine]; m != nil {
+				p.Zones[m.Zone]++
 			}
 		}
 	}
-	p.zoneOK = func(z string) bool {
-		if zone != "" && z != zone || s.OneZone && len(p.zones) > 0 && p.zones[z] == 0 {
-			return false
-		}
-		return !s.Scatter || p.zones[z] < s.ZoneShare()
-	}
-	p.gather(o.machinesNow())
+	p.Gather(o.machinesNow())
 	return p
 }
 
 // scarce are the types that some class seen lately cannot do without.
 func (o *Owner) scarce() map[string]bool {
-	out := map[string]bool{}
-	for _, c := range o.classes {
-		only := ""
-		n := 0
-		for _, t := range o.types {
-			if t.Takes(c.spec) {
-				only = t.Name
-				n++
+	return placement.Scarce(func(yield func(*protocol.JobSpec) bool) {
+		for _, c := range o.classes {
+			if !yield(c.Spec) {
+				return
 			}
 		}
-		if n == 1 {
-			out[only] = true
-		}
-	}
-	return out
+	}, o.types)
 }
 
 // teamUse is what each team's tasks take, as far as the board shows.
 func (o *Owner) teamUse() map[string]protocol.Room {
 	use := map[string]protocol.Room{}
-	for job, tasks := range o.board.tasks {
+	for job, tasks := range o.board.Tasks {
 		js := o.jobs[job]
 		if js == nil {
 			continue
@@ -97,7 +86,7 @@
 		s := js.job.Spec
 		for _, list := range tasks {
 			for _, i := range list {
-				if !i.exited() {
+				if !i.Exited() {
 					use[s.Team] = use[s.Team].Add(s.Need())
 				}
 			}
@@ -106,44 +95,24 @@
 	return use
 }
 
-// guaranteed tells whether one more task of the job lies within its team's
-// guarantee.
-func (o *Owner) guaranteed(s *protocol.JobSpec, use map[string]protocol.Room) bool {
-	t := o.cfg.Team(s.Team)
-	return t != nil && t.Guarantees(use[s.Team].Add(s.Need()))
-}
-
-// mayStop tells whether a task of victim may be stopped for one of j: it has a
-// lower priority, or its team runs it beyond its guarantee and j is within its
-// own. A job has the priority of those that need it, also as a victim.
-func (o *Owner) mayStop(victim, j *bookkeeping.Job, guaranteed bool, use map[string]protocol.Room) bool {
-	if victim.Rank < j.Rank {
-		return true
+// claim is a job as it is weighed against others, where teams use so much.
+func (o *Owner) claim(j *bookkeeping.Job, use map[string]protocol.Room) placement.Claim {
+	s := j.Spec
+	c := placement.Claim{Spec: s, Rank: j.Rank, Filler: j.Filler}
+	if t := o.cfg.Team(s.Team); t != nil {
+		c.Guaranteed, c.Beyond = t.Guarantees(use[s.Team].Add(s.Need())), !t.Guarantees(use[s.Team])
 	}
-	t := o.cfg.Team(victim.Spec.Team)
-	return guaranteed && t != nil && victim.Spec.Team != j.Spec.Team && !t.Guarantees(use[victim.Spec.Team])
+	return c
 }
 
-// price is what stopping a task for one of the given job costs.
-func (o *Owner) price(j *bookkeeping.Job, guaranteed bool, use map[string]protocol.Room, now time.Time) func(*inst) (evictable, bool) {
-	return func(i *inst) (evictable, bool) {
-		js := o.jobs[i.job]
-		if js == nil || !o.mayStop(js.job, j, guaranteed, use) || i.exited() || i.State == protocol.TaskFlushing ||
-			unconfirmed(i.State) || js.job.Spec.Shape == protocol.Gang && js.job.Spec.Tasks > 1 {
-			return evictable{}, false
-		}
-		v := js.job.Spec
-		price := 10 + 10*float64(js.job.Rank)
-		if js.job.Filler {
-			price = 2
-		}
-		if !v.Saves() {
-			price += min(60, now.Sub(i.since).Seconds())
-		}
-		if now.Sub(i.since) < 30*time.Second {
-			price += 10
+// price is what stopping a task for one of the given claim costs.
+func (o *Owner) price(by placement.Claim, use map[string]protocol.Room, now time.Time) func(*board.Instance) (placement.Victim, bool) {
+	return func(i *board.Instance) (placement.Victim, bool) {
+		js := o.jobs[i.Job]
+		if js == nil {
+			return placement.Victim{}, false
 		}
-		return evictable{i.Task, v.Need(), price}, true
+		return placement.Price(i, o.claim(js.job, use), by, now)
 	}
 }
 
@@ -158,7 +127,7 @@
 	if o.bornBy(js.gain) == 0 {
 		return false // not everything that runs is known yet
 	}
-	for job := range o.board.tasks {
+	for job := range o.board.Tasks {
 		if o.jobs[job] == nil {
 			return false // it may be one of the team's
 		}
@@ -184,9 +153,9 @@
 		return o.placeGang(js, now, rq)
 	}
 	s := js.job.Spec
-	tasks := o.board.tasks[s.ID]
+	tasks := o.board.Tasks[s.ID]
 	looked := 0
-	var p *placing
+	var p *placement.Placing
 	for index := 0; index < s.Tasks && looked < 32; index++ {
 		if js.job.TaskDone(index) || len(tasks[index]) > 0 || js.pending[index] != nil {
 			continue
@@ -211,8 +180,8 @@
 			return looked
 		}
 		o.start(js, index, o.newAttempt(), c, false, rq)
-		p.zones[c.machine.Zone]++
-		if js.opinion == atFault {
+		p.Zones[c.Machine.Zone]++
+		if js.opinion == placement.AtFault {
 			js.tried(now)
 			break
 		}
@@ -221,24 +190,20 @@
 }
 
 // find finds a machine with room, or one where room may be made.
-func (o *Owner) find(js *jobState, p *placing, now time.Time) (choice, bool) {
-	c, ok := p.bestFit()
-	if ok && p.fetch(c.machine) <= o.within(js.job.Spec.Class, time.Minute)-now.Sub(js.job.Ready) {
+func (o *Owner) find(js *jobState, p *placement.Placing, now time.Time) (placement.Choice, bool) {
+	c, ok := p.BestFit()
+	if ok && p.Fetch(c.Machine) <= o.within(js.job.Spec.Class, time.Minute)-now.Sub(js.job.Ready) {
 		return c, true
 	}
-	if e, found := o.makeRoom(js, p, c.machine, now); found {
+	if e, found := o.makeRoom(js, p, c.Machine, now); found {
 		return e, true
 	}
 	return c, ok
 }
 
-// preempts is the lowest priority for which other work is stopped without a
-// guarantee.
-const preempts = 2
-
 // onlyFiller tells whether all that has to go for a choice is filler work.
-func (o *Owner) onlyFiller(c *choice) bool {
-	for _, task := range c.evict {
+func (o *Owner) onlyFiller(c *placement.Choice) bool {
+	for _, task := range c.Evict {
 		job, _, _ := protocol.SplitTask(task)
 		if js := o.jobs[job]; js == nil || !js.job.Filler {
 			return false
@@ -249,28 +214,28 @@
 
 // makeRoom finds a machine where stopping other work makes room for a task, if
 // that is better than what there is without (nil: nothing).
-func (o *Owner) makeRoom(js *jobState, p *placing, free *boardMachine, now time.Time) (choice, bool) {
+func (o *Owner) makeRoom(js *jobState, p *placement.Placing, free *board.Machine, now time.Time) (placement.Choice, bool) {
 	s := js.job.Spec
-	if js.opinion == atFault {
-		return choice{}, false // nothing makes way for what will fail
+	if js.opinion == placement.AtFault {
+		return placement.Choice{}, false // nothing makes way for what will fail
 	}
 	var use map[string]protocol.Room
 	if t := o.cfg.Team(s.Team); t != nil && t.Guarantees(protocol.Room{}) {
 		use = o.teamUse()
 	}
-	guaranteed := o.guaranteed(s, use)
-	if js.job.Rank < preempts && !guaranteed || now.Sub(js.known) < 500*time.Millisecond {
-		return choice{}, false
+	by := o.claim(js.job, use)
+	if by.Rank < placement.Preempts && !by.Guaranteed || now.Sub(js.known) < 500*time.Millisecond {
+		return placement.Choice{}, false
 	}
 	other := math.Inf(1)
 	if free != nil {
-		other = p.cost(free)
+		other = p.Cost(free)
 	}
-	e, found := p.preempt(o.machinesNow(), other, o.price(js.job, guaranteed, use, now))
+	e, found := p.Preempt(o.machinesNow(), other, o.price(by, use, now))
 	// Stopping other work is the last resort: as long as the aim leaves time,
 	// room may come free by itself.
 	within := o.within(s.Class, time.Minute)
-	if found && free == nil && within-now.Sub(js.job.Ready)-p.fetch(e.machine)-10*time.Second >= within/5 {
+	if found && free == nil && within-now.Sub(js.job.Ready)-p.Fetch(e.Machine)-10*time.Second >= within/5 {
 		found = o.onlyFiller(&e)
 	}
 	return e, found
--- a/internal/coordination/production_test.go
+++ b/internal/coordination/production_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"testing"
 
+	"daledyke/internal/board"
 	"daledyke/internal/protocol"
 )
 
@@ -76,11 +77,11 @@
 
 var (
 	someArgs  = FeedArgs{Caller: "c1", Fence: 12884901893, Window: 7, Incarnation: 3, Since: 41, WaitMs: 2000}
-	someReply = FeedReply{Incarnation: 3, Version: 42, Full: true, Window: 7, Valid: true,
-		Slots: []SlotView{{Slot: 2, Term: 5, Complete: true, Awaited: []string{"host-000004"}}},
-		Machines: []MachineView{{ID: "host-000001", Type: "small", Zone: "a", Spot: true, Slot: 1, Term: 5, Free: protocol.Room{Cores: 4, Accels: 1, RAM: 16},
+	someReply = board.News{Incarnation: 3, Version: 42, Full: true, Window: 7, Valid: true,
+		Slots: []board.SlotView{{Slot: 2, Term: 5, Complete: true, Awaited: []string{"host-000004"}}},
+		Machines: []board.MachineView{{ID: "host-000001", Type: "small", Zone: "a", Spot: true, Slot: 1, Term: 5, Free: protocol.Room{Cores: 4, Accels: 1, RAM: 16},
 			Usable: true, Silent: true, Suspect: true, Failed: []string{"wk-9"}, Sound: true, Leaving: true, Drained: 77, Images: []string{"img"},
-			Pulling: []string{"img2"}, Tasks: []TaskView{{Task: "wk-1/0", Attempt: 12884901889, State: "running"},
+			Pulling: []string{"img2"}, Tasks: []board.TaskView{{Task: "wk-1/0", Attempt: 12884901889, State: "running"},
 				{Task: "wk-2/1", Attempt: 12884901890, State: "exited", Cause: "halted", Saved: true}}}},
 		Gone: []string{"host-000003"}}
 	someAsk = AskArgs{Caller: "c1", ID: 12884901894, Window: 7,
@@ -124,7 +125,7 @@
 		t.Errorf("a request is read as %+v", ask)
 	}
 	// These are the words that the older version judges by; no new one may join them.
-	if words := []string{taskReserved, taskQueued, taskStarting}; !reflect.DeepEqual(words, []string{"reserved", "queued", "starting"}) {
+	if words := []string{board.TaskReserved, board.TaskQueued, board.TaskStarting}; !reflect.DeepEqual(words, []string{"reserved", "queued", "starting"}) {
 		t.Errorf("%v", words)
 	}
 }
--- a/internal/coordination/ranges.go
+++ b/internal/coordination/ranges.go
@@ -101,7 +101,7 @@
 // first window with these owners, since no part of a range was gained later.
 func (o *Owner) learnBorn() {
 	g := o.presentSince()
-	if g == 0 || o.born[g] != 0 || o.asking[g] || !o.board.allComplete(o.slots, g) {
+	if g == 0 || o.born[g] != 0 || o.asking[g] || !o.board.AllComplete(o.slots, g) {
 		return
 	}
 	o.asking[g] = true
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"daledyke/internal/bookkeeping"
+	"daledyke/internal/fleet"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
@@ -32,7 +33,7 @@
 
 // fleetState is what the owner's board says about the fleet.
 type fleetState struct {
-	in      fleetInput
+	in      fleet.Input
 	silent  []string
 	suspect []string
 	drained map[string]uint64 // the wish under which it was found empty
@@ -44,26 +45,6 @@
 	ready bool
 }
 
-// lost are the silent machines that should be returned: not if a great part
-// of the fleet, or of one holder's machines, is silent at once. Then the fault
-// lies between them and the controllers, and they are probably well.
-func (st *fleetState) lost() []string {
-	if len(st.silent) > max(2, len(st.reg)/3) {
-		return nil
-	}
-	all, quiet := map[string]int{}, map[string]int{}
-	for _, h := range st.holder {
-		all[h]++
-	}
-	for _, id := range st.silent {
-		quiet[st.holder[id]]++
-	}
-	return slices.DeleteFunc(st.silent, func(id string) bool {
-		h := st.holder[id]
-		return h != "" && quiet[h] > 2 && 2*quiet[h] > all[h]
-	})
-}
-
 // round runs on a goroutine of its own; only one round runs at a time, and it
 // alone touches what the leader keeps of the fleet.
 func (l *Leader) round(leadFrom time.Time, leadership uint64) {
@@ -86,27 +67,25 @@
 		if st.seen[id] {
 			continue
 		}
-		t, ok := st.in.types[m.Type]
+		t, ok := st.in.Types[m.Type]
 		if !ok {
 			continue
 		}
 		age := now.Sub(time.UnixMilli(m.RentedMs))
-		late, never := bootLimits(protocol.Seconds(t.BootS), l.boots[m.Type])
+		late, never := fleet.BootLimits(protocol.Seconds(t.BootS), l.boots[m.Type])
 		if up := st.up[id]; !up && age > never || up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
 			gone = append(gone, id) // never came up, or never came back
 			continue
 		}
-		st.in.machines = append(st.in.machines, &fleetMachine{id: id, rig: m.Type, zone: m.Zone, spot: m.Spot, booting: true,
-			free: t.Room(), drains: age > late}) // late ones are not counted on
-	}
-	gone = append(gone, st.lost()...)
-	st.in.refused = func(rig, zone string, spot bool) bool {
-		return now.Before(l.refusals[machineKind{rig, zone, spot}])
+		st.in.Machines = append(st.in.Machines, &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Booting: true,
+			Free: t.Room(), Drains: age > late}) // late ones are not counted on
 	}
+	gone = append(gone, fleet.Lost(st.silent, st.holder, len(st.reg))...)
+	st.in.Refused = func(k fleet.Kind) bool { return now.Before(l.refusals[k]) }
 	l.tellRefusals(now)
-	st.in.idleAfter = l.cfg.IdleAfter
-	rent, idle := planFleet(&st.in)
-	slog.Debug("fleet", "machines", len(st.in.machines), "fillers", fillersIn(st.in.machines), "idle", len(idle),
+	st.in.IdleAfter = l.cfg.IdleAfter
+	rent, idle := fleet.Plan(&st.in)
+	slog.Debug("fleet", "machines", len(st.in.Machines), "fillers", fleet.Fillers(st.in.Machines), "idle", len(idle),
 		"kinds to rent", len(rent), "ready", st.ready)
 	unwanted := map[string]bool{}
 	for _, id := range slices.Concat(idle, st.suspect) {
@@ -136,9 +115,6 @@
 	since time.Time
 }
 
-// maxBoots is of how many machines of a type the boot times are kept.
-const maxBoots = 24
-
 // noteBoots learns how long machines take to come up.
 func (l *Leader) noteBoots(st *fleetState, now time.Time) {
 	coming := map[string]bool{}
@@ -149,26 +125,12 @@
 			coming[id] = !st.up[id]
 		case l.coming[id] && age > 0:
 			b := append(l.boots[m.Type], age)
-			l.boots[m.Type] = b[max(0, len(b)-maxBoots):]
+			l.boots[m.Type] = b[max(0, len(b)-fleet.MaxBoots):]
 		}
 	}
 	l.coming = coming
 }
 
-// bootLimits are the ages from which a machine that has not come up is not
-// counted on, and from which it is thought never to come. Where machines of
-// its type came late lately, it is given as long: they would be replaced, and
-// come all the same.
-func bootLimits(boot time.Duration, seen []time.Duration) (late, never time.Duration) {
-	late, never = boot*9/5+5*time.Second, boot*13/5+15*time.Second
-	if len(seen) >= 4 {
-		sorted := slices.Sorted(slices.Values(seen))
-		slow := sorted[len(sorted)*3/4]
-		late, never = max(late, min(slow*5/4, 4*boot)), max(never, min(slow*2, 6*boot))
-	}
-	return late, never
-}
-
 // list reads the machine list now and then, for machines that failed and for
 // those that nobody expected.
 func (l *Leader) list(now time.Time, st *fleetState) {
@@ -269,40 +231,31 @@
 	}
 }
 
-// machineKind is what the cloud has, or has none of: a type in a zone, spot or
-// ordinary.
-type machineKind struct {
-	rig, zone string
-	spot      bool
-}
-
-func (k machineKind) String() string { return fmt.Sprint(k.rig, "/", k.zone, "/", k.spot) }
-
 // tellRefusals lets the owner know which kinds the cloud has none of.
 func (l *Leader) tellRefusals(now time.Time) {
-	var refused []machineKind
+	var refused []fleet.Kind
 	for kind, until := range l.refusals {
 		if now.Before(until) {
 			refused = append(refused, kind)
 		}
 	}
-	slices.SortFunc(refused, func(a, b machineKind) int { return strings.Compare(a.String(), b.String()) })
+	slices.SortFunc(refused, func(a, b fleet.Kind) int { return strings.Compare(a.String(), b.String()) })
 	l.owner.tell(func() { l.owner.refused = refused })
 }
 
 // rent rents machines. A booking's name is made of the controller's term,
 // which the state service gave once and for all, and a rising number.
-func (l *Leader) rent(rentals []rental) {
+func (l *Leader) rent(rentals []fleet.Rental) {
 	for _, r := range rentals {
 		if !l.session.Valid() {
 			return
 		}
-		key := machineKind{r.rig, r.zone, r.spot}
+		key := r.Kind
 		if time.Now().Before(l.refusals[key]) {
 			continue // the cloud ran out of it in this very round
 		}
 		l.bookings++
-		req := protocol.RentRequest{Booking: fmt.Sprintf("b-%d-%d", l.session.Term(), l.bookings), Type: r.rig, Zone: r.zone, Spot: r.spot, Count: r.count}
+		req := protocol.RentRequest{Booking: fmt.Sprintf("b-%d-%d", l.session.Term(), l.bookings), Type: r.Type, Zone: r.Zone, Spot: r.Spot, Count: r.Count}
 		names, err := l.cloud.Rent(l.ctx, req)
 		if errors.Is(err, transport.ErrUnknown) {
 			names, err = l.cloud.Rent(l.ctx, req) // the same booking: nothing is rented twice
@@ -316,11 +269,11 @@
 			slog.Info("rental failed", "kind", key, "err", err)
 			return
 		}
-		if len(names.Machines) < r.count {
+		if len(names.Machines) < r.Count {
 			l.refusals[key] = time.Now().Add(15 * time.Second)
 		}
-		slog.Info("rented", "kind", key, "for", r.class, "asked", r.count, "got", len(names.Machines))
-		lot := bookkeeping.Lot{Type: r.rig, Zone: r.zone, Spot: r.spot, RentedMs: time.Now().UnixMilli(), Machines: names.Machines}
+		slog.Info("rented", "kind", key, "for", r.Class, "asked", r.Count, "got", len(names.Machines))
+		lot := bookkeeping.Lot{Type: r.Type, Zone: r.Zone, Spot: r.Spot, RentedMs: time.Now().UnixMilli(), Machines: names.Machines}
 		l.owner.expect(lot)
 		l.register(req.Booking, lot)
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"daledyke/internal/board"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 )
 
@@ -76,7 +78,7 @@
 // forgetTasks drops all that was on a machine: it is surely gone.
 func (h *Holder) forgetTasks(w *worker) {
 	for name, e := range w.entries {
-		if e.state != taskReserved && e.state != taskQueued {
+		if e.state != board.TaskReserved && e.state != board.TaskQueued {
 			delete(w.entries, name)
 		}
 	}
@@ -108,15 +110,15 @@
 			h.noteState(w, e, t)
 		}
 		e.state, e.cause, e.saved, e.token = t.State, t.Cause, t.Saved, 0
-		if e.state == protocol.TaskRunning && !e.proven && !e.ran.IsZero() && time.Since(e.ran) >= provenAfter {
+		if e.state == protocol.TaskRunning && !e.proven && !e.ran.IsZero() && time.Since(e.ran) >= placement.ProvenAfter {
 			e.proven = true
 			h.succeeded(w)
 		}
 	}
 	for name, e := range w.entries {
 		switch {
-		case listed[name] || e.state == taskQueued || e.state == taskReserved:
-		case e.state == taskStarting && rep.Token <= e.token:
+		case listed[name] || e.state == board.TaskQueued || e.state == board.TaskReserved:
+		case e.state == board.TaskStarting && rep.Token <= e.token:
 			// The start may still be on its way (invariant 3).
 		default:
 			news = true
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
@@ -17,11 +18,11 @@
 // nothing: a controller that starts does not read those that are over, yet
 // what is left of them takes room, and must be stopped and forgotten.
 func (o *Owner) lookUp() {
-	if o.looking || len(o.board.tasks) == 0 {
+	if o.looking || len(o.board.Tasks) == 0 {
 		return
 	}
 	var unknown []string
-	for id := range o.board.tasks {
+	for id := range o.board.Tasks {
 		if o.jobs[id] == nil && len(unknown) < 16 {
 			unknown = append(unknown, id)
 		}
@@ -125,24 +126,24 @@
 	j := js.job
 	out.Job = j
 	js.missing = j.Spec.Tasks - j.DoneCount() - len(js.pending)
-	for index, list := range o.board.tasks[j.Spec.ID] {
-		if begun := j.Spec.Shape != protocol.Gang || list[0].begun(); begun && !j.TaskDone(index) && js.pending[index] == nil {
+	for index, list := range o.board.Tasks[j.Spec.ID] {
+		if begun := j.Spec.Shape != protocol.Gang || list[0].Begun(); begun && !j.TaskDone(index) && js.pending[index] == nil {
 			js.missing--
 		}
-		var keep *inst
+		var keep *board.Instance
 		for _, i := range list {
-			if i.exited() {
+			if i.Exited() {
 				o.reviewExit(js, index, i, now, rq, &out)
 				continue
 			}
-			if keep == nil || i.since.Before(keep.since) {
+			if keep == nil || i.Since.Before(keep.Since) {
 				keep = i
 			}
 		}
 		for _, i := range list {
 			// Two of one task cannot be by our doing; should it happen, the
 			// younger one goes.
-			if !i.exited() && (i != keep && len(list) > 1 || j.TaskDone(index)) {
+			if !i.Exited() && (i != keep && len(list) > 1 || j.TaskDone(index)) {
 				o.askStop(i, 0, now, rq)
 			}
 		}
@@ -164,9 +165,9 @@
 	if !s.Saves() {
 		return
 	}
-	for _, list := range o.board.tasks[s.ID] {
+	for _, list := range o.board.Tasks[s.ID] {
 		for _, i := range list {
-			if !i.machine.Leaving || !i.running() {
+			if !i.Machine.Leaving || !i.Running() {
 				continue
 			}
 			if s.Shape == protocol.Gang {
@@ -178,17 +179,17 @@
 	}
 }
 
-func (o *Owner) reviewExit(js *jobState, index int, i *inst, now time.Time, rq requests, out *bookkeeping.Outcome) {
+func (o *Owner) reviewExit(js *jobState, index int, i *board.Instance, now time.Time, rq requests, out *bookkeeping.Outcome) {
 	if i.Cause == protocol.CauseDone {
 		if !js.job.TaskDone(index) {
 			out.Tasks = append(out.Tasks, index)
 		}
 		return // the holder has it forgotten once the result is recorded
 	}
-	if now.Sub(i.asked) < 2*time.Second {
+	if now.Sub(i.Asked) < 2*time.Second {
 		return
 	}
-	if i.asked.IsZero() {
+	if i.Asked.IsZero() {
 		delay := time.Duration(0)
 		switch i.Cause {
 		case protocol.CauseError:
@@ -200,18 +201,18 @@
 			delay = time.Second
 		}
 		js.retryAt[index] = now.Add(delay)
-		slog.Info("task exited", "task", i.Task, "machine", i.machine.ID, "cause", i.Cause)
+		slog.Info("task exited", "task", i.Task, "machine", i.Machine.ID, "cause", i.Cause)
 	}
-	i.asked = now
-	a := o.to(rq, i.machine)
-	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.machine.ID, Forget: true})
+	i.Asked = now
+	a := o.to(rq, i.Machine)
+	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.Machine.ID, Forget: true})
 }
 
-func (o *Owner) askStop(i *inst, grace float64, now time.Time, rq requests) {
-	if now.Sub(i.asked) < 2*time.Second {
+func (o *Owner) askStop(i *board.Instance, grace float64, now time.Time, rq requests) {
+	if now.Sub(i.Asked) < 2*time.Second {
 		return
 	}
-	i.asked = now
-	a := o.to(rq, i.machine)
-	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.machine.ID, GraceS: grace})
+	i.Asked = now
+	a := o.to(rq, i.Machine)
+	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.Machine.ID, GraceS: grace})
 }
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"daledyke/internal/board"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 )
 
@@ -82,7 +84,7 @@
 		return "machine not allowed"
 	}
 	reserved := w.entries[st.Task]
-	if reserved != nil && !(reserved.state == taskReserved && reserved.attempt == st.Attempt) {
+	if reserved != nil && !(reserved.state == board.TaskReserved && reserved.attempt == st.Attempt) {
 		return "already there"
 	} else if reserved == nil {
 		for _, o := range h.byID {
@@ -111,9 +113,9 @@
 			}
 		}
 	}
-	e := &entry{task: st.Task, job: jobID, index: index, attempt: st.Attempt, state: taskQueued, until: now.Add(20 * time.Second)}
+	e := &entry{task: st.Task, job: jobID, index: index, attempt: st.Attempt, state: board.TaskQueued, until: now.Add(20 * time.Second)}
 	if st.Reserve {
-		e.state, e.until = taskReserved, now.Add(6*time.Second)
+		e.state, e.until = board.TaskReserved, now.Add(6*time.Second)
 	}
 	w.entries[st.Task] = e
 	return ""
@@ -134,7 +136,7 @@
 	switch {
 	case st.Forget:
 		e.reap = true
-	case e.state == taskReserved || e.state == taskQueued:
+	case e.state == board.TaskReserved || e.state == board.TaskQueued:
 		delete(w.entries, st.Task)
 	default:
 		e.stop, e.grace = true, st.GraceS
@@ -159,9 +161,9 @@
 
 // Feed answers a controller's question for news, after a wait if there is
 // none. It runs on the caller's goroutine.
-func (r HolderRPC) Feed(a FeedArgs, reply *FeedReply) error { return r.h.feed(a, reply) }
+func (r HolderRPC) Feed(a FeedArgs, reply *board.News) error { return r.h.feed(a, reply) }
 
-func (h *Holder) feed(a FeedArgs, r *FeedReply) error {
+func (h *Holder) feed(a FeedArgs, r *board.News) error {
 	deadline := time.NewTimer(time.Duration(a.WaitMs) * time.Millisecond)
 	defer deadline.Stop()
 	for first := true; ; first = false {
@@ -199,8 +201,8 @@
 const feedPause = 40 * time.Millisecond
 
 // summary is the reply to a feed request as things stand.
-func (h *Holder) summary(a FeedArgs) FeedReply {
-	r := FeedReply{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid()}
+func (h *Holder) summary(a FeedArgs) board.News {
+	r := board.News{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid()}
 	if h.window != nil {
 		r.Window = h.window.Number
 	}
@@ -209,7 +211,7 @@
 		r.Full, since = true, 0
 	}
 	for _, s := range h.slots {
-		sv := SlotView{Slot: s.slot, Term: s.term, Complete: s.complete}
+		sv := board.SlotView{Slot: s.slot, Term: s.term, Complete: s.complete}
 		if time.Since(s.adopted) > h.silentAfter()+2*time.Second {
 			for id := range s.awaited {
 				sv.Awaited = append(sv.Awaited, id)
@@ -230,15 +232,15 @@
 	return r
 }
 
-func (h *Holder) view(w *worker) MachineView {
-	v := MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
+func (h *Holder) view(w *worker) board.MachineView {
+	v := board.MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
 		Free: h.free(w, true), Usable: h.startable(w), Silent: w.silent || w.lapsed, Suspect: w.suspect, Leaving: w.notice}
 	if time.Now().Before(w.drainTill) && len(w.entries) == 0 && !w.busy {
 		v.Drained = w.drainWish
 	}
-	v.Sound = time.Since(w.soundAt) < soundFor
+	v.Sound = time.Since(w.soundAt) < placement.SoundFor
 	for job := range w.errorsBy {
-		if len(v.Failed) < maxFailed {
+		if len(v.Failed) < placement.MaxFailed {
 			v.Failed = append(v.Failed, job)
 		}
 	}
@@ -249,7 +251,7 @@
 		if j := h.jobs[e.job]; j != nil && (e.state == protocol.TaskPulling || e.unconfirmed()) && !slices.Contains(v.Pulling, j.Spec.Image) && !w.ready[j.Spec.Image] {
 			v.Pulling = append(v.Pulling, j.Spec.Image)
 		}
-		v.Tasks = append(v.Tasks, TaskView{Task: e.task, Attempt: e.attempt, State: e.state, Cause: e.cause, Saved: e.saved})
+		v.Tasks = append(v.Tasks, board.TaskView{Task: e.task, Attempt: e.attempt, State: e.state, Cause: e.cause, Saved: e.saved})
 	}
 	return v
 }
@@ -284,7 +286,7 @@
 			}
 			w.drainTill = now.Add(drainFor)
 			for name, e := range w.entries {
-				if e.state == taskReserved || e.state == taskQueued {
+				if e.state == board.TaskReserved || e.state == board.TaskQueued {
 					delete(w.entries, name)
 				}
 			}
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -7,7 +7,10 @@
 	"slices"
 	"time"
 
+	"daledyke/internal/fleet"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
+	"daledyke/internal/ring"
 )
 
 // Why jobs wait, and for how long: for users, operators and the log.
@@ -16,10 +19,10 @@
 // should be up. It is worked out once a second and serves all who ask.
 type boots struct {
 	at   time.Time
-	next map[machineKind]time.Duration
-	up   map[machineKind]int
-	come map[machineKind]int
-	used map[machineKind]float64
+	next map[fleet.Kind]time.Duration
+	up   map[fleet.Kind]int
+	come map[fleet.Kind]int
+	used map[fleet.Kind]float64
 }
 
 // fleetNow sums up the machines that are there and those that boot.
@@ -27,19 +30,19 @@
 	if now.Sub(o.boots.at) < time.Second {
 		return &o.boots
 	}
-	b := boots{now, map[machineKind]time.Duration{}, map[machineKind]int{}, map[machineKind]int{}, map[machineKind]float64{}}
-	for _, m := range o.board.machines {
-		k := machineKind{m.Type, m.Zone, m.Spot}
+	b := boots{now, map[fleet.Kind]time.Duration{}, map[fleet.Kind]int{}, map[fleet.Kind]int{}, map[fleet.Kind]float64{}}
+	for _, m := range o.board.Machines {
+		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 		b.up[k]++
 		if t, ok := o.types[m.Type]; ok {
 			b.used[k] += min(1, t.Room().Sub(m.Free).Share(t.Room()))
 		}
 	}
 	for id, m := range o.machReg {
-		if o.board.machines[id] != nil || o.rosters[slotOf(id, o.slots)][m.Number()] {
+		if o.board.Machines[id] != nil || o.rosters[ring.SlotOf(id, o.slots)][m.Number()] {
 			continue
 		}
-		k := machineKind{m.Type, m.Zone, m.Spot}
+		k := fleet.Kind{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 		b.come[k]++
 		t := o.types[m.Type]
 		left := protocol.Seconds(t.BootS) - now.Sub(time.UnixMilli(m.RentedMs))
@@ -55,66 +58,32 @@
 // and when the next should start, negative if that can't be told.
 func (o *Owner) why(js *jobState, now time.Time) (reason string, in time.Duration) {
 	s := js.job.Spec
-	missing := s.Tasks - js.job.DoneCount()
-	fetching, waiting := time.Duration(-1), false
-	for index, list := range o.board.tasks[s.ID] {
-		if js.job.TaskDone(index) {
-			continue
-		}
-		missing--
-		for _, i := range list {
-			t := o.types[i.machine.Type]
-			switch {
-			case i.State == protocol.TaskWaiting:
-				waiting = true
-			case i.State == protocol.TaskPulling || unconfirmed(i.State):
-				if left := max(0, t.FetchTime(s.ImageGB)-now.Sub(i.since)); fetching < 0 || left < fetching {
-					fetching = left
-				}
-			}
-		}
-	}
-	switch {
-	case js.job.Final():
-		return "", -1
-	case js.job.Waits > 0:
-		return protocol.ReasonNeeds, -1
-	case js.opinion == atFault:
-		return protocol.ReasonFailing, -1
-	case fetching >= 0:
-		return protocol.ReasonFetching, fetching
-	case waiting:
-		return protocol.ReasonGang, -1
-	case missing <= 0:
-		return "", -1
-	case !o.board.allComplete(o.slots, 0):
-		return protocol.ReasonSlots, -1
-	case len(js.pending) > 0:
-		return protocol.ReasonPlacing, 0
-	case js.gain != 0 && !o.teamRoom(js, 1):
-		return protocol.ReasonLimit, -1
-	}
-	fleet := o.fleetNow(now)
-	best, coming := time.Duration(-1), false
-	for k, n := range fleet.come {
-		t := o.types[k.rig]
-		if n == 0 || !s.Allows(k.rig, k.zone, k.spot) || !t.Takes(s) {
+	w := placement.Wait{Final: js.job.Final(), Needs: js.job.Waits > 0, AtFault: js.opinion == placement.AtFault,
+		Missing: s.Tasks - js.job.DoneCount(), Incomplete: !o.board.AllComplete(o.slots, 0), Asked: len(js.pending) > 0,
+		Limited: func() bool { return js.gain != 0 && !o.teamRoom(js, 1) },
+		Coming:  func() (time.Duration, bool) { return o.coming(s, now) },
+		Age:     now.Sub(js.job.Ready),
+		Refused: func() bool { return o.noCapacityFor(s) }}
+	w.On(o.board.Tasks[s.ID], js.job.TaskDone, o.types, s.ImageGB, now)
+	return w.Reason()
+}
+
+// coming tells whether machines that fit a job are on their way, and in how long
+// the first of them should have its image, negative if they are late.
+func (o *Owner) coming(s *protocol.JobSpec, now time.Time) (ready time.Duration, coming bool) {
+	ready = -1
+	there := o.fleetNow(now)
+	for k, n := range there.come {
+		t := o.types[k.Type]
+		if n == 0 || !s.Allows(k.Type, k.Zone, k.Spot) || !t.Takes(s) {
 			continue
 		}
 		coming = true
-		if left, ok := fleet.next[k]; ok && (best < 0 || left+t.FetchTime(s.ImageGB) < best) {
-			best = left + t.FetchTime(s.ImageGB)
+		if left, ok := there.next[k]; ok && (ready < 0 || left+t.FetchTime(s.ImageGB) < ready) {
+			ready = left + t.FetchTime(s.ImageGB)
 		}
 	}
-	switch {
-	case coming:
-		return protocol.ReasonBooting, best
-	case now.Sub(js.job.Ready) < 2*time.Second:
-		return protocol.ReasonPlacing, -1
-	case o.noCapacityFor(s):
-		return protocol.ReasonNoCapacity, -1
-	}
-	return protocol.ReasonNoRoom, -1
+	return ready, coming
 }
 
 // seconds is a duration for people, nil if it is not known.
@@ -172,29 +141,29 @@
 	}
 	for slot := range o.slots {
 		s := protocol.SlotState{Slot: slot}
-		if b := o.board.slots[slot]; b != nil {
-			s.Holder, s.Complete, s.Machines, s.Awaited = b.holder, b.complete, len(b.machines), len(b.awaited)
+		if b := o.board.Slots[slot]; b != nil {
+			s.Holder, s.Complete, s.Machines, s.Awaited = b.Holder, b.Complete, len(b.Machines), len(b.Awaited)
 		}
 		v.Slots = append(v.Slots, s)
 	}
 	for _, k := range o.refused {
 		v.NoCapacity = append(v.NoCapacity, k.String())
 	}
-	fleet := o.fleetNow(now)
-	kinds := map[machineKind]*protocol.FleetCount{}
-	kind := func(k machineKind) *protocol.FleetCount {
-		k.zone = ""
+	there := o.fleetNow(now)
+	kinds := map[fleet.Kind]*protocol.FleetCount{}
+	kind := func(k fleet.Kind) *protocol.FleetCount {
+		k.Zone = ""
 		if kinds[k] == nil {
-			kinds[k] = &protocol.FleetCount{Type: k.rig, Spot: k.spot}
+			kinds[k] = &protocol.FleetCount{Type: k.Type, Spot: k.Spot}
 		}
 		return kinds[k]
 	}
-	for k, n := range fleet.up {
+	for k, n := range there.up {
 		c := kind(k)
 		c.Up += n
-		c.Used += fleet.used[k]
+		c.Used += there.used[k]
 	}
-	for k, n := range fleet.come {
+	for k, n := range there.come {
 		kind(k).Booting += n
 	}
 	for _, c := range kinds {
@@ -255,7 +224,7 @@
 	oldest, total := "", 0
 	var since time.Duration
 	for id, js := range o.active {
-		if js.gain == 0 || js.job.Waits > 0 || now.Sub(js.ready) < standstillAfter || len(o.board.tasks[id]) > 0 || js.job.DoneCount() > 0 {
+		if js.gain == 0 || js.job.Waits > 0 || now.Sub(js.ready) < standstillAfter || len(o.board.Tasks[id]) > 0 || js.job.DoneCount() > 0 {
 			continue
 		}
 		reason, _ := o.why(js, now)
@@ -287,7 +256,7 @@
 	for _, t := range o.types {
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
-				if t.Takes(s) && s.Allows(t.Name, zone, spot) && !slices.Contains(o.refused, machineKind{t.Name, zone, spot}) {
+				if t.Takes(s) && s.Allows(t.Name, zone, spot) && !slices.Contains(o.refused, fleet.Kind{Type: t.Name, Zone: zone, Spot: spot}) {
 					return false
 				}
 			}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,369 @@
+// Package fleet plans the machines: what to rent for what has none, what nothing
+// needs any more, and when one that is late is not counted on. All of it are pure
+// functions of a snapshot; the leader asks, and acts on the answer.
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"daledyke/internal/placement"
+	"daledyke/internal/protocol"
+)
+
+// Demand is a number of alike tasks that need machines.
+type Demand struct {
+	Spec  *protocol.JobSpec
+	Count int
+	// Raised is the rank of the priority that the job has for others.
+	Raised int
+	// Spare: for work that is expected, not there yet. Room that can be had
+	// by preemption will do if Preempt is set.
+	Spare   bool
+	Preempt bool
+	// Left is how much time the users' aim leaves for the tasks to start.
+	Left time.Duration
+	// Filler: work that nobody waits for.
+	Filler bool
+	// ZoneLeft is how many of the tasks each zone may still take, nil if all may
+	// go anywhere.
+	ZoneLeft map[string]int
+}
+
+func (d *Demand) rank() int { return max(d.Spec.Priority.Rank(), d.Raised) }
+
+// Machine is a machine as renting sees it, there or booting.
+type Machine struct {
+	ID, Type, Zone string
+	Spot           bool
+	Booting        bool
+	// class is that of the jobs that a machine still to be rented is for.
+	class string
+	Free  protocol.Room
+	// ByRank is the room held by tasks of each priority, Yields that of filler
+	// work, which makes way for any other of higher priority.
+	ByRank [4]protocol.Room
+	Yields protocol.Room
+	// fillers: it is there, or on its way, for filler work alone.
+	fillers bool
+	// Idle is for how long it has had no task.
+	Idle time.Duration
+	// Drains: it is not counted on.
+	Drains bool
+	Used   bool // there are tasks, or some were packed into it
+	// Pinned: there are tasks that won't end by themselves.
+	Pinned bool
+}
+
+// Input is the snapshot that renting is decided by.
+type Input struct {
+	Types    map[string]protocol.MachineType
+	Machines []*Machine
+	Demands  []Demand
+	// Refused tells whether the cloud had none of a kind a while ago.
+	Refused func(kind Kind) bool
+	// IdleAfter is how long a machine may stand idle.
+	IdleAfter time.Duration
+	// Scarce are types that some class cannot do without.
+	Scarce map[string]bool
+}
+
+// Rental is a number of machines of a kind to rent.
+type Rental struct {
+	Kind
+	Count int
+	Class string // of the jobs that need it
+}
+
+// Plan packs what has no machine into the room there is and will be,
+// and says what to rent for the rest and which machines nothing needs.
+func Plan(in *Input) (rent []Rental, idle []string) {
+	last := func(a, b bool) int { // those that are come last
+		switch {
+		case a == b:
+			return 0
+		case a:
+			return 1
+		}
+		return -1
+	}
+	slices.SortStableFunc(in.Demands, func(a, b Demand) int {
+		return cmp.Or(last(a.Filler, b.Filler), last(a.Spare, b.Spare), cmp.Compare(b.rank(), a.rank()),
+			cmp.Compare(b.Spec.Accels, a.Spec.Accels), cmp.Compare(b.Spec.Cores, a.Spec.Cores))
+	})
+	slices.SortFunc(in.Machines, func(a, b *Machine) int { return cmp.Compare(a.ID, b.ID) })
+	p := packing{in: in, bins: in.Machines, perZone: map[string]int{}, forFiller: in.markFillers()}
+	for _, b := range p.bins {
+		p.perZone[b.Zone]++
+	}
+	// What filler work would like to have must not keep a machine: it is seen to
+	// once it is known which ones go.
+	filler := len(in.Demands)
+	if k := slices.IndexFunc(in.Demands, func(d Demand) bool { return d.Filler }); k >= 0 {
+		filler = k
+	}
+	p.pack(in.Demands[:filler])
+	for _, m := range in.Machines {
+		if !m.Used && !m.Booting && m.Idle > in.IdleAfter {
+			idle = append(idle, m.ID)
+			m.Drains = true
+		}
+	}
+	idle = append(idle, surplus(in)...)
+	p.pack(in.Demands[filler:])
+	return p.rentals(), idle
+}
+
+// packing packs demands into machines, those that are there and those that are
+// to be rented.
+type packing struct {
+	in        *Input
+	bins      []*Machine
+	perZone   map[string]int
+	forFiller int // how many machines there may be for filler work alone
+}
+
+func (p *packing) pack(demands []Demand) {
+	for i := range demands {
+		d := &demands[i]
+		if d.Spec.OneZone && d.Count > 1 && !d.Spare {
+			d.chooseZone(p.in, p.bins)
+		}
+		for left := d.fill(p.in, p.bins); left > 0; {
+			if d.Filler && Fillers(p.bins) >= p.forFiller {
+				break
+			}
+			b := newBin(p.in, p.perZone, len(p.bins), d, left)
+			if b == nil {
+				break
+			}
+			left -= b.take(d, left)
+			p.bins = append(p.bins, b)
+			p.perZone[b.Zone]++
+		}
+	}
+}
+
+// rentals sums up the machines to be rented.
+func (p *packing) rentals() (rent []Rental) {
+	for _, b := range p.bins[len(p.in.Machines):] {
+		k := slices.IndexFunc(rent, func(r Rental) bool {
+			return r.Kind == (Kind{b.Type, b.Zone, b.Spot}) && r.Class == b.class && r.Count < protocol.MaxRent
+		})
+		if k < 0 {
+			rent = append(rent, Rental{Kind{b.Type, b.Zone, b.Spot}, 0, b.class})
+			k = len(rent) - 1
+		}
+		rent[k].Count++
+	}
+	return rent
+}
+
+// markFillers finds the machines that are there for filler work alone and tells
+// how many there may be: a tenth of the others. Where it has no room at all it
+// would never be done, and it must not cost more than that.
+func (in *Input) markFillers() int {
+	others := 0
+	for _, m := range in.Machines {
+		t := in.Types[m.Type]
+		m.fillers = !m.Booting && !m.Pinned && m.Yields != (protocol.Room{}) && t.Room().Sub(m.Free).Sub(m.Yields).Share(t.Room()) < 1e-6
+		if !m.fillers {
+			others++
+		}
+	}
+	return max(2, others/10)
+}
+
+// Fillers is how many of the machines are there for filler work alone.
+func Fillers(bins []*Machine) (n int) {
+	for _, b := range bins {
+		if b.fillers {
+			n++
+		}
+	}
+	return n
+}
+
+// roomKept is the part of the machines of a type whose room is kept for what
+// comes, beside what is known, before any are given back at once.
+const roomKept = 0.12
+
+// surplus chooses, and marks, the machines without tasks that need not stand
+// idle for a while first: as many of each type as the others have room for, and some more.
+// Machines with tasks are not emptied for it: tried, and no cheaper.
+func surplus(in *Input) (empty []string) {
+	room, count := map[string]float64{}, map[string]int{} // by type, in whole machines
+	for _, m := range in.Machines {
+		if t := in.Types[m.Type]; !m.Booting && !m.Drains {
+			room[m.Type] += 1 - min(1, t.Room().Sub(m.Free).Sub(m.Yields).Share(t.Room()))
+			count[m.Type]++
+		}
+	}
+	for _, m := range in.Machines {
+		if m.Used || m.Booting || m.Drains || room[m.Type]-1 < max(1, roomKept*float64(count[m.Type])) {
+			continue
+		}
+		room[m.Type]--
+		m.Drains = true
+		empty = append(empty, m.ID)
+	}
+	return empty
+}
+
+// chooseZone settles on one zone for tasks that must share one: that which
+// takes most of them as it is.
+func (d *Demand) chooseZone(in *Input, bins []*Machine) {
+	fit := map[string]int{}
+	for _, b := range bins {
+		if !b.Drains && d.allows(b) {
+			fit[b.Zone] += b.room(d).Times(d.Spec.Need(), d.Count)
+		}
+	}
+	best, most := "", -1
+	for zone, left := range d.ZoneLeft {
+		n := min(fit[zone], d.Count)
+		if n < d.Count && !d.rentable(in, zone) {
+			n = 0
+		}
+		if left > 0 && (n > most || n == most && zone < best) {
+			best, most = zone, n
+		}
+	}
+	for zone := range d.ZoneLeft {
+		if zone != best {
+			d.ZoneLeft[zone] = 0
+		}
+	}
+}
+
+// rentable tells whether the cloud may have machines for the demand in a zone.
+func (d *Demand) rentable(in *Input, zone string) bool {
+	for _, t := range in.Types {
+		for _, spot := range []bool{false, true} {
+			if slices.Contains(t.Zones, zone) && d.Spec.Allows(t.Name, zone, spot) && !in.Refused(Kind{t.Name, zone, spot}) && t.Room().Fits(d.Spec.Need()) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (b *Machine) room(d *Demand) protocol.Room {
+	r := b.Free
+	switch {
+	case !d.Spare || !d.Preempt:
+		if d.rank() >= placement.Preempts {
+			r = r.Add(b.Yields)
+		}
+	default:
+		for rank := range d.rank() {
+			r = r.Add(b.ByRank[rank])
+		}
+	}
+	return r
+}
+
+// take packs up to so many tasks into the machine and tells how many fit.
+func (b *Machine) take(d *Demand, left int) int {
+	if zone, bound := d.ZoneLeft[b.Zone]; bound {
+		left = min(left, zone)
+	}
+	n := b.room(d).Times(d.Spec.Need(), left)
+	if n == 0 {
+		return 0
+	}
+	b.fillers = b.fillers || d.Filler && b.Booting && !b.Used
+	b.Used = true
+	for range n {
+		b.Free = b.Free.Sub(d.Spec.Need())
+	}
+	if d.ZoneLeft != nil {
+		d.ZoneLeft[b.Zone] -= n
+	}
+	return n
+}
+
+func (d *Demand) allows(b *Machine) bool {
+	if !d.Spec.Allows(b.Type, b.Zone, b.Spot) {
+		return false
+	}
+	left, bound := d.ZoneLeft[b.Zone]
+	return !bound || left > 0
+}
+
+// fill packs as many tasks as fit into the machines, the tightest fit first,
+// and tells how many are left.
+func (d *Demand) fill(in *Input, bins []*Machine) int {
+	type fit struct {
+		bin  *Machine
+		left float64
+	}
+	var fits []fit
+	need := d.Spec.Need()
+	keep := d.Spec.Shape == protocol.Service && placement.RunsOnOthers(d.Spec, in.Types, in.Scarce)
+	for _, b := range bins {
+		room := b.room(d)
+		if b.Drains || keep && in.Scarce[b.Type] || !room.Fits(need) || !d.allows(b) {
+			continue
+		}
+		t := in.Types[b.Type]
+		left := room.Sub(need).Share(t.Room())
+		if in.Scarce[b.Type] {
+			left++
+		}
+		if b.Booting {
+			left += 0.5
+		}
+		fits = append(fits, fit{b, left})
+	}
+	slices.SortStableFunc(fits, func(a, b fit) int { return cmp.Compare(a.left, b.left) })
+	left := d.Count
+	for _, f := range fits {
+		if left == 0 {
+			break
+		}
+		left -= f.bin.take(d, left)
+	}
+	return left
+}
+
+// newBin chooses what to rent for a demand with so many tasks left: the kind
+// of which the room that is of use costs least.
+func newBin(in *Input, perZone map[string]int, total int, d *Demand, left int) *Machine {
+	var best *Machine
+	bestPrice := math.Inf(1)
+	for _, t := range in.Types {
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				b := &Machine{Type: t.Name, Zone: zone, Spot: spot, Booting: true, class: d.Spec.Class, Free: t.Room()}
+				if !d.allows(b) || in.Refused(Kind{t.Name, zone, spot}) {
+					continue
+				}
+				fit := t.Room().Times(d.Spec.Need(), left)
+				if fit == 0 {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice * 1.2 // it may be taken away
+				}
+				// What a task takes of a machine counts, not the whole of it,
+				// as long as other work can use the rest.
+				price *= max(d.Spec.Need().Share(t.Room()), 0.6/float64(fit))
+				if in.Scarce[t.Name] && fit < left {
+					price *= 1.1
+				}
+				// A machine that is ready too late is worth less, however cheap.
+				late := protocol.Seconds(1.3*t.BootS) + t.FetchTime(d.Spec.ImageGB) - d.Left
+				price *= 1 + 0.015*max(0, late.Seconds())
+				price *= 1 + 0.1*float64(perZone[zone])/float64(total+1)
+				if price < bestPrice {
+					best, bestPrice = b, price
+				}
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/fleet/plan_test.go
@@ -0,0 +1,160 @@
+package fleet
+
+import (
+	"daledyke/internal/protocol"
+	"daledyke/internal/protocoltest"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestPlanFleet(t *testing.T) {
+	refusedZone := ""
+	plan := func(machines []*Machine, ds ...Demand) ([]Rental, []string) {
+		return Plan(&Input{Types: protocoltest.Types(), Machines: machines, Demands: ds, IdleAfter: 20 * time.Second,
+			Refused: func(k Kind) bool { return k.Zone == refusedZone }})
+	}
+	total := func(rs []Rental) (n int) {
+		for _, r := range rs {
+			n += r.Count
+		}
+		return n
+	}
+	if rent, _ := plan(nil, Demand{Spec: protocoltest.Job(nil), Count: 4}); total(rent) != 2 || rent[0].Type != "small" || rent[0].Spot {
+		t.Errorf("four tasks need two small machines: %+v", rent)
+	}
+	if rent, _ := plan(nil, Demand{Spec: protocoltest.Job(func(s *protocol.JobSpec) { s.Spot = true }), Count: 4}); total(rent) != 2 || !rent[0].Spot {
+		t.Errorf("cheap machines for work that may use them: %+v", rent)
+	}
+	booting := &Machine{ID: "m1", Type: "small", Zone: "a", Booting: true, Free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
+	if rent, _ := plan([]*Machine{booting}, Demand{Spec: protocoltest.Job(nil), Count: 2}); total(rent) != 0 {
+		t.Errorf("machines that boot count: %+v", rent)
+	}
+	refusedZone = "a"
+	if rent, _ := plan(nil, Demand{Spec: protocoltest.Job(nil), Count: 2}); total(rent) != 1 || rent[0].Zone != "b" {
+		t.Errorf("refused kinds are left alone for a while: %+v", rent)
+	}
+	refusedZone = ""
+	idle := func() *Machine {
+		return &Machine{ID: "m2", Type: "small", Zone: "a", Free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}, Idle: time.Minute}
+	}
+	if _, back := plan([]*Machine{idle()}); !slices.Equal(back, []string{"m2"}) {
+		t.Errorf("idle machines are returned: %v", back)
+	}
+	if _, back := plan([]*Machine{idle()}, Demand{Spec: protocoltest.Job(nil), Count: 1, Spare: true}); len(back) != 0 {
+		t.Errorf("but not those kept ready: %v", back)
+	}
+	idleWork := Demand{Spec: protocoltest.Job(func(s *protocol.JobSpec) { s.Spot, s.Priority = true, "idle" }), Count: 400, Filler: true}
+	if rent, _ := plan(nil, idleWork); total(rent) != 2 || !rent[0].Spot {
+		t.Errorf("filler work must not starve, but costs little: %+v", rent)
+	}
+	if rent, _ := plan([]*Machine{{ID: "m4", Type: "small", Zone: "a", Yields: protocol.Room{Cores: 8, Accels: 2, RAM: 64}},
+		{ID: "m5", Type: "small", Zone: "a", Booting: true, Free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}}, idleWork); total(rent) != 0 {
+		t.Errorf("what is there for it, or boots, counts: %+v", rent)
+	}
+	filled := &Machine{ID: "m3", Type: "small", Zone: "a", Yields: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
+	high := protocoltest.Job(func(s *protocol.JobSpec) { s.Priority = "high" })
+	for _, spare := range []bool{false, true} {
+		// Otherwise it takes what was rented to be kept ready, again and again.
+		filled.Free = protocol.Room{}
+		if rent, _ := plan([]*Machine{filled}, Demand{Spec: high, Count: 2, Spare: spare}); total(rent) != 0 {
+			t.Errorf("filler work makes way: %+v", rent)
+		}
+	}
+	gang := protocoltest.Job(func(s *protocol.JobSpec) { s.Cores, s.Shape = 20, protocol.Gang })
+	if rent, _ := plan(nil, Demand{Spec: gang, Count: 1}, Demand{Spec: protocoltest.Job(nil), Count: 2}); total(rent) != 1 || rent[0].Type != "large" {
+		t.Errorf("small work goes beside the large: %+v", rent)
+	}
+}
+
+// Machines that come late are not replaced while others of their type come late
+// too, and one that never comes is given back all the same.
+func TestLateMachines(t *testing.T) {
+	const boot = 40 * time.Second
+	usual, gone := BootLimits(boot, nil)
+	if usual != 77*time.Second || gone != 119*time.Second {
+		t.Errorf("%v, %v", usual, gone)
+	}
+	slow := []time.Duration{90 * time.Second, 95 * time.Second, 110 * time.Second, 100 * time.Second, 30 * time.Second}
+	if late, never := BootLimits(boot, slow); late != 125*time.Second || never != 200*time.Second {
+		t.Errorf("slow ones: %v, %v", late, never)
+	}
+	quick := []time.Duration{time.Second, time.Second, time.Second, time.Second, 300 * time.Second}
+	if late, never := BootLimits(boot, quick); late != usual || never != gone {
+		t.Errorf("quick ones: %v, %v", late, never)
+	}
+}
+
+// Short tasks share room one after the other, if the users' aim leaves time.
+func TestRoomForArrays(t *testing.T) {
+	for _, c := range []struct {
+		tasks          int
+		estimate, left time.Duration
+		want           int
+	}{
+		{25, 35 * time.Second, 93 * time.Second, 25},
+		{25000, 4 * time.Second, 320 * time.Second, 695},
+		{25000, 4 * time.Second, 10 * time.Second, 25000},
+		{3, time.Second, 400 * time.Second, 1},
+		{7, time.Minute, -time.Second, 7},
+	} {
+		if got := InTurn(c.tasks, c.estimate, c.left); got != c.want {
+			t.Errorf("%d of %v in %v: %d", c.tasks, c.estimate, c.left, got)
+		}
+	}
+}
+
+// Machines without tasks go at once, as long as the others have room for what
+// comes; what filler work would like to have keeps none.
+func TestSurplusMachinesGoAtOnce(t *testing.T) {
+	fleet := func(busy, empty int) (ms []*Machine) {
+		for n := range busy + empty {
+			m := &Machine{ID: fmt.Sprintf("m%02d", n), Type: "small", Zone: "a", Free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
+			if n < busy {
+				m.Used, m.Free = true, protocol.Room{Cores: 4, Accels: 1, RAM: 32}
+			}
+			ms = append(ms, m)
+		}
+		return ms
+	}
+	greedy := Demand{Spec: protocoltest.Job(func(s *protocol.JobSpec) { s.Priority = "idle" }), Count: 100, Filler: true}
+	for _, c := range []struct {
+		busy, empty, gone int
+		demands           []Demand
+	}{
+		{20, 10, 10, nil},
+		{20, 10, 10, []Demand{greedy}},
+		{20, 10, 0, []Demand{{Spec: protocoltest.Job(nil), Count: 34}}},
+		{0, 3, 2, nil},
+		{2, 1, 1, nil},
+		{1, 1, 0, nil},
+	} {
+		if _, gone := Plan(&Input{Types: protocoltest.Types(), Machines: fleet(c.busy, c.empty), Demands: c.demands, IdleAfter: time.Minute,
+			Refused: func(Kind) bool { return false }}); len(gone) != c.gone {
+			t.Errorf("%d busy and %d empty: %v", c.busy, c.empty, gone)
+		}
+	}
+}
+
+// Room is kept ready for those for whom a machine would be late: a class whose
+// image takes nearly as long as its aim once had a third of the fleet kept empty.
+func TestRoomKeptReady(t *testing.T) {
+	now := time.Now()
+	arrivals := func(image float64) *Class { // one a second
+		c := &Class{Spec: protocoltest.Job(nil), ImageGB: image}
+		for i := range MaxArrivals {
+			c.Arrivals = append(c.Arrivals, now.Add(-time.Duration(i)*time.Second))
+		}
+		return c
+	}
+	for image, want := range map[float64]int{0.5: 5, 3: 8, 30: 38} { // wanted within 10 s, boots in 13 s
+		if n, _ := Spare(arrivals(image), protocoltest.Types(), 10*time.Second, 1, now, now.Add(-time.Hour)); n != want {
+			t.Errorf("image of %v GB: room for %d tasks, want %d", image, n, want)
+		}
+	}
+	if n, _ := Spare(arrivals(3), protocoltest.Types(), math.MaxInt64, 1, now, now.Add(-time.Hour)); n != 0 {
+		t.Errorf("no aim, but room for %d tasks", n)
+	}
+}
--- /dev/null
+++ b/internal/placement/weigh.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"time"
+
+	"daledyke/internal/board"
+	"daledyke/internal/protocol"
+)
+
+// Claim is a job as it is weighed against others: as who asks for room, or as
+// who would have to make it.
+type Claim struct {
+	Spec *protocol.JobSpec
+	// Rank is that of the job's priority, or of those that need it.
+	Rank int
+	// Filler: nobody waits for it.
+	Filler bool
+	// Guaranteed: one more task of it lies within its team's guarantee.
+	Guaranteed bool
+	// Beyond: its team has a guarantee or a limit, and uses more than it is
+	// guaranteed.
+	Beyond bool
+}
+
+// MayStop tells whether a task of victim may be stopped for one of by: it has a
+// lower priority, or its team runs it beyond its guarantee and by is within its
+// own ("Preemption" of the users' protocol).
+func MayStop(victim, by Claim) bool {
+	if victim.Rank < by.Rank {
+		return true
+	}
+	return by.Guaranteed && victim.Beyond && victim.Spec.Team != by.Spec.Team
+}
+
+// Price is what stopping a task of victim for one of by would cost, in seconds'
+// worth, and false if it may not be stopped.
+func Price(i *board.Instance, victim, by Claim, now time.Time) (Victim, bool) {
+	v := victim.Spec
+	if !MayStop(victim, by) || i.Exited() || i.State == protocol.TaskFlushing || board.Unconfirmed(i.State) ||
+		v.Shape == protocol.Gang && v.Tasks > 1 {
+		return Victim{}, false
+	}
+	price := 10 + 10*float64(victim.Rank)
+	if victim.Filler {
+		price = 2
+	}
+	if !v.Saves() {
+		price += min(60, now.Sub(i.Since).Seconds())
+	}
+	if now.Sub(i.Since) < 30*time.Second {
+		price += 10
+	}
+	return Victim{i.Task, v.Need(), price}, true
+}
+
+// Scarce are the types that some of the jobs cannot do without: the only ones
+// that take them.
+func Scarce(specs func(yield func(*protocol.JobSpec) bool), types map[string]protocol.MachineType) map[string]bool {
+	out := map[string]bool{}
+	for s := range specs {
+		only := ""
+		n := 0
+		for _, t := range types {
+			if t.Takes(s) {
+				only = t.Name
+				n++
+			}
+		}
+		if n == 1 {
+			out[only] = true
+		}
+	}
+	return out
+}
+
+// Preempts is the rank of the lowest priority for which other work is stopped
+// without a guarantee.
+const Preempts = 2
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,67 @@
+// Package ring works out who has which share of the ring of job ids and of the
+// workers: the leader's decision, in numbered windows published in advance
+// ("Publish token ring partitions" of the source, docs/design.md).
+package ring
+
+import (
+	"slices"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/protocol"
+)
+
+// NextWindow works out the window to publish, nil if it is not time yet: offset
+// into the present one, or at once when controllers came or went. names are all
+// controllers in a fixed order, members those whose sessions live; a window stands
+// for every. Controllers that their workers can't reach get none dealt.
+func NextWindow(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string, now time.Time, every, offset time.Duration) *bookkeeping.Window {
+	var owners, hearing []string
+	for _, n := range names {
+		if m := members[n]; m != nil {
+			owners = append(owners, n)
+			if !m.Deaf {
+				hearing = append(hearing, n)
+			}
+		}
+	}
+	if len(owners) == 0 {
+		return nil
+	}
+	if len(hearing) == 0 {
+		hearing = owners
+	}
+	deal := make([]string, SlotCount(len(names)))
+	for s := range deal {
+		home := names[s%len(names)]
+		if slices.Contains(hearing, home) {
+			deal[s] = home
+		} else {
+			deal[s] = hearing[(s/len(names))%len(hearing)]
+		}
+	}
+	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: deal}
+	if cur == nil {
+		return w
+	}
+	w.Number = cur.Number + 1
+	start := time.UnixMilli(cur.StartMs)
+	if !slices.Equal(cur.Owners, owners) || !slices.Equal(cur.Deal, deal) {
+		w.StartMs = max(now.Add(300*time.Millisecond).UnixMilli(), cur.StartMs)
+		return w
+	}
+	if now.Before(start.Add(offset)) && start.Sub(now) < 2*every {
+		return nil
+	}
+	w.StartMs = max(now.UnixMilli(), start.Add(every).UnixMilli())
+	return w
+}
+
+// SlotCount is into how many shares the workers are dealt: enough that those
+// of one lost controller spread over all others.
+func SlotCount(controllers int) int { return max(1, controllers*(controllers-1)) }
+
+// SlotOf deals a machine to one of the slots.
+func SlotOf(machine string, slots int) int {
+	return int(protocol.MachineNumber(machine) % uint64(slots))
+}
