Machines that come up are left for what they were rented for

A job of two tasks waited for 449 s.

Change: a machine is not given back as surplus within 3 s of coming up.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -78,7 +78,7 @@
 			if m.Leaving || m.Silent {
 				continue
 			}
-			f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0}
+			f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0, Fresh: now.Sub(m.Known) < fleet.FreshFor}
 			for _, i := range m.Instances {
 				if js := o.jobs[i.Job]; js != nil && !i.Exited() {
 					f.Pinned = f.Pinned || js.job.Spec.Shape == protocol.Service
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -55,6 +55,8 @@
 	Used   bool // there are tasks, or some were packed into it
 	// Pinned: there are tasks that won't end by themselves.
 	Pinned bool
+	// Fresh: it came up less than FreshFor ago.
+	Fresh bool
 }
 
 // Input is the snapshot that renting is decided by.
@@ -186,6 +188,11 @@
 	return n
 }
 
+// FreshFor is for how long a machine that came up is left for what it was rented
+// for. It is empty at first, and was given back at once, and another one rented,
+// over and over, where others of its type hold only filler work (hunt-cc4e-31).
+const FreshFor = 3 * time.Second
+
 // roomKept is the part of the machines of a type whose room is kept for what
 // comes, beside what is known, before any are given back at once.
 const roomKept = 0.12
@@ -202,7 +209,7 @@
 		}
 	}
 	for _, m := range in.Machines {
-		if m.Used || m.Booting || m.Drains || room[m.Type]-1 < max(1, roomKept*float64(count[m.Type])) {
+		if m.Used || m.Booting || m.Drains || m.Fresh || room[m.Type]-1 < max(1, roomKept*float64(count[m.Type])) {
 			continue
 		}
 		room[m.Type]--
