--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -136,6 +136,17 @@
 	return v, err
 }
 
+// meanwhile takes a step beside the trace.
+func (w *world) meanwhile(verb string, args []string) {
+	go func() {
+		if err := w.step(verb, args); err != nil {
+			w.rules.mu.Lock()
+			w.rules.broken("%s: %v", verb, err)
+			w.rules.mu.Unlock()
+		}
+	}()
+}
+
 func onOff(args []string) bool { return args[len(args)-1] == "on" }
 
 func (w *world) step(verb string, args []string) error {
@@ -157,13 +168,17 @@
 		}
 		return failed
 	case "swarm-begins": // the same, and the trace goes on meanwhile
-		go func() {
-			if err := w.step("swarm", args); err != nil {
-				w.rules.mu.Lock()
-				w.rules.broken("swarm: %v", err)
-				w.rules.mu.Unlock()
-			}
-		}()
+		w.meanwhile("swarm", args)
+	case "stream": // stream FIRST LAST RUN EVERY: such jobs, one every so often, and the trace goes on meanwhile
+		first, err1 := strconv.Atoi(args[0])
+		last, err2 := strconv.Atoi(args[1])
+		every, err3 := time.ParseDuration(args[3])
+		for n := first; n <= last; n++ {
+			time.AfterFunc(time.Duration(n-first)*every, func() {
+				w.meanwhile("swarm", []string{strconv.Itoa(n), strconv.Itoa(n), args[2]})
+			})
+		}
+		return errors.Join(err1, err2, err3)
 	case "cancelled-within": // cancelled-within TIME JOB
 		most, err := time.ParseDuration(args[0])
 		began := time.Now()
--- a/regress.sh
+++ b/regress.sh
@@ -20,15 +20,10 @@
 
 usage() { sed -n '2,11s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 
-# figures FILE: "site mode figure" for each site scored in what a run printed. A
-# quick score says so itself, in the words behind its figure.
+# figures FILE: "site mode figure" for each site scored in what a run printed.
 figures() {
-  awk '/^score on .* of [^ ]+/ {
-    mode = /two roughest|quick/ ? "quick" : "full"
-    for (i = 1; i < NF; i++) if ($i == "of" && site == "") site = $(i + 1)
-    for (i = NF; i > 0; i--) if ($i ~ /^[01]\.[0-9]+$/) { print site, mode, $i; break }
-    site = ""
-  }' "$1"
+  sed -nE -e 's/^quick estimate on the standard days of ([^ ]+) .*: ([0-9.]+),? ?.*$/\1 quick \2/p' \
+    -e 's/^score on the standard days of ([^ ]+) .*: ([0-9.]+),? ?.*$/\1 full \2/p' "$1"
 }
 
 # compare FILE: every figure against the kept one, and all that failed outright.
@@ -65,7 +60,7 @@
   [ -n "$new" ] || { echo "no figure in $1" >&2; exit 2; }
   {
     grep '^#' "$kept"
-    { echo "$new"; grep -v '^#' "$kept"; } | awk '!seen[$1, $2]++' | sort
+    { echo "$new"; grep -v '^#' "$kept" || true; } | awk '!seen[$1, $2]++' | sort
   } >"$kept.new" && mv "$kept.new" "$kept"
 }
 
