--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"github.com/BurntSushi/toml"
 
 	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
 )
 
 // Sibling is another controller.
@@ -107,8 +108,11 @@
 type Config struct {
 	Platform
 	Operator
-	teams map[string]*Team
-	aimed map[string]bool
+	// Quotas divide what teams may use among accounts, nil if the operators don't
+	// say so.
+	Quotas *quota.Tree
+	teams  map[string]*Team
+	aimed  map[string]bool
 }
 
 // Load reads and checks the platform's settings, and the operators' own if
@@ -131,6 +135,12 @@
 		}
 	}
 	c.index()
+	if c.quotas != nil {
+		var err error
+		if c.Quotas, err = c.quotas.tree(c); err != nil {
+			return nil, fmt.Errorf("operators' settings %s: %w", operatorFile, err)
+		}
+	}
 	return c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -120,3 +120,44 @@
 		}
 	})
 }
+
+// Faults of quotas are told with their line and account.
+func TestQuotas(t *testing.T) {
+	dir := t.TempDir()
+	platform := filepath.Join(dir, "settings.toml")
+	if err := os.WriteFile(platform, []byte(sound+"[[deployment.teams]]\nname = \"hosting\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	load := func(text string) (*Config, error) {
+		file := filepath.Join(dir, "operators.edn")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return Load(platform, file)
+	}
+	c, err := load("(daledyke\n  (quotas ; ours\n    (account \"hosting\" (cpus 40 60) (gpus 8))\n    (account \"hosting/songshan\" (cpus 10 30.5) (weight 2)))\n  (sample 5))")
+	if err != nil || c.Sample != 5 || !c.Quotas.Has("hosting") {
+		t.Fatalf("read as %+v, %v", c, err)
+	}
+	if a, ok := c.Quotas.Find("hosting/songshan"); !ok || a.Guarantee.Cores != 10 || a.Limit.Cores != 30.5 || a.Weight != 2 {
+		t.Errorf("%+v", a)
+	}
+	for text, named := range map[string]string{
+		"(daledyke\n (quotas\n  (account \"hosting\")\n  (account \"hosting\")))":                       `line 4: account "hosting": it is there twice`,
+		"(daledyke (quotas\n  (account \"hosting\" (cpus 5 9))\n\n  (account \"hosting/a\" (cpus 6))))": `line 4: account "hosting/a": with its siblings`,
+		"(daledyke (quotas\n  (account \"other\")))":                                                    `line 2: account "other": the platform knows no such team`,
+		"(daledyke (quotas (account \"hosting\" (cpus 9 5))))":                                          `line 1: account "hosting": its guarantee is above its limit`,
+		"(daledyke (quotas (account \"hosting/a\")))":                                                   `line 1: account "hosting/a": the account above it is missing`,
+		"(daledyke (quotas\n(account \"hosting\" (cpus -1))))":                                          `line 2: account "hosting": amounts`,
+		"(daledyke (quotas\n(account \"hosting\" (cpus much))))":                                        `line 2: account "hosting": cpus: not a number: much`,
+		"(daledyke (quotas\n(account \"hosting\" (disks 1))))":                                          `line 2: account "hosting": unknown resource disks`,
+		"(daledyke (quotas\n(account \"hosting\" (cpus 1) (cpus 2))))":                                  `line 2: account "hosting": cpus is there twice`,
+		"(daledyke (quotas\n(account hosting)))":                                                        `line 2: not an account`,
+		"(daledyke (quotas (account \"hosting\"))\n(quotas (account \"hosting\")))":                     `line 2: quotas are there twice`,
+		"(daledyke (quotas\n(account \"hosting\" (weight 0))))":                                         `line 2: account "hosting": weight`,
+	} {
+		if _, err := load(text); err == nil || !strings.Contains(err.Error(), named) {
+			t.Errorf("%s\n%v", text, err)
+		}
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"time"
@@ -22,6 +23,8 @@
 	IdleAfter time.Duration
 	// Spare scales the room that is kept ready for work in a hurry.
 	Spare float64
+	// quotas are the accounts that (quotas ...) names, nil if there is none.
+	quotas *quotaForm
 }
 
 // Defaults are the operators' settings where they say nothing.
@@ -52,19 +55,31 @@
 	if len(form) == 0 || edn.Unmarshal(form[0], &head) != nil || head != "daledyke" {
 		return fmt.Errorf("the list must begin with daledyke")
 	}
+	from := 0
 	for _, item := range form[1:] {
+		if at := bytes.Index(raw[from:], item); at >= 0 {
+			from += at // items come in order: their places tell their lines
+		}
+		line := lineAt(raw, from)
+		from += len(item)
+		if q, err := parseQuotas(item, line); q != nil || err != nil {
+			if err == nil && o.quotas != nil {
+				err = fmt.Errorf("line %d: quotas are there twice", q.line)
+			}
+			if err != nil {
+				return err
+			}
+			o.quotas = q
+			continue
+		}
 		var pair []edn.RawMessage
 		var name edn.Symbol
 		if err := edn.Unmarshal(item, &pair); err != nil || len(pair) != 2 || edn.Unmarshal(pair[0], &name) != nil {
 			return fmt.Errorf("not a pair of name and number: %s", item)
 		}
-		var v float64
-		if err := edn.Unmarshal(pair[1], &v); err != nil {
-			var whole int64
-			if edn.Unmarshal(pair[1], &whole) != nil {
-				return fmt.Errorf("%s: not a number: %s", name, pair[1])
-			}
-			v = float64(whole)
+		v, ok := number(pair[1])
+		if !ok {
+			return fmt.Errorf("%s: not a number: %s", name, pair[1])
 		}
 		if err := o.set(string(name), v); err != nil {
 			return err
--- /dev/null
+++ b/internal/config/quotas.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"olympos.io/encoding/edn"
+
+	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
+)
+
+// quotaForm is the operators' (quotas ...), read but not checked against the
+// platform's settings.
+type quotaForm struct {
+	line     int
+	accounts []quota.Account
+	lines    []int
+}
+
+// lineAt is the line of a place in a text, from 1.
+func lineAt(raw []byte, at int) int { return 1 + bytes.Count(raw[:at], []byte("\n")) }
+
+// parseQuotas reads a form such as
+//
+//	(quotas
+//	  (account "hosting" (cpus 400 600) (gpus 100 160))
+//	  (account "hosting/songshan" (cpus 100 300) (gpus 30 80) (ram 0 4000) (weight 2)))
+//
+// which begins at the line given: of each resource the guarantee, then the limit, which
+// is none if it is 0 or left out. Nil without an error if it is another form.
+func parseQuotas(raw []byte, line int) (*quotaForm, error) {
+	var form []edn.RawMessage
+	var head edn.Symbol
+	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &head) != nil || head != "quotas" {
+		return nil, nil
+	}
+	q := &quotaForm{line: line}
+	from := 0
+	for _, item := range form[1:] {
+		if at := bytes.Index(raw[from:], item); at >= 0 {
+			from += at
+		}
+		at := line + lineAt(raw, from) - 1
+		a, err := parseAccount(item)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", at, err)
+		}
+		q.accounts, q.lines = append(q.accounts, a), append(q.lines, at)
+		from += len(item)
+	}
+	return q, nil
+}
+
+func parseAccount(raw []byte) (a quota.Account, err error) {
+	var form []edn.RawMessage
+	var head edn.Symbol
+	if edn.Unmarshal(raw, &form) != nil || len(form) < 2 || edn.Unmarshal(form[0], &head) != nil || head != "account" || edn.Unmarshal(form[1], &a.Name) != nil {
+		return a, fmt.Errorf("not an account with a name: %.60s", raw)
+	}
+	seen := map[edn.Symbol]bool{}
+	for _, item := range form[2:] {
+		var of []edn.RawMessage
+		var what edn.Symbol
+		if edn.Unmarshal(item, &of) != nil || len(of) < 2 || edn.Unmarshal(of[0], &what) != nil {
+			return a, fmt.Errorf("account %q: not a resource with amounts: %.60s", a.Name, item)
+		}
+		if seen[what] {
+			return a, fmt.Errorf("account %q: %s is there twice", a.Name, what)
+		}
+		seen[what] = true
+		var amounts []float64
+		for _, n := range of[1:] {
+			v, ok := number(n)
+			if !ok {
+				return a, fmt.Errorf("account %q: %s: not a number: %.60s", a.Name, what, n)
+			}
+			amounts = append(amounts, v)
+		}
+		set := func(guarantee, limit *float64) error {
+			if len(amounts) > 2 {
+				return fmt.Errorf("account %q: %s takes a guarantee and a limit", a.Name, what)
+			}
+			*guarantee = amounts[0]
+			if len(amounts) == 2 {
+				*limit = amounts[1]
+			}
+			return nil
+		}
+		switch what {
+		case "cpus":
+			err = set(&a.Guarantee.Cores, &a.Limit.Cores)
+		case "gpus":
+			err = set(&a.Guarantee.Accels, &a.Limit.Accels)
+		case "ram":
+			err = set(&a.Guarantee.RAM, &a.Limit.RAM)
+		case "weight":
+			if a.Weight = amounts[0]; len(amounts) > 1 || !(a.Weight > 0 && a.Weight <= 1000) {
+				err = fmt.Errorf("account %q: weight takes one number above 0, up to 1000", a.Name)
+			}
+		default:
+			err = fmt.Errorf("account %q: unknown resource %s (cpus, gpus, ram or weight)", a.Name, what)
+		}
+		if err != nil {
+			return a, err
+		}
+	}
+	return a, nil
+}
+
+// number reads a whole or decimal number.
+func number(raw []byte) (v float64, ok bool) {
+	if edn.Unmarshal(raw, &v) == nil {
+		return v, true
+	}
+	var whole int64
+	if edn.Unmarshal(raw, &whole) != nil {
+		return 0, false
+	}
+	return float64(whole), true
+}
+
+// tree checks the accounts against the platform's teams.
+func (q *quotaForm) tree(c *Config) (*quota.Tree, error) {
+	t, err := quota.NewTree(q.accounts, func(name string) bool { return c.Team(name) != nil })
+	var f *quota.Fault
+	if errors.As(err, &f) {
+		return nil, fmt.Errorf("line %d: %w", q.lines[f.Index], err)
+	}
+	return t, err
+}
+
+// AccountOf is the account that a job counts for: the one that it names, else its
+// team's own; "" if the team has no tree.
+func AccountOf(t *quota.Tree, s *protocol.JobSpec) string {
+	switch {
+	case !t.Has(s.Team):
+		return ""
+	case s.Account != "":
+		return s.Account
+	}
+	return s.Team
+}
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -75,6 +75,9 @@
 	DeadlineS   *float64 `json:"dueS"`
 	// Needs are the jobs that have to be done before any task starts.
 	Needs []string `json:"awaits,omitempty"`
+	// Account is the account of its team's quotas that the job counts for; "" is
+	// the team's own.
+	Account string `json:"account,omitempty"`
 }
 
 // Need is what one task of the job takes of its machine.
