Nested quotas at work: permits, the holder's door, reclaim, reasons

Need: quotas below a team, held through crashes, cuts and take-overs.

Change: the owner of the team's place on the ring is the authority; owners ask it for permits, holders check them beside window, state and room; borrowers are told to stop; what quotas don't let start is not rented for; 422 for unknown accounts; the reason names the node that binds. Off unless the operators' settings have (quotas ...).

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -47,6 +47,8 @@
 	Awaited  []string
 	// Version is that of the holder's last reply that had the slot.
 	Version uint64
+	// Asked is when that reply was asked for.
+	Asked time.Time
 	// Window is the newest window that the holder obeyed when it last said
 	// that the slot is complete.
 	Window uint64
@@ -73,8 +75,9 @@
 }
 
 // Apply takes in a holder's news and tells which jobs it touches. What was
-// made under an older term of a slot is passed over.
-func (b *Board) Apply(holder string, r *News, now time.Time) (touched map[string]bool) {
+// made under an older term of a slot is passed over. asked is when the news were
+// asked for.
+func (b *Board) Apply(holder string, r *News, asked, now time.Time) (touched map[string]bool) {
 	touched = map[string]bool{}
 	for _, sv := range r.Slots {
 		s := b.Slots[sv.Slot]
@@ -91,7 +94,7 @@
 				m.Current = false
 			}
 		}
-		s.Holder, s.Complete, s.Awaited, s.Version = holder, sv.Complete, sv.Awaited, r.Version
+		s.Holder, s.Complete, s.Awaited, s.Version, s.Asked = holder, sv.Complete, sv.Awaited, r.Version, asked
 		if sv.Complete {
 			s.Window = max(s.Window, r.Window)
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -1,8 +1,10 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -71,11 +73,15 @@
 	k.session = NewSession(c, k.store, func() { k.holder.ask(ctx, k.holder.reset) })
 	k.holder = NewHolder(ctx, c, k.session, k.store, transport.NewWorkers(dial))
 	holders := map[string]HolderCaller{c.Name: local{HolderRPC{k.holder}}}
+	lenders := map[string]LendCaller{}
 	for _, s := range c.Siblings {
+		if c.Quotas != nil {
+			lenders[s.Name] = lendPeer{transport.NewPeer(ctx, dial, s.Addr)}
+		}
 		holders[s.Name] = sibling{transport.NewPeer(ctx, dial, s.Addr), transport.NewPeer(ctx, dial, s.Addr)}
 	}
 	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.foundOver,
-		func(job string, op placement.Opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) })
+		func(job string, op placement.Opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) }, lenders)
 	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
 	k.reader = bookkeeping.NewReader(k.store)
 	k.replica = bookkeeping.NewReplica(k.store, func(s *protocol.JobSpec) int64 { return Token(c, s) }, func(j *bookkeeping.Job) bookkeeping.Urgency { return urgency(c, j) }, k,
@@ -85,7 +91,7 @@
 
 // Receivers are what siblings may call.
 func (k *Controller) Receivers() map[string]any {
-	return map[string]any{rpcName: HolderRPC{k.holder}}
+	return map[string]any{rpcName: HolderRPC{k.holder}, lendName: QuotaRPC{k.owner}}
 }
 
 // Run runs all actors until ctx ends.
@@ -374,6 +380,9 @@
 	if !team.Admits(protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n}) {
 		return errors.New("the job needs more than its crew may use")
 	}
+	if err := judgeAccount(k.cfg, s, n); err != nil {
+		return err
+	}
 	for _, t := range k.catalog.Load().Types {
 		if !t.Takes(s) {
 			continue
@@ -387,6 +396,27 @@
 	return errors.New("a task fits no machine that the job allows")
 }
 
+// judgeAccount says why a job with so many tasks at once can never run in its
+// account, if so.
+func judgeAccount(c *config.Config, s *protocol.JobSpec, n float64) error {
+	if s.Account == "" && !c.Quotas.Has(s.Team) {
+		return nil
+	}
+	account, known := c.Quotas.Find(cmp.Or(s.Account, s.Team))
+	switch {
+	case !c.Quotas.Has(s.Team):
+		return fmt.Errorf("crew %s has no accounts", s.Team)
+	case !known:
+		return fmt.Errorf("unknown account %q", s.Account)
+	case account.Team() != s.Team:
+		return fmt.Errorf("account %q is not one of crew %s", s.Account, s.Team)
+	}
+	if binds, never := c.Quotas.Never(account.Name, protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n, RAM: s.RAM * n}); never {
+		return fmt.Errorf("the job needs more than account %q may use", binds)
+	}
+	return nil
+}
+
 // Cancel cancels a job.
 func (k *Controller) Cancel(ctx context.Context, id string) (status int, answer any) {
 	if known := k.owner.Known(ctx, id); known != nil && known.Final() {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -104,6 +104,7 @@
 // demands is what has no machine, and what is expected to come.
 func (o *Owner) demands(now, started time.Time) []fleet.Demand {
 	var out []fleet.Demand
+	affordable := o.affordable()
 	for id, js := range o.active {
 		if js.job.Waits > 0 {
 			continue // nothing is kept for it that others could use now
@@ -126,6 +127,12 @@
 		if t := o.cfg.Team(s.Team); t != nil && t.Limited() {
 			missing = min(missing, fleet.Admitted(s.Need(), protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}))
 		}
+		if n, bound := affordable[id]; bound {
+			missing = min(missing, n)
+		}
+		if missing <= 0 {
+			continue
+		}
 		if s.Shape == protocol.Array && o.within(s.Class, 0) == 0 {
 			ready, _ := fleet.Ready(o.types, s, s.ImageGB)
 			missing = fleet.InTurn(missing, s.Estimate(), o.finish(js).Sub(now)-ready)
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -44,7 +44,7 @@
 // feed takes in a holder's reply to a request that was sent at the time.
 func (o *Owner) feed(name string, a *FeedArgs, r *board.News, sent time.Time) {
 	p := o.peers[name]
-	p.incarnation, p.version, p.valid, p.heard = r.Incarnation, r.Version, r.Valid, time.Now()
+	p.incarnation, p.version, p.valid, p.heard, p.fed = r.Incarnation, r.Version, r.Valid, time.Now(), a.Fence.Term()
 	if w := o.window(); o.latest != nil && r.Window == o.latest.Number && w != nil && w.Number < r.Window {
 		o.obey(o.latest) // the holder obeys it already and refuses older ones
 	}
@@ -58,8 +58,13 @@
 	for i := range r.Machines {
 		o.noteFailures(&r.Machines[i])
 	}
-	o.touched(o.board.Apply(name, r, time.Now()))
+	o.touched(o.board.Apply(name, r, sent, time.Now()))
 	o.dirty = true
+	for at, ps := range o.quotas.ghosts {
+		if o.resolved(ps, name, a, r) {
+			delete(o.quotas.ghosts, at)
+		}
+	}
 	for id, js := range o.unclear {
 		for i, ps := range js.pending {
 			if o.resolved(ps, name, a, r) {
@@ -91,6 +96,7 @@
 		if js := o.active[id]; js != nil {
 			js.stale = true
 		}
+		o.recount(id)
 	}
 }
 
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -75,9 +75,13 @@
 		js.blocked = now.Add(500 * time.Millisecond)
 		return 1
 	}
+	attempt, ok := o.gangPermits(js, now)
+	if !ok {
+		return 1
+	}
 	if s.Tasks == 1 {
 		if c, ok := o.find(js, o.placingFor(js, ""), now); ok {
-			o.start(js, 0, o.newAttempt(), c, false, rq)
+			o.start(js, 0, attempt, c, false, rq)
 		} else {
 			js.blocked = now.Add(400 * time.Millisecond)
 		}
@@ -106,7 +110,6 @@
 		if picks == nil {
 			continue
 		}
-		attempt := o.newAttempt()
 		for index, c := range picks {
 			o.start(js, index, attempt, c, true, rq)
 		}
@@ -116,6 +119,32 @@
 	return s.Tasks
 }
 
+// gangPermits gives the number of a gang's next attempt, false if quotas don't let
+// it start yet; then permits for all of it are wanted.
+func (o *Owner) gangPermits(js *jobState, now time.Time) (attempt uint64, ok bool) {
+	if o.account(js) == "" {
+		return o.newAttempt(), true
+	}
+	var lacks []int
+	same := true
+	for index := range js.job.Spec.Tasks {
+		if p, ok := o.permitted(js, index, &lacks); ok {
+			same = same && (attempt == 0 || attempt == p.attempt)
+			attempt = p.attempt
+		}
+	}
+	if len(lacks) == 0 && same {
+		return attempt, true
+	}
+	clear(js.permits) // those of an attempt of which some have lapsed
+	all := make([]int, js.job.Spec.Tasks)
+	for index := range all {
+		all[index] = index
+	}
+	o.want(js, all, o.newAttempt(), true, now)
+	return 0, false
+}
+
 // pickGang finds a machine for every task of a gang, if there is one, and how
 // long it takes until the last of them has its image; with evict also machines
 // where other work has to make room.
@@ -140,6 +169,11 @@
 		if !o.teamRoom(js, 1) {
 			break
 		}
+		var lacks []int
+		if permit, ok := o.permitted(js, index, &lacks); !ok || permit != nil && permit.attempt != attempt {
+			o.want(js, []int{index}, attempt, false, now)
+			continue
+		}
 		if c, ok := o.find(js, p, now); ok {
 			o.start(js, index, attempt, c, false, rq)
 			p.Zones[c.Machine.Zone]++
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -11,6 +11,7 @@
 	"daledyke/internal/config"
 	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
 	"daledyke/internal/ring"
 	"daledyke/internal/transport"
 )
@@ -43,6 +44,7 @@
 	// ownersSince is the first window of those in a row with the same owners.
 	ownersSince uint64
 	fences      map[string]protocol.Token
+	quotas      *quota.Tree
 
 	syncedAt time.Time
 	adopting bool
@@ -145,7 +147,7 @@
 
 // NewHolder makes the actor.
 func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
-	return &Holder{actor: newActor(ctx), cfg: c, session: session, store: store, workers: workers,
+	return &Holder{actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
 		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]placement.Opinion{}, releasing: map[int]*heldSlot{}, retired: map[string]bool{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -1,6 +1,9 @@
 package coordination
 
-import "daledyke/internal/protocol"
+import (
+	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
+)
 
 // FeedArgs ask a holder for all that changed since a version, and promise it
 // that older requests of the caller are void.
@@ -26,6 +29,8 @@
 	Evict []string
 	// Reserve only keeps the room for a short time.
 	Reserve bool
+	// Permit is that of the team's quotas, if there are any.
+	Permit quota.Permit
 }
 
 // Stop asks for an attempt to be stopped, or for an exited one to be
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -16,6 +16,7 @@
 	"daledyke/internal/fleet"
 	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
 	"daledyke/internal/ring"
 	"daledyke/internal/transport"
 )
@@ -84,6 +85,8 @@
 	toldStill time.Time
 	refused   []fleet.Kind
 
+	quotas quotas
+
 	// othersValid: some sibling says that its session lives.
 	othersValid atomic.Bool
 }
@@ -91,6 +94,7 @@
 type peerState struct {
 	incarnation, version uint64
 	fence                uint64 // sequence below which requests are void
+	fed                  uint64 // the incarnation of ours that it answered last
 	valid                bool
 	heard                time.Time
 	generation           int // of its process, as its session's record says
@@ -125,9 +129,16 @@
 	reviewed time.Time
 	recorded time.Time
 	missing  int
+
+	// permits are those of its team's quotas that are not used yet, binds the
+	// account whose limit lets no more start, wantAt when to ask again.
+	permits map[int]*permit
+	binds   string
+	wantAt  time.Time
 }
 
 type pendingStart struct {
+	attempt uint64
 	machine string
 	holder  string
 	inc     uint64
@@ -142,8 +153,8 @@
 }
 
 // NewOwner makes the actor.
-func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller, found func(*bookkeeping.Job), think func(string, placement.Opinion)) *Owner {
-	return &Owner{actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders, found: found, think: think,
+func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller, found func(*bookkeeping.Job), think func(string, placement.Opinion), lenders map[string]LendCaller) *Owner {
+	return &Owner{quotas: newQuotas(c.Quotas, lenders), actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders, found: found, think: think,
 		slots: ring.SlotCount(len(c.Siblings) + 1), board: board.New(), types: map[string]protocol.MachineType{},
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, unclear: map[string]*jobState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
@@ -190,8 +201,10 @@
 		}
 		delete(o.active, id)
 		delete(o.unclear, id)
-		js.pending, js.retryAt, js.seen, js.badOn = nil, nil, nil, nil
+		o.haunt(js)
+		js.pending, js.retryAt, js.seen, js.badOn, js.permits = nil, nil, nil, nil, nil
 	}
+	o.recount(id)
 	o.dirty = true
 	if len(o.jobs) > maxFinal+len(o.active) {
 		o.evict()
@@ -229,6 +242,11 @@
 	touched := map[string]bool{}
 	o.board.Remove(id, touched)
 	o.touched(touched)
+	for at, ps := range o.quotas.ghosts {
+		if ps.machine == id {
+			delete(o.quotas.ghosts, at)
+		}
+	}
 	for _, js := range o.unclear {
 		for i, ps := range js.pending {
 			if ps.machine == id {
@@ -383,6 +401,10 @@
 		}
 		budget -= o.placeJob(js, now, rq)
 	}
+	if o.quotas.tree != nil {
+		o.yield(now, rq)
+		o.borrow(now)
+	}
 	for name, a := range rq {
 		o.send(name, a)
 	}
@@ -423,8 +445,9 @@
 	slog.Debug("placing", "job", js.job.Spec.ID, "index", index, "class", js.job.Spec.Class, "machine", m.ID, "evict", len(c.Evict),
 		"cached", slices.Contains(m.Images, js.job.Spec.Image), "waited", time.Since(js.job.Ready))
 	a := o.to(rq, m)
-	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.Evict, Reserve: reserve})
-	ps := &pendingStart{machine: m.ID, holder: m.Holder, inc: o.peers[m.Holder].incarnation, slot: m.Slot, term: m.Term,
+	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.Evict, Reserve: reserve,
+		Permit: js.used(index).Permit})
+	ps := &pendingStart{attempt: attempt, machine: m.ID, holder: m.Holder, inc: o.peers[m.Holder].incarnation, slot: m.Slot, term: m.Term,
 		need: js.job.Spec.Need()}
 	js.pending[index] = ps
 	js.stale = true
@@ -466,6 +489,16 @@
 	for k, st := range a.Starts {
 		job, index, _ := protocol.SplitTask(st.Task)
 		js := o.active[job]
+		ghost := quota.Attempt{Task: st.Task, Number: st.Attempt}
+		if o.quotas.ghosts[ghost] == mine[k] {
+			// Its job is over; what became of the start still counts for quotas.
+			if refused || err == nil && k < len(r.Refused) && r.Refused[k] != "" {
+				delete(o.quotas.ghosts, ghost)
+			} else if mine[k].unknown = err != nil; err == nil {
+				mine[k].acked, mine[k].ackInc, mine[k].version = true, r.Incarnation, r.Version
+			}
+			continue
+		}
 		if js == nil || js.pending[index] != mine[k] {
 			continue
 		}
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -156,6 +156,8 @@
 	tasks := o.board.Tasks[s.ID]
 	looked := 0
 	var p *placement.Placing
+	var lacks []int // tasks that need a permit
+	defer func() { o.want(js, lacks, 0, false, now) }()
 	for index := 0; index < s.Tasks && looked < 32; index++ {
 		if js.job.TaskDone(index) || len(tasks[index]) > 0 || js.pending[index] != nil {
 			continue
@@ -166,10 +168,20 @@
 			}
 			delete(js.retryAt, index)
 		}
+		looked++
+		permit, ok := o.permitted(js, index, &lacks)
+		if !ok {
+			continue
+		}
+		attempt := uint64(0)
+		if permit != nil {
+			attempt = permit.attempt
+		} else {
+			attempt = o.newAttempt()
+		}
 		if p == nil {
 			p = o.placingFor(js, "")
 		}
-		looked++
 		if !o.teamRoom(js, 1) {
 			js.blocked = now.Add(500 * time.Millisecond)
 			return looked
@@ -179,7 +191,7 @@
 			js.blocked = now.Add(400 * time.Millisecond)
 			return looked
 		}
-		o.start(js, index, o.newAttempt(), c, false, rq)
+		o.start(js, index, attempt, c, false, rq)
 		p.Zones[c.Machine.Zone]++
 		if js.opinion == placement.AtFault {
 			js.tried(now)
--- /dev/null
+++ b/internal/coordination/quotas.go
@@ -0,0 +1,512 @@
+package coordination
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"daledyke/internal/config"
+	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
+	"daledyke/internal/transport"
+)
+
+// Nested quotas (docs/design-quotas.md): the authority of a team's tree, which lends
+// permits, and the owners who borrow them.
+
+// quotas is what an owner has to do with quotas, as borrower and as authority. It
+// belongs to the owner actor.
+type quotas struct {
+	tree *quota.Tree
+	// callers reach the authorities.
+	callers map[string]LendCaller
+	// authorities are those of the teams whose place on the ring is ours.
+	authorities map[string]*quota.Authority
+	// strange are jobs with tasks on machines that nothing is known of.
+	strange map[string]bool
+
+	// borrowing is what is under way with the authority of a team.
+	borrowing map[string]*borrowing
+	// holding are jobs with permits that are not used yet.
+	holding map[string]*jobState
+	// ghosts are starts under way of jobs that are over meanwhile.
+	ghosts map[quota.Attempt]*pendingStart
+	// yields are tasks that have to stop.
+	yields map[string]bool
+}
+
+// borrowing is what an owner has under way with an authority.
+type borrowing struct {
+	wants []quota.Want
+	busy  bool
+	asked time.Time
+}
+
+// permit is a permit that is not used yet.
+type permit struct {
+	quota.Permit
+	attempt uint64
+	// term is this controller's incarnation that asked for it.
+	term  uint64
+	until time.Time
+}
+
+const (
+	// permitLife is for how long a permit is kept that finds no machine, and
+	// permitPause for how long none is asked for again after that.
+	permitLife  = 3 * time.Second
+	permitPause = 2 * time.Second
+	// askAgain is how often something is asked for that was not granted.
+	askAgain = 500 * time.Millisecond
+	// borrowEvery is how often an authority is asked when nothing is wanted: what
+	// is no longer held goes back, and what has to stop is heard of.
+	borrowEvery = time.Second
+	// lendWithin bounds a request.
+	lendWithin = 2 * time.Second
+	// wantAtOnce bounds the permits that one job asks for at a time.
+	wantAtOnce = 32
+)
+
+// LendCaller reaches the authority of a team's quotas.
+type LendCaller interface {
+	Lend(ctx context.Context, r quota.Request, reply *quota.Reply) error
+}
+
+// lendName is the name that authorities are served under.
+const lendName = "Quota"
+
+// lendPeer reaches an authority over net/rpc.
+type lendPeer struct{ *transport.Peer }
+
+func (p lendPeer) Lend(ctx context.Context, r quota.Request, reply *quota.Reply) error {
+	return p.Call(ctx, lendWithin, lendName+".Lend", r, reply)
+}
+
+// QuotaRPC serves the authority to siblings.
+type QuotaRPC struct{ o *Owner }
+
+// Lend answers an owner, or says that this controller is not the authority now.
+func (q QuotaRPC) Lend(r quota.Request, reply *quota.Reply) error {
+	ctx, cancel := context.WithTimeout(q.o.ctx, lendWithin)
+	defer cancel()
+	ok := false
+	if !q.o.ask(ctx, func() { *reply, ok = q.o.lend(&r, time.Now()) }) || !ok {
+		return errNotNow
+	}
+	return nil
+}
+
+func newQuotas(t *quota.Tree, callers map[string]LendCaller) quotas {
+	return quotas{tree: t, callers: callers, authorities: map[string]*quota.Authority{}, strange: map[string]bool{}, borrowing: map[string]*borrowing{},
+		holding: map[string]*jobState{}, ghosts: map[quota.Attempt]*pendingStart{}, yields: map[string]bool{}}
+}
+
+// ---- the authority
+
+// authority is that of a team, if it is this controller's to be and it knows all
+// that may be running; else nil.
+func (o *Owner) authority(team string) *quota.Authority {
+	gain := o.gainOf(protocol.RingToken(team))
+	if gain == 0 || !o.quotas.tree.Has(team) {
+		delete(o.quotas.authorities, team)
+		return nil
+	}
+	if o.bornBy(gain) == 0 || len(o.quotas.strange) > 0 || !o.session.Valid() {
+		return nil
+	}
+	a := o.quotas.authorities[team]
+	if a == nil {
+		a = quota.NewAuthority(o.quotas.tree)
+		o.quotas.authorities[team] = a
+		for id := range o.board.Tasks {
+			if js := o.jobs[id]; js != nil && js.job.Spec.Team == team {
+				o.count(a, js)
+			}
+		}
+		slog.Info("authority of quotas", "team", team, "window", gain)
+	}
+	return a
+}
+
+// quotaJob is what an authority has to know of a job.
+func (o *Owner) quotaJob(js *jobState) quota.Job {
+	return quota.Job{Account: config.AccountOf(o.quotas.tree, js.job.Spec), Need: js.job.Spec.Need(), Rank: js.job.Rank}
+}
+
+// count has an authority book what the board shows of a job.
+func (o *Owner) count(a *quota.Authority, js *jobState) {
+	var there []quota.Attempt
+	for _, list := range o.board.Tasks[js.job.Spec.ID] {
+		for _, i := range list {
+			if !i.Exited() {
+				there = append(there, quota.Attempt{Task: i.Task, Number: i.Attempt})
+			}
+		}
+	}
+	a.Count(js.job.Spec.ID, o.quotaJob(js), there)
+}
+
+// recount takes in that the board shows something new of a job.
+func (o *Owner) recount(id string) {
+	if o.quotas.tree == nil {
+		return
+	}
+	js := o.jobs[id]
+	if js == nil {
+		if len(o.board.Tasks[id]) > 0 {
+			o.quotas.strange[id] = true
+		} else {
+			delete(o.quotas.strange, id)
+		}
+		return
+	}
+	delete(o.quotas.strange, id)
+	if a := o.quotas.authorities[js.job.Spec.Team]; a != nil {
+		o.count(a, js)
+	}
+}
+
+// seen is how far the board goes.
+func (o *Owner) seen() quota.Seen {
+	present := o.presentSince()
+	s := quota.Seen{Present: present, Obeyed: o.board.AllComplete(o.slots, present)}
+	for n := range o.slots {
+		b := o.board.Slots[n]
+		if b == nil || !b.Complete {
+			return quota.Seen{Present: present}
+		}
+		if n == 0 || b.Asked.Before(s.Asked) {
+			s.Asked = b.Asked
+		}
+	}
+	return s
+}
+
+// lend answers a request, false if it is not for this controller now.
+func (o *Owner) lend(r *quota.Request, now time.Time) (quota.Reply, bool) {
+	a := o.authority(r.Team)
+	if a == nil {
+		return quota.Reply{}, false
+	}
+	if a.Ledger().Tree() != o.quotas.tree {
+		a.SetTree(o.quotas.tree)
+	}
+	over := len(a.Over())
+	reply := a.Lend(r, quota.Permit{Authority: o.cfg.Name, Term: o.session.Term(), Window: o.window().Number}, o.seen(),
+		func(id string) (quota.Job, bool) {
+			js := o.active[id]
+			if js == nil || js.job.Spec.Team != r.Team {
+				return quota.Job{}, false
+			}
+			return o.quotaJob(js), true
+		}, func() []quota.Work { return o.running(r.Team, now) }, now)
+	if len(a.Over()) > 0 && over == 0 {
+		slog.Warn("live services alone use more than their quota: nothing is stopped, nothing more starts", "accounts", a.Over())
+	}
+	return reply, true
+}
+
+// running is what runs of a team's jobs; gangs stop as a whole.
+func (o *Owner) running(team string, now time.Time) (out []quota.Work) {
+	for id, tasks := range o.board.Tasks {
+		js := o.jobs[id]
+		if js == nil || js.job.Spec.Team != team {
+			continue
+		}
+		s, j := js.job.Spec, o.quotaJob(js)
+		whole := s.Shape == protocol.Gang && s.Tasks > 1
+		w := quota.Work{Account: j.Account, Rank: j.Rank, Live: s.Shape == protocol.Service}
+		for _, list := range tasks {
+			for _, i := range list {
+				if i.Exited() {
+					continue
+				}
+				loss := 0.0
+				if !s.Saves() {
+					loss = now.Sub(i.Since).Seconds()
+				}
+				if whole {
+					w.ID, w.Need, w.Loss = i.Task, w.Need.Add(j.Need), w.Loss+loss
+					continue
+				}
+				w.ID, w.Need, w.Loss = i.Task, j.Need, loss
+				out = append(out, w)
+			}
+		}
+		if whole && w.ID != "" {
+			w.ID = protocol.TaskName(id, 0)
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// ---- the borrower
+
+// account is what a job counts for, "" if no quotas divide its team's share.
+func (o *Owner) account(js *jobState) string { return config.AccountOf(o.quotas.tree, js.job.Spec) }
+
+// permitted tells whether a task may be started, and as which attempt, as far as
+// quotas go; if not, a permit is wanted.
+func (o *Owner) permitted(js *jobState, index int, lacks *[]int) (*permit, bool) {
+	if o.account(js) == "" {
+		return nil, true
+	}
+	if p := js.permits[index]; p != nil && p.term == o.session.Term() {
+		return p, true
+	}
+	if len(*lacks) < wantAtOnce {
+		*lacks = append(*lacks, index)
+	}
+	return nil, false
+}
+
+// want asks for permits for tasks of a job: attempts of their own, or together all
+// as one attempt.
+func (o *Owner) want(js *jobState, indexes []int, attempt uint64, together bool, now time.Time) {
+	if len(indexes) == 0 || now.Before(js.wantAt) {
+		return
+	}
+	w := quota.Want{Job: js.job.Spec.ID, Together: together}
+	for _, index := range indexes {
+		n := attempt
+		if n == 0 {
+			n = o.newAttempt()
+		}
+		w.Attempts = append(w.Attempts, quota.Attempt{Task: protocol.TaskName(w.Job, index), Number: n})
+	}
+	b := o.borrowed(js.job.Spec.Team)
+	if !b.busy && len(b.wants) < 64 {
+		b.wants = append(b.wants, w)
+	}
+}
+
+func (o *Owner) borrowed(team string) *borrowing {
+	b := o.quotas.borrowing[team]
+	if b == nil {
+		b = &borrowing{}
+		o.quotas.borrowing[team] = b
+	}
+	return b
+}
+
+// used takes the permit of a task that is being started, if it has one.
+func (js *jobState) used(index int) (p permit) {
+	if held := js.permits[index]; held != nil {
+		p = *held
+		delete(js.permits, index)
+	}
+	return p
+}
+
+// fedAll tells whether every slot's holder has answered this incarnation, and so
+// refuses what a former one asked.
+func (o *Owner) fedAll() bool {
+	for n := range o.slots {
+		b := o.board.Slots[n]
+		if b == nil || !b.Complete {
+			return false
+		}
+		if p := o.peers[b.Holder]; p == nil || p.fed != o.session.Term() {
+			return false
+		}
+	}
+	return true
+}
+
+// borrow asks the authorities for what this round wants.
+func (o *Owner) borrow(now time.Time) {
+	for id, js := range o.quotas.holding {
+		for index, p := range js.permits {
+			if js.gain == 0 || p.term != o.session.Term() || now.After(p.until) {
+				delete(js.permits, index)
+				js.wantAt = now.Add(permitPause)
+			}
+		}
+		if len(js.permits) == 0 || o.active[id] != js {
+			delete(o.quotas.holding, id)
+		}
+	}
+	for _, team := range o.quotas.tree.Teams() {
+		b := o.borrowed(team)
+		if b.busy || len(b.wants) == 0 && now.Sub(b.asked) < borrowEvery || !o.fedAll() {
+			if !b.busy {
+				b.wants = nil // they are wanted anew in the next round
+			}
+			continue
+		}
+		r := quota.Request{Team: team, Caller: o.cfg.Name, Term: o.session.Term(), Wants: b.wants}
+		for id, js := range o.quotas.holding {
+			if js.job.Spec.Team == team {
+				for index, p := range js.permits {
+					r.Holding = append(r.Holding, quota.Attempt{Task: protocol.TaskName(id, index), Number: p.attempt})
+				}
+			}
+		}
+		for id, js := range o.unclear {
+			if js.job.Spec.Team == team {
+				for index, ps := range js.pending {
+					r.Holding = append(r.Holding, quota.Attempt{Task: protocol.TaskName(id, index), Number: ps.attempt})
+				}
+			}
+		}
+		for at := range o.quotas.ghosts {
+			r.Holding = append(r.Holding, at)
+		}
+		name := o.window().Owner(protocol.RingToken(team))
+		b.wants, b.asked = nil, now
+		if name == o.cfg.Name {
+			if reply, ok := o.lend(&r, now); ok {
+				o.granted(&r, &reply, now)
+			}
+			continue
+		}
+		caller := o.quotas.callers[name]
+		if caller == nil {
+			continue
+		}
+		b.busy = true
+		go func() {
+			var reply quota.Reply
+			err := caller.Lend(o.ctx, r, &reply)
+			o.tell(func() {
+				b.busy = false
+				if err != nil {
+					slog.Debug("nothing lent", "authority", name, "team", team, "err", err)
+				} else {
+					o.granted(&r, &reply, time.Now())
+				}
+			})
+		}()
+	}
+}
+
+// granted takes in an authority's answer.
+func (o *Owner) granted(r *quota.Request, reply *quota.Reply, now time.Time) {
+	if r.Term != o.session.Term() {
+		return // what it granted is not held, and so goes back
+	}
+	got := make(map[quota.Attempt]bool, len(reply.Granted))
+	for _, at := range reply.Granted {
+		got[at] = true
+	}
+	for k, w := range r.Wants {
+		js := o.active[w.Job]
+		if js == nil || js.gain == 0 || k >= len(reply.Binds) {
+			continue
+		}
+		js.binds = reply.Binds[k]
+		if js.binds != "" {
+			js.wantAt = now.Add(askAgain)
+		}
+		for _, at := range w.Attempts {
+			_, index, ok := protocol.SplitTask(at.Task)
+			if !ok || !got[at] || js.pending[index] != nil {
+				continue
+			}
+			if js.permits == nil {
+				js.permits = map[int]*permit{}
+			}
+			js.permits[index] = &permit{reply.Permit, at.Number, r.Term, now.Add(permitLife)}
+			o.quotas.holding[w.Job] = js
+			js.blocked, js.stale, o.dirty = time.Time{}, true, true
+		}
+	}
+	for _, task := range reply.Yield {
+		job, _, _ := protocol.SplitTask(task)
+		if js := o.active[job]; js != nil && js.gain != 0 && len(o.quotas.yields) < 10_000 {
+			o.quotas.yields[task] = true
+			o.dirty = true
+		}
+	}
+}
+
+// yield has tasks stop that authorities named, with time to save.
+func (o *Owner) yield(now time.Time, rq requests) {
+	for task := range o.quotas.yields {
+		delete(o.quotas.yields, task)
+		job, index, _ := protocol.SplitTask(task)
+		js := o.active[job]
+		if js == nil || js.gain == 0 {
+			continue
+		}
+		s := js.job.Spec
+		if s.Shape == protocol.Gang && s.Tasks > 1 {
+			slog.Info("gang yields its quota", "job", job)
+			o.stopGang(js, 2*s.SaveS, now, rq)
+			continue
+		}
+		for _, i := range o.board.Tasks[job][index] {
+			if !i.Exited() && i.State != protocol.TaskFlushing {
+				slog.Info("task yields its quota", "task", task)
+				o.askStop(i, 2*s.SaveS, now, rq)
+			}
+		}
+	}
+}
+
+// haunt keeps the starts under way of a job that is over: their permits count
+// until it is known what became of them.
+func (o *Owner) haunt(js *jobState) {
+	if o.account(js) == "" {
+		return
+	}
+	for index, ps := range js.pending {
+		o.quotas.ghosts[quota.Attempt{Task: protocol.TaskName(js.job.Spec.ID, index), Number: ps.attempt}] = ps
+	}
+}
+
+// affordable is how many tasks more of each job quotas would let start beside what
+// runs: no more are rented for.
+func (o *Owner) affordable() map[string]int {
+	if o.quotas.tree == nil {
+		return nil
+	}
+	l := quota.NewLedger(o.quotas.tree)
+	var waiting []*jobState
+	for id, js := range o.active {
+		account := o.account(js)
+		if account == "" {
+			continue
+		}
+		live := 0
+		for _, list := range o.board.Tasks[id] {
+			for _, i := range list {
+				if !i.Exited() {
+					live++
+				}
+			}
+		}
+		need := js.job.Spec.Need()
+		l.Use(account, protocol.Room{Cores: need.Cores * float64(live), Accels: need.Accels * float64(live), RAM: need.RAM * float64(live)})
+		if live < js.job.Spec.Tasks-js.job.DoneCount() && js.job.Waits == 0 {
+			waiting = append(waiting, js)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *jobState) int {
+		return cmp.Or(cmp.Compare(b.job.Rank, a.job.Rank), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	out := make(map[string]int, len(waiting))
+	for _, js := range waiting {
+		c := &quota.Claim{Account: o.account(js), Need: js.job.Spec.Need(), Rank: js.job.Rank}
+		n := 0
+		for n < js.job.Spec.Tasks {
+			if _, ok := l.Admits(c); !ok {
+				break
+			}
+			l.Use(c.Account, c.Need)
+			n++
+		}
+		out[js.job.Spec.ID] = n
+	}
+	return out
+}
+
+// permits tells whether a permit is of the present authority of a team, as far as
+// this holder's window and fences go.
+func (h *Holder) permits(p quota.Permit, team string) bool {
+	return p.Authority != "" && p.Authority == h.window.Owner(protocol.RingToken(team)) && p.Window >= h.ownersSince &&
+		p.Term >= h.fences[p.Authority].Term()
+}
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -93,6 +93,10 @@
 			}
 		}
 	}
+	// What was reserved had its permit.
+	if team := j.Spec.Team; reserved == nil && h.quotas.Has(team) && !h.permits(st.Permit, team) {
+		return "no permit"
+	}
 	delete(w.entries, st.Task)
 	room := h.free(w, true)
 	for _, name := range st.Evict {
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -18,6 +18,8 @@
 	Gathered bool
 	// Incomplete: of some slot it is not known what is there.
 	Incomplete bool
+	// Quota is the account whose limit binds, if one does.
+	Quota string
 	// Asked: holders have been asked to start some.
 	Asked bool
 	// Limited tells whether the limit of its team binds. It is asked only if
@@ -80,6 +82,8 @@
 		return protocol.ReasonPlacing, 0
 	case w.Limited():
 		return protocol.ReasonLimit, -1
+	case w.Quota != "":
+		return protocol.ReasonQuota + w.Quota, -1
 	}
 	ready, coming := w.Coming()
 	switch {
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -150,6 +150,7 @@
 const (
 	ReasonSlots      = "slots incomplete"
 	ReasonLimit      = "limit of its team"
+	ReasonQuota      = "quota of " // and the account that binds
 	ReasonFailing    = "failing everywhere"
 	ReasonFetching   = "fetching"
 	ReasonGang       = "waiting for its gang"
--- a/internal/quota/authority.go
+++ b/internal/quota/authority.go
@@ -80,15 +80,15 @@
 	// claimLife is for how long a claim counts that is not made again.
 	claimLife = 3 * time.Second
 	// keepFor and letBy: a claim is kept room for so long, then not for so long.
-	keepFor = 30 * time.Second
-	letBy   = 10 * time.Second
+	keepFor = 20 * time.Second
+	letBy   = 20 * time.Second
 	// reclaimEvery is how often it is looked for what has to stop.
 	reclaimEvery = time.Second
 	// yieldLife is for how long a task that was told to stop is waited for.
 	yieldLife = 30 * time.Second
 )
 
-// MaxWanted bounds the attempts that one request wants.
+// MaxWanted bounds the attempts that one request is granted, but for a single gang.
 const MaxWanted = 256
 
 // Authority lends a tree's quotas to owners. It has one owner, who tells it what
@@ -221,7 +221,7 @@
 	for _, w := range r.Wants {
 		binds := ""
 		j, ok := job(w.Job)
-		if wanted += len(w.Attempts); !ok || wanted > MaxWanted {
+		if wanted += len(w.Attempts); !ok || wanted > MaxWanted && wanted > len(w.Attempts) {
 			reply.Binds = append(reply.Binds, binds)
 			continue
 		}
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -155,7 +155,12 @@
 }
 
 // Accounts lists the accounts by their names.
-func (t *Tree) Accounts() []Account { return slices.Clone(t.accounts) }
+func (t *Tree) Accounts() []Account {
+	if t == nil {
+		return nil
+	}
+	return slices.Clone(t.accounts)
+}
 
 // Find gives an account, false if there is none of the name.
 func (t *Tree) Find(name string) (Account, bool) {
