--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -28,6 +28,8 @@
 	memberPrefix  = Root + "m/"
 	slotPrefix    = Root + "s/"
 	lotPrefix     = Root + "l/"
+	keyQuotas     = Root + "quotas"
+	quotaPrefix   = keyQuotas + "/" // the parts of accounts
 )
 
 func jobKey(id string) string                 { return jobPrefix + id }
@@ -43,7 +45,7 @@
 // keys begin.
 var kinds = []struct{ prefix, name string }{
 	{keyTerm, "term"}, {keyLeader, "leader"}, {keyWindow, "window"}, {keyCatalog, "catalogue"}, {jobPrefix, "job"},
-	{overPrefix, "over"}, {resultPrefix, "result"}, {partPrefix, "part"}, {memberPrefix, "session"}, {slotPrefix, "slot"}, {lotPrefix, "lot"},
+	{overPrefix, "over"}, {resultPrefix, "result"}, {partPrefix, "part"}, {memberPrefix, "session"}, {slotPrefix, "slot"}, {lotPrefix, "lot"}, {keyQuotas, "quotas"},
 }
 
 // kindOf tells what kind of record a key holds.
--- a/internal/bookkeeping/production_test.go
+++ b/internal/bookkeeping/production_test.go
@@ -209,11 +209,11 @@
 		}
 		raw = append(raw, p.Data)
 	}
-	back, err := join(raw)
+	back, err := join[protocol.JobSpec](raw, mostDescription)
 	if err != nil || !slices.Equal(back.Needs, spec.Needs) {
 		t.Errorf("%d names came back, %v", len(back.Needs), err)
 	}
-	if _, err := join(raw[1:]); err == nil {
+	if _, err := join[protocol.JobSpec](raw[1:], mostDescription); err == nil {
 		t.Error("a description without its first part is taken for whole")
 	}
 	// The record of its end takes no parts.
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -25,6 +25,7 @@
 	LotChanged(name string, l *Lot)
 	MachineChanged(id string, m *Machine)
 	CatalogChanged(*protocol.Catalog)
+	QuotasChanged(*Quotas)
 	// Synced: the replica held all changes up to now, where now is when the
 	// request was sent that showed it.
 	Synced(now time.Time)
@@ -51,6 +52,7 @@
 	findFrom time.Time
 	found    chan []finding
 	catalog  catalogParts
+	quotas   quotaParts
 	// caught hears up to which revision the listeners were told everything.
 	caught func(revision uint64)
 	// tokenOf gives a job its place on the ring.
@@ -319,6 +321,10 @@
 			w.Version = version
 			r.to.WindowChanged(w)
 		}
+	} else if key == keyQuotas || strings.HasPrefix(key, quotaPrefix) {
+		if q := r.quotas.take(key, raw, version, dropped); q != nil {
+			r.to.QuotasChanged(q)
+		}
 	} else if key == keyCatalog || strings.HasPrefix(key, catalogPrefix) {
 		if rec := parse[catalogRecord](key, raw, dropped); rec != nil {
 			if c := r.catalog.take(*rec, version); c != nil {
--- a/internal/bookkeeping/sizes.go
+++ b/internal/bookkeeping/sizes.go
@@ -32,9 +32,9 @@
 
 func (s *Store) fits(v any) bool { return size(v) <= s.valueBytes }
 
-// ---- descriptions of jobs
+// ---- what stands in parts: descriptions of jobs, quotas
 
-// partRecord is a part of a job's description, which is compressed first.
+// partRecord is a part of something that is compressed first.
 type partRecord struct {
 	Data []byte `json:"z"`
 }
@@ -42,10 +42,10 @@
 // mostDescription bounds a description, which came in a request's body.
 const mostDescription = 1 << 20
 
-// divide compresses a description and divides it into parts; sum tells
-// different descriptions of one job apart.
-func (s *Store) divide(spec *protocol.JobSpec) (parts []partRecord, sum string, err error) {
-	raw, err := json.Marshal(spec)
+// divide compresses a value and divides it into parts; sum tells different values
+// apart.
+func (s *Store) divide(v any) (parts []partRecord, sum string, err error) {
+	raw, err := json.Marshal(v)
 	if err != nil {
 		return nil, "", err
 	}
@@ -68,14 +68,14 @@
 	return parts, hex.EncodeToString(hash[:8]), nil
 }
 
-// join reads a description that stands in parts.
-func join(parts [][]byte) (*protocol.JobSpec, error) {
-	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(slices.Concat(parts...))), mostDescription))
+// join reads a value that stands in parts.
+func join[T any](parts [][]byte, most int64) (*T, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(slices.Concat(parts...))), most))
 	if err != nil {
 		return nil, err
 	}
-	spec := &protocol.JobSpec{}
-	return spec, json.Unmarshal(raw, spec)
+	v := new(T)
+	return v, json.Unmarshal(raw, v)
 }
 
 // writeParts writes the parts of a description, but for those that an earlier
@@ -130,7 +130,7 @@
 		}
 		parts = append(parts, p.Data)
 	}
-	r.Spec, err = join(parts)
+	r.Spec, err = join[protocol.JobSpec](parts, mostDescription)
 	return err
 }
 
--- a/internal/config/quotas.go
+++ b/internal/config/quotas.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
 
 	"olympos.io/encoding/edn"
 
@@ -121,6 +122,22 @@
 	return float64(whole), true
 }
 
+// Accounts reads accounts from a file that holds one (quotas ...).
+func Accounts(file string) ([]quota.Account, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	q, err := parseQuotas(raw, 1)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%s: %w", file, err)
+	case q == nil:
+		return nil, fmt.Errorf("%s: not one (quotas ...)", file)
+	}
+	return q.accounts, nil
+}
+
 // tree checks the accounts against the platform's teams.
 func (q *quotaForm) tree(c *Config) (*quota.Tree, error) {
 	t, err := quota.NewTree(q.accounts, func(name string) bool { return c.Team(name) != nil })
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -15,6 +15,7 @@
 	"daledyke/internal/config"
 	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
 	"daledyke/internal/transport"
 )
 
@@ -34,6 +35,8 @@
 
 	catalog atomic.Pointer[protocol.Catalog]
 	loaded  atomic.Bool
+	// quotas are the accounts, nil if quotas are not switched on.
+	quotas atomic.Pointer[quotaSet]
 }
 
 // sibling reaches a holder over net/rpc. Feeds wait, so they have a
@@ -83,6 +86,9 @@
 	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.foundOver,
 		func(job string, op placement.Opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) }, lenders)
 	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
+	if c.Quotas != nil {
+		k.quotas.Store(&quotaSet{tree: c.Quotas})
+	}
 	k.reader = bookkeeping.NewReader(k.store)
 	k.replica = bookkeeping.NewReplica(k.store, func(s *protocol.JobSpec) int64 { return Token(c, s) }, func(j *bookkeeping.Job) bookkeeping.Urgency { return urgency(c, j) }, k,
 		func(revision uint64) { k.reader.Caught(ctx, revision) })
@@ -91,7 +97,7 @@
 
 // Receivers are what siblings may call.
 func (k *Controller) Receivers() map[string]any {
-	return map[string]any{rpcName: HolderRPC{k.holder}, lendName: QuotaRPC{k.owner}}
+	return map[string]any{rpcName: HolderRPC{k.holder}, lendName: QuotaRPC{k}}
 }
 
 // Run runs all actors until ctx ends.
@@ -380,7 +386,7 @@
 	if !team.Admits(protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n}) {
 		return errors.New("the job needs more than its crew may use")
 	}
-	if err := judgeAccount(k.cfg, s, n); err != nil {
+	if err := judgeAccount(k.quotaTree(), s, n); err != nil {
 		return err
 	}
 	for _, t := range k.catalog.Load().Types {
@@ -398,25 +404,33 @@
 
 // judgeAccount says why a job with so many tasks at once can never run in its
 // account, if so.
-func judgeAccount(c *config.Config, s *protocol.JobSpec, n float64) error {
-	if s.Account == "" && !c.Quotas.Has(s.Team) {
+func judgeAccount(t *quota.Tree, s *protocol.JobSpec, n float64) error {
+	if s.Account == "" && !t.Has(s.Team) {
 		return nil
 	}
-	account, known := c.Quotas.Find(cmp.Or(s.Account, s.Team))
+	account, known := t.Find(cmp.Or(s.Account, s.Team))
 	switch {
-	case !c.Quotas.Has(s.Team):
+	case !t.Has(s.Team):
 		return fmt.Errorf("crew %s has no accounts", s.Team)
 	case !known:
 		return fmt.Errorf("unknown account %q", s.Account)
 	case account.Team() != s.Team:
 		return fmt.Errorf("account %q is not one of crew %s", s.Account, s.Team)
 	}
-	if binds, never := c.Quotas.Never(account.Name, protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n, RAM: s.RAM * n}); never {
+	if binds, never := t.Never(account.Name, protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n, RAM: s.RAM * n}); never {
 		return fmt.Errorf("the job needs more than account %q may use", binds)
 	}
 	return nil
 }
 
+// quotaTree are the accounts, nil if quotas are not switched on.
+func (k *Controller) quotaTree() *quota.Tree {
+	if set := k.quotas.Load(); set != nil {
+		return set.tree
+	}
+	return nil
+}
+
 // Cancel cancels a job.
 func (k *Controller) Cancel(ctx context.Context, id string) (status int, answer any) {
 	if known := k.owner.Known(ctx, id); known != nil && known.Final() {
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"time"
 
+	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
 	"daledyke/internal/protocol"
 	"daledyke/internal/quota"
@@ -20,6 +23,8 @@
 // belongs to the owner actor.
 type quotas struct {
 	tree *quota.Tree
+	// record is what the tree was set by at run time, of revision 0 if it was not.
+	record bookkeeping.Quotas
 	// callers reach the authorities.
 	callers map[string]LendCaller
 	// authorities are those of the teams whose place on the ring is ours.
@@ -84,17 +89,26 @@
 	return p.Call(ctx, lendWithin, lendName+".Lend", r, reply)
 }
 
-// QuotaRPC serves the authority to siblings.
-type QuotaRPC struct{ o *Owner }
+// QuotaRPC serves the authority to siblings, and accounts to operators.
+type QuotaRPC struct{ k *Controller }
 
 // Lend answers an owner, or says that this controller is not the authority now.
 func (q QuotaRPC) Lend(r quota.Request, reply *quota.Reply) error {
-	ctx, cancel := context.WithTimeout(q.o.ctx, lendWithin)
+	o := q.k.owner
+	ctx, cancel := context.WithTimeout(o.ctx, lendWithin)
 	defer cancel()
-	ok := false
-	if !q.o.ask(ctx, func() { *reply, ok = q.o.lend(&r, time.Now()) }) || !ok {
+	type answer struct {
+		quota.Reply
+		ok bool
+	}
+	a, asked := askFor(ctx, &o.actor, func() (a answer) {
+		a.Reply, a.ok = o.lend(&r, time.Now())
+		return a
+	})
+	if !asked || !a.ok {
 		return errNotNow
 	}
+	*reply = a.Reply
 	return nil
 }
 
@@ -471,16 +485,8 @@
 		if account == "" {
 			continue
 		}
-		live := 0
-		for _, list := range o.board.Tasks[id] {
-			for _, i := range list {
-				if !i.Exited() {
-					live++
-				}
-			}
-		}
-		need := js.job.Spec.Need()
-		l.Use(account, protocol.Room{Cores: need.Cores * float64(live), Accels: need.Accels * float64(live), RAM: need.RAM * float64(live)})
+		live, _ := o.placed(id)
+		l.Use(account, scaled(js.job.Spec.Need(), live))
 		if live < js.job.Spec.Tasks-js.job.DoneCount() && js.job.Waits == 0 {
 			waiting = append(waiting, js)
 		}
@@ -510,3 +516,175 @@
 	return p.Authority != "" && p.Authority == h.window.Owner(protocol.RingToken(team)) && p.Window >= h.ownersSince &&
 		p.Term >= h.fences[p.Authority].Term()
 }
+
+// ---- operators
+
+// QuotasChanged implements bookkeeping.Listener: operators set accounts at run time.
+func (k *Controller) QuotasChanged(q *bookkeeping.Quotas) {
+	if k.cfg.Quotas == nil {
+		return // the settings don't switch quotas on
+	}
+	t, err := quota.NewTree(q.Accounts, func(name string) bool { return k.cfg.Team(name) != nil })
+	if err != nil {
+		slog.Error("quotas that can't be are passed over", "revision", q.Revision, "err", err)
+		return
+	}
+	slog.Info("quotas", "revision", q.Revision, "by", q.By, "why", q.Why, "accounts", len(q.Accounts))
+	k.quotas.Store(&quotaSet{t, *q})
+	k.holder.tell(func() { k.holder.quotas = t })
+	k.owner.tell(func() { k.owner.quotas.tree, k.owner.quotas.record, k.owner.dirty = t, *q, true })
+}
+
+// quotaSet is a tree, and the record that it is from; revision 0 if it is from the
+// settings.
+type quotaSet struct {
+	tree   *quota.Tree
+	record bookkeeping.Quotas
+}
+
+// mostShown bounds the accounts that the overview and metrics show.
+const mostShown = 50
+
+// quotaView shows the accounts, at most so many: those that use most, in the order
+// of their names.
+func (o *Owner) quotaView(most int) *protocol.QuotaView {
+	t, record := o.quotas.tree, &o.quotas.record
+	v := &protocol.QuotaView{Revision: record.Revision, By: record.By, Why: record.Why, Authorities: map[string]string{}}
+	if record.AtMs > 0 {
+		v.At = time.UnixMilli(record.AtMs).UTC().Format(time.RFC3339)
+	}
+	if w := o.window(); w != nil {
+		for _, team := range t.Teams() {
+			v.Authorities[team] = w.Owner(protocol.RingToken(team))
+		}
+	}
+	for _, a := range o.quotas.authorities {
+		v.Permits += a.Lent()
+		v.Over = append(v.Over, a.Over()...)
+	}
+	l := quota.NewLedger(t)
+	waiting := map[string]int{}
+	for id, js := range o.jobs {
+		if account := o.account(js); account != "" {
+			live, _ := o.placed(id)
+			l.Use(account, scaled(js.job.Spec.Need(), live))
+		}
+		if js.binds != "" && !js.job.Final() {
+			waiting[js.binds]++
+		}
+	}
+	accounts := t.Accounts()
+	if len(accounts) > most {
+		slices.SortStableFunc(accounts, func(a, b quota.Account) int {
+			return cmp.Or(cmp.Compare(l.Used(b.Name).Accels, l.Used(a.Name).Accels), cmp.Compare(l.Used(b.Name).Cores, l.Used(a.Name).Cores))
+		})
+		accounts = accounts[:most]
+		slices.SortFunc(accounts, func(a, b quota.Account) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	for _, a := range accounts {
+		used := l.Used(a.Name)
+		v.Accounts = append(v.Accounts, protocol.QuotaAccount{Name: a.Name, Guarantee: a.Guarantee, Limit: a.Limit, Weight: a.Weight,
+			Used: used, Borrowed: quota.Beyond(used, a.Guarantee), Lent: quota.Beyond(a.Guarantee, used), Waiting: waiting[a.Name]})
+	}
+	return v
+}
+
+func scaled(r protocol.Room, n int) protocol.Room {
+	return protocol.Room{Cores: r.Cores * float64(n), Accels: r.Accels * float64(n), RAM: r.RAM * float64(n)}
+}
+
+var errNoQuotas = errors.New("quotas are not switched on: the operators' settings have no (quotas ...)")
+
+// showQuotas is the view for operators.
+func (k *Controller) showQuotas(ctx context.Context, most int) (*protocol.QuotaView, error) {
+	if k.quotas.Load() == nil {
+		return nil, errNoQuotas
+	}
+	v, ok := view(ctx, &k.owner.actor, func() *protocol.QuotaView { return k.owner.quotaView(most) })
+	if !ok {
+		return nil, ErrLater
+	}
+	return v, nil
+}
+
+// changeQuotas changes accounts, all that is asked or nothing.
+func (k *Controller) changeQuotas(ctx context.Context, c *quota.Change) (out quota.Outcome, err error) {
+	set := k.quotas.Load()
+	if set == nil {
+		return out, errNoQuotas
+	}
+	seen, err := k.store.Quotas(ctx)
+	if err != nil {
+		return out, fmt.Errorf("the quotas can't be read now, nothing was changed: %w", err)
+	}
+	current, record := set.tree, bookkeeping.Quotas{}
+	known := func(name string) bool { return k.cfg.Team(name) != nil }
+	if seen != nil {
+		record = *seen
+		if current, err = quota.NewTree(seen.Accounts, known); err != nil {
+			return out, err
+		}
+	} else if set.record.Revision > 0 {
+		return out, errors.New("the record of the quotas is gone, nothing was changed")
+	}
+	out.Revision = record.Revision
+	if c.Revision != record.Revision {
+		out.Refused = fmt.Sprintf("they were changed meanwhile: revision %d by %s at %s (%s), not %d", record.Revision, cmp.Or(record.By, "nobody named"),
+			time.UnixMilli(record.AtMs).UTC().Format(time.RFC3339), cmp.Or(record.Why, "no reason given"), c.Revision)
+		return out, nil
+	}
+	next, err := current.With(c.Set, c.Drop, known)
+	if err != nil {
+		out.Refused = err.Error()
+		return out, nil
+	}
+	plan, ok := view(ctx, &k.owner.actor, func() (p quota.Plan) {
+		var work []quota.Work
+		for _, team := range next.Teams() {
+			work = append(work, k.owner.running(team, time.Now())...)
+		}
+		return quota.Shrink(next, work)
+	})
+	if !ok {
+		return out, ErrLater
+	}
+	out.Shrinks, out.Over = plan.Shrinks(), plan.Over
+	if c.DryRun {
+		return out, nil
+	}
+	err = k.store.SaveQuotas(ctx, seen, bookkeeping.Quotas{By: c.By, Why: c.Why, AtMs: time.Now().UnixMilli(), Accounts: next.Accounts()})
+	switch {
+	case errors.Is(err, bookkeeping.ErrConflict):
+		out.Refused = "somebody else changed them at the same moment; look at them again"
+		return out, nil
+	case err != nil:
+		return out, fmt.Errorf("it is not known whether the change was recorded, look at the revision: %w", err)
+	}
+	out.Revision++
+	return out, nil
+}
+
+// ShowArgs ask for the accounts.
+type ShowArgs struct{}
+
+// Show shows operators the accounts.
+func (q QuotaRPC) Show(_ ShowArgs, v *protocol.QuotaView) error {
+	ctx, cancel := context.WithTimeout(q.k.owner.ctx, lendWithin)
+	defer cancel()
+	got, err := q.k.showQuotas(ctx, quota.MaxAccounts)
+	if err == nil {
+		*v = *got
+	}
+	return err
+}
+
+// Change changes accounts for operators.
+func (q QuotaRPC) Change(c quota.Change, out *quota.Outcome) (err error) {
+	ctx, cancel := context.WithTimeout(q.k.owner.ctx, changeWithin)
+	defer cancel()
+	*out, err = q.k.changeQuotas(ctx, &c)
+	return err
+}
+
+// changeWithin bounds a change: some requests to the state service.
+const changeWithin = 20 * time.Second
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,8 @@
 	"time"
 
 	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
+	"daledyke/internal/transport"
 )
 
 // TestMain keeps the logs out of the tests' output, unless LOG_LEVEL asks.
@@ -151,6 +154,33 @@
 	}()
 }
 
+// setQuotas changes accounts as operators do, through one controller.
+func (w *world) setQuotas(controller, revision string, args []string) (err error) {
+	c := quota.Change{By: "trace", Why: "as it says"}
+	if c.Revision, err = strconv.ParseUint(revision, 10, 64); err != nil {
+		return err
+	}
+	for k := 0; k+2 < len(args); k += 3 {
+		a := quota.Account{Name: args[k]}
+		a.Guarantee.Cores, err = strconv.ParseFloat(args[k+1], 64)
+		if a.Limit.Cores, _ = strconv.ParseFloat(args[k+2], 64); err != nil {
+			return err
+		}
+		c.Set = append(c.Set, a)
+		w.rules.mu.Lock()
+		delete(w.rules.limits, a.Name) // until limit-holds says so
+		w.rules.mu.Unlock()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var out quota.Outcome
+	err = transport.NewPeer(ctx, w.net.dialer("operator"), "inner-"+controller+":1").Call(ctx, 10*time.Second, "Quota.Change", c, &out)
+	if out.Refused != "" {
+		err = errors.New(out.Refused)
+	}
+	return err
+}
+
 func onOff(args []string) bool { return args[len(args)-1] == "on" }
 
 func (w *world) step(verb string, args []string) error {
@@ -238,11 +268,20 @@
 		if n, err := strconv.ParseFloat(args[1], 64); err != nil || use != n {
 			return fmt.Errorf("uses %v", use)
 		}
-	case "limit-of": // limit-of ACCOUNT N: from now on the rules check that; it is for the trace to see to it
+	case "quota-set": // quota-set CONTROLLER REVISION ACCOUNT GUARANTEE LIMIT ...: operators change accounts, by the revision
+		return w.setQuotas(args[0], args[1], args[2:])
+	case "quota-refused": // the same, and it is refused
+		if err := w.setQuotas(args[0], args[1], args[2:]); err == nil {
+			return errors.New("it was taken")
+		}
+	case "limit-holds": // limit-holds ACCOUNT N: from now on the account may not use more than that
 		n, err := strconv.ParseFloat(args[1], 64)
 		w.rules.mu.Lock()
+		defer w.rules.mu.Unlock()
 		w.rules.limits[args[0]] = n
-		w.rules.mu.Unlock()
+		if use := w.rules.uses(args[0]); use > n {
+			return fmt.Errorf("uses %v", use)
+		}
 		return err
 	case "incomplete": // incomplete CONTROLLER N: of so many slots at most it is not known what is there
 		v, err := w.overview(args[0])
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -174,6 +174,9 @@
 	slices.SortFunc(v.Fleet, func(a, b protocol.FleetCount) int {
 		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(b.Booting+b.Up, a.Booting+a.Up))
 	})
+	if o.quotas.tree != nil {
+		v.Quotas = o.quotaView(mostShown)
+	}
 	v.Jobs = protocol.JobCount{Active: len(o.active), Waiting: map[string]int{}, AsksPending: len(o.unclear), Unmoved: len(o.ended)}
 	var waiting []*jobState
 	for _, js := range o.active {
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -29,6 +29,8 @@
 	// NoCapacity are kinds of machines that the cloud had none of a while ago;
 	// only the leader knows.
 	NoCapacity []string `json:"noCapacity"`
+	// Quotas are nested quotas, if they are switched on: the accounts that use most.
+	Quotas *QuotaView `json:"quotas,omitempty"`
 }
 
 // MaxWaiting bounds the jobs that an overview lists.
@@ -146,6 +148,37 @@
 	FailedOn int `json:"failedOn,omitempty"`
 }
 
+// QuotaAccount is an account of nested quotas as it stands.
+type QuotaAccount struct {
+	Name      string  `json:"name"`
+	Guarantee Room    `json:"guarantee"`
+	Limit     Room    `json:"limit"` // 0: none
+	Weight    float64 `json:"weight"`
+	// Used is by the account and all below it; Borrowed what it uses beyond its
+	// guarantee, Lent what of its guarantee others may use.
+	Used     Room `json:"used"`
+	Borrowed Room `json:"borrowed"`
+	Lent     Room `json:"lent"`
+	// Waiting are jobs of this controller's range that this account binds.
+	Waiting int `json:"waiting,omitempty"`
+}
+
+// QuotaView is what a controller knows of nested quotas.
+type QuotaView struct {
+	// Revision counts changes at run time; 0: as the settings have them.
+	Revision uint64 `json:"revision"`
+	By       string `json:"by,omitempty"`
+	Why      string `json:"why,omitempty"`
+	At       string `json:"at,omitempty"`
+	// Authorities are the controllers that lend, by team, as far as is known.
+	Authorities map[string]string `json:"authorities,omitempty"`
+	// Permits are out that this controller gave as an authority; Over are accounts
+	// whose live services alone exceed the limit.
+	Permits  int            `json:"permits"`
+	Over     []string       `json:"over,omitempty"`
+	Accounts []QuotaAccount `json:"accounts,omitempty"`
+}
+
 // Why a job that isn't over waits.
 const (
 	ReasonSlots      = "slots incomplete"
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -172,6 +172,9 @@
 	return "", true
 }
 
+// Beyond is what a use has more than an amount, resource by resource.
+func Beyond(use, amount protocol.Room) protocol.Room { return most(use.Sub(amount)) }
+
 // only leaves of a use what a need takes of.
 func only(use, need protocol.Room) protocol.Room {
 	pick := func(use, need float64) float64 {
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -118,6 +118,17 @@
 			gauge(name+"_failures_total", float64(n), "outcome", outcome)
 		}
 	}
+	if q := v.Quotas; q != nil {
+		gauge("quota_revision", float64(q.Revision))
+		gauge("quota_permits", float64(q.Permits))
+		gauge("quota_accounts_over", float64(len(q.Over)))
+		for _, a := range q.Accounts { // bounded: those that use most
+			for state, r := range map[string]protocol.Room{"used": a.Used, "borrowed": a.Borrowed, "lent": a.Lent, "guarantee": a.Guarantee, "limit": a.Limit} {
+				gauge("quota_cpus", r.Cores, "account", a.Name, "state", state)
+				gauge("quota_gpus", r.Accels, "account", a.Name, "state", state)
+			}
+		}
+	}
 	for record, n := range v.State.Changes {
 		gauge("state_changes_total", float64(n), "record", record)
 	}
