Quotas: permits go on while a slot is incomplete; requests are counted

Need: after a take-over owners asked for nothing until every slot was complete, though it is enough that all holders refuse what a former process asked. Operators want to see how much is asked.

Change: fedAll looks at the holders alone; two metrics.

--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -40,6 +40,8 @@
 	ghosts map[quota.Attempt]*pendingStart
 	// yields are tasks that have to stop.
 	yields map[string]bool
+	// requests and permits are how many were made and granted so far.
+	requests, permits int64
 }
 
 // borrowing is what an owner has under way with an authority.
@@ -320,7 +322,7 @@
 func (o *Owner) fedAll() bool {
 	for n := range o.slots {
 		b := o.board.Slots[n]
-		if b == nil || !b.Complete {
+		if b == nil {
 			return false
 		}
 		if p := o.peers[b.Holder]; p == nil || p.fed != o.session.Term() {
@@ -371,6 +373,7 @@
 		}
 		name := o.window().Owner(protocol.RingToken(team))
 		b.wants, b.asked = nil, now
+		o.quotas.requests++
 		if name == o.cfg.Name {
 			if reply, ok := o.lend(&r, now); ok {
 				o.granted(&r, &reply, now)
@@ -423,6 +426,7 @@
 			if js.permits == nil {
 				js.permits = map[int]*permit{}
 			}
+			o.quotas.permits++
 			js.permits[index] = &permit{reply.Permit, at.Number, r.Term, now.Add(permitLife)}
 			o.quotas.holding[w.Job] = js
 			js.blocked, js.stale, o.dirty = time.Time{}, true, true
@@ -549,7 +553,7 @@
 // of their names.
 func (o *Owner) quotaView(most int) *protocol.QuotaView {
 	t, record := o.quotas.tree, &o.quotas.record
-	v := &protocol.QuotaView{Revision: record.Revision, By: record.By, Why: record.Why, Authorities: map[string]string{}}
+	v := &protocol.QuotaView{Requests: o.quotas.requests, Granted: o.quotas.permits, Revision: record.Revision, By: record.By, Why: record.Why, Authorities: map[string]string{}}
 	if record.AtMs > 0 {
 		v.At = time.UnixMilli(record.AtMs).UTC().Format(time.RFC3339)
 	}
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -174,7 +174,10 @@
 	Authorities map[string]string `json:"authorities,omitempty"`
 	// Permits are out that this controller gave as an authority; Over are accounts
 	// whose live services alone exceed the limit.
-	Permits  int            `json:"permits"`
+	Permits int `json:"permits"`
+	// Requests this controller made of authorities so far, and the permits Granted.
+	Requests int64          `json:"requests"`
+	Granted  int64          `json:"granted"`
 	Over     []string       `json:"over,omitempty"`
 	Accounts []QuotaAccount `json:"accounts,omitempty"`
 }
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -121,6 +121,8 @@
 	if q := v.Quotas; q != nil {
 		gauge("quota_revision", float64(q.Revision))
 		gauge("quota_permits", float64(q.Permits))
+		gauge("quota_requests_total", float64(q.Requests))
+		gauge("quota_granted_total", float64(q.Granted))
 		gauge("quota_accounts_over", float64(len(q.Over)))
 		for _, a := range q.Accounts { // bounded: those that use most
 			for state, r := range map[string]protocol.Room{"used": a.Used, "borrowed": a.Borrowed, "lent": a.Lent, "guarantee": a.Guarantee, "limit": a.Limit} {
