Quotas: every controller names the account that binds

Need: users ask any controller why a job waits; only the job's owner knew which account binds. Change: others work it out from what their boards show, once a second for all who ask.

--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -40,6 +40,9 @@
 	ghosts map[quota.Attempt]*pendingStart
 	// yields are tasks that have to stop.
 	yields map[string]bool
+	// uses is what the board shows of all accounts' use, as it was at usesAt.
+	uses   *quota.Ledger
+	usesAt time.Time
 	// requests and permits are how many were made and granted so far.
 	requests, permits int64
 }
@@ -476,6 +479,39 @@
 	}
 }
 
+// used is what the board shows of all accounts' use; it is worked out once a second
+// and serves all who ask.
+func (o *Owner) used(now time.Time) *quota.Ledger {
+	q := &o.quotas
+	if q.uses != nil && now.Sub(q.usesAt) < time.Second && q.uses.Tree() == q.tree {
+		return q.uses
+	}
+	q.uses, q.usesAt = quota.NewLedger(q.tree), now
+	for id := range o.board.Tasks {
+		if js := o.jobs[id]; js != nil {
+			if account := o.account(js); account != "" {
+				live, _ := o.placed(id)
+				q.uses.Use(account, scaled(js.job.Spec.Need(), live))
+			}
+		}
+	}
+	return q.uses
+}
+
+// binds is the account whose limit lets no more of a job start: as its authority
+// said, or, for other owners' jobs, as far as the board shows.
+func (o *Owner) binds(js *jobState, now time.Time) string {
+	if js.gain != 0 || js.job.Final() || o.account(js) == "" {
+		return js.binds
+	}
+	need := js.job.Spec.Need()
+	if js.job.Spec.Shape == protocol.Gang {
+		need = scaled(need, js.job.Spec.Tasks)
+	}
+	binds, _ := o.used(now).Admits(&quota.Claim{Account: o.account(js), Need: need, Rank: js.job.Rank})
+	return binds
+}
+
 // affordable is how many tasks more of each job quotas would let start beside what
 // runs: no more are rented for.
 func (o *Owner) affordable() map[string]int {
@@ -566,14 +602,10 @@
 		v.Permits += a.Lent()
 		v.Over = append(v.Over, a.Over()...)
 	}
-	l := quota.NewLedger(t)
+	l := o.used(time.Now())
 	waiting := map[string]int{}
-	for id, js := range o.jobs {
-		if account := o.account(js); account != "" {
-			live, _ := o.placed(id)
-			l.Use(account, scaled(js.job.Spec.Need(), live))
-		}
-		if js.binds != "" && !js.job.Final() {
+	for _, js := range o.active {
+		if js.binds != "" {
 			waiting[js.binds]++
 		}
 	}
