--- a/cmd/daledyke/quota.go
+++ b/cmd/daledyke/quota.go
@@ -55,18 +55,18 @@
 		}
 		return nil
 	}
-	show := func(cmd *cobra.Command) (v protocol.QuotaView, err error) {
+	ask := func(cmd *cobra.Command) (v protocol.QuotaView, err error) {
 		return v, call(cmd, "Show", struct{ Unused int }{}, &v)
 	}
 	list := func(use, short string, text func(io.Writer, protocol.QuotaView)) *cobra.Command {
 		return &cobra.Command{
 			Use: use, Short: short, Args: cobra.MaximumNArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				v, err := show(cmd)
+				v, err := ask(cmd)
 				if err == nil && len(args) == 1 {
 					v.Accounts, err = below(v.Accounts, args[0])
 				}
-				return printed(cmd.OutOrStdout(), v, err, raw, text)
+				return show(cmd.OutOrStdout(), v, err, raw, text)
 			},
 		}
 	}
@@ -75,23 +75,18 @@
 		&cobra.Command{
 			Use: "show ACCOUNT", Short: "Shows one account", Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				v, err := show(cmd)
+				v, err := ask(cmd)
 				if err == nil {
 					if v.Accounts, err = below(v.Accounts, args[0]); err == nil {
 						v.Accounts = v.Accounts[:1]
 					}
 				}
-				return printed(cmd.OutOrStdout(), v, err, raw, showUsage)
+				return show(cmd.OutOrStdout(), v, err, raw, showUsage)
 			},
-		}, setCommand(call, show, &raw))
+		}, setCommand(call, ask, &raw))
 	return root
 }
 
-// printed is show for a value.
-func printed[T any](w io.Writer, v T, err error, raw bool, text func(io.Writer, T)) error {
-	return show(w, v, err, raw, text)
-}
-
 // below leaves of accounts the named one, first, and those below it.
 func below(all []protocol.QuotaAccount, name string) (out []protocol.QuotaAccount, err error) {
 	for _, a := range all {
@@ -105,7 +100,7 @@
 	return out, nil
 }
 
-func setCommand(call func(*cobra.Command, string, any, any) error, show func(*cobra.Command) (protocol.QuotaView, error), raw *bool) *cobra.Command {
+func setCommand(call func(*cobra.Command, string, any, any) error, ask func(*cobra.Command) (protocol.QuotaView, error), raw *bool) *cobra.Command {
 	var cpus, gpus, ram, file, why, by string
 	var weight float64
 	var drop []string
@@ -121,7 +116,7 @@
 (--revision), or at the same moment, you are told who and when.`,
 		Args: cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			v, err := show(cmd)
+			v, err := ask(cmd)
 			if err != nil {
 				return err
 			}
@@ -167,7 +162,7 @@
 			if out.Refused != "" {
 				return fmt.Errorf("nothing was changed: %s", out.Refused)
 			}
-			return printed(cmd.OutOrStdout(), out, nil, *raw, func(w io.Writer, out quota.Outcome) { showOutcome(w, out, dryRun) })
+			return show(cmd.OutOrStdout(), out, nil, *raw, func(w io.Writer, out quota.Outcome) { showOutcome(w, out, dryRun) })
 		},
 	}
 	flags := cmd.Flags()
