--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"daledyke/internal/placement"
 	"math/rand/v2"
 	"slices"
@@ -81,7 +82,7 @@
 	}
 	if s.Tasks == 1 {
 		if c, ok := o.find(js, o.placingFor(js, ""), now); ok {
-			o.start(js, 0, attempt, c, false, rq)
+			o.start(js, 0, cmp.Or(attempt, o.newAttempt()), c, false, rq)
 		} else {
 			js.blocked = now.Add(400 * time.Millisecond)
 		}
@@ -110,6 +111,7 @@
 		if picks == nil {
 			continue
 		}
+		attempt = cmp.Or(attempt, o.newAttempt())
 		for index, c := range picks {
 			o.start(js, index, attempt, c, true, rq)
 		}
@@ -119,11 +121,11 @@
 	return s.Tasks
 }
 
-// gangPermits gives the number of a gang's next attempt, false if quotas don't let
-// it start yet; then permits for all of it are wanted.
+// gangPermits gives the number of a gang's next attempt, 0 if any will do, and false
+// if quotas don't let it start yet; then permits for all of it are wanted.
 func (o *Owner) gangPermits(js *jobState, now time.Time) (attempt uint64, ok bool) {
 	if o.account(js) == "" {
-		return o.newAttempt(), true
+		return 0, true
 	}
 	var lacks []int
 	same := true
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -173,12 +173,6 @@
 		if !ok {
 			continue
 		}
-		attempt := uint64(0)
-		if permit != nil {
-			attempt = permit.attempt
-		} else {
-			attempt = o.newAttempt()
-		}
 		if p == nil {
 			p = o.placingFor(js, "")
 		}
@@ -191,7 +185,7 @@
 			js.blocked = now.Add(400 * time.Millisecond)
 			return looked
 		}
-		o.start(js, index, attempt, c, false, rq)
+		o.start(js, index, o.attempt(permit), c, false, rq)
 		p.Zones[c.Machine.Zone]++
 		if js.opinion == placement.AtFault {
 			js.tried(now)
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -282,6 +282,15 @@
 	return nil, false
 }
 
+// attempt is the number of an attempt that is about to be started: that of its
+// permit, or a new one.
+func (o *Owner) attempt(p *permit) uint64 {
+	if p != nil {
+		return p.attempt
+	}
+	return o.newAttempt()
+}
+
 // want asks for permits for tasks of a job: attempts of their own, or together all
 // as one attempt.
 func (o *Owner) want(js *jobState, indexes []int, attempt uint64, together bool, now time.Time) {
