PBS scripts are submitted: POST /pbs/jobs, qsub, qdel, qstat of named jobs

Need: scripts run on the same core as native jobs, are never submitted twice, and reach their tasks.

Change: the script is part of the job's description; a submission is named by a key from which its id is made; clients try again within a bound; GET /v1/jobs/ID/script gives the script, or what a task runs. Off unless the operators' settings have (pbs ...).

Measured (in-memory): a script sent through a crash of all controllers, and again, is one job of three starts; 15 kinds of work fare alike at both doors, status and reason.

--- a/cmd/daledyke/main.go
+++ b/cmd/daledyke/main.go
@@ -9,7 +9,9 @@
 	"log/slog"
 	"net"
 	"os"
+	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -23,7 +25,12 @@
 var version = "dev"
 
 func main() {
-	if err := command().Execute(); err != nil {
+	root := command()
+	// Under the names of PBS's commands (links) the program is those.
+	if name := filepath.Base(os.Args[0]); slices.Contains([]string{"qsub", "qstat", "qdel"}, name) {
+		root.SetArgs(append([]string{name}, os.Args[1:]...))
+	}
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "daledyke:", err)
 		os.Exit(1)
 	}
@@ -58,7 +65,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&platform, "config", "", "the platform's settings `FILE` (TOML)")
 	flags.StringVar(&operator, "settings", "", "the operators' own settings `FILE` (an S-expression); optional")
-	root.AddCommand(statusCommand(&platform, &operator), quotaCommand(&platform, &operator), qsubCommand(), &cobra.Command{
+	root.AddCommand(statusCommand(&platform, &operator), quotaCommand(&platform, &operator), qsubCommand(), qstatCommand(), qdelCommand(), &cobra.Command{
 		Use:   "check --config FILE [--settings FILE]",
 		Short: "Checks the settings and says what a controller would run with",
 		Args:  cobra.NoArgs,
--- a/cmd/daledyke/qsub.go
+++ b/cmd/daledyke/qsub.go
@@ -2,93 +2,200 @@
 
 import (
 	"cmp"
+	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"strings"
+	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 
 	"daledyke/internal/config"
 	"daledyke/internal/pbs"
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
 )
 
-// qsubCommand translates batch scripts with PBS directives. Its options are PBS's
-// own, which no library of options reads: -l select=2:ncpus=4, -N name, in any order
-// before the script.
-func qsubCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "qsub --check --config FILE --settings FILE [PBS options] [SCRIPT]",
-		Short: "Translates a batch script with PBS directives, or says why it can't be taken",
-		Long: `qsub --check reads a script (or standard input) as PBS's qsub does: #PBS lines up to the
-first command, then the options of the command line over them. It prints the job as
-daledyke takes it at POST /v1/jobs, and names on standard error what has no effect here.
-What can't be taken is refused, each directive with its line, column and reason.
-Queues are those of (pbs ...) in the operators' settings. Nothing is submitted yet.`,
-		DisableFlagParsing: true,
+// doorsVariable names the front doors where no option does.
+const doorsVariable = "DALEDYKE_DOORS"
+
+// pbsOptions are daledyke's own options of the PBS commands, which come first; the
+// rest is PBS's, which no library of options reads: -l select=2:ncpus=4.
+type pbsOptions struct {
+	platform, operator, address string
+	check, help                 bool
+}
+
+func (o *pbsOptions) read(args []string) (rest []string, err error) {
+	values := map[string]*string{"--config": &o.platform, "--settings": &o.operator, "--address": &o.address}
+	for len(args) > 0 && strings.HasPrefix(args[0], "--") && args[0] != "--" {
+		name, value, joined := strings.Cut(args[0], "=")
+		switch into := values[name]; {
+		case name == "--help":
+			o.help = true
+		case name == "--check":
+			o.check = true
+		case into == nil:
+			return nil, fmt.Errorf("unknown option %s", name)
+		case joined:
+			*into = value
+		case len(args) < 2:
+			return nil, fmt.Errorf("%s needs a value", name)
+		default:
+			args, *into = args[1:], args[1]
+		}
+		args = args[1:]
+	}
+	return args, nil
+}
+
+// users is a client of the front doors that the options or the environment name.
+func (o *pbsOptions) users() (*transport.Users, error) {
+	doors := transport.Doors(cmp.Or(o.address, os.Getenv(doorsVariable)))
+	if len(doors) == 0 && o.platform != "" {
+		c, err := config.Load(o.platform, "")
+		if err != nil {
+			return nil, err
+		}
+		doors = []string{c.Front}
+	}
+	if len(doors) == 0 {
+		return nil, fmt.Errorf("no controller is named: give --address HOST:PORT,... or --config FILE, or set %s", doorsVariable)
+	}
+	return transport.NewUsers(transport.NetDialer(), doors), nil
+}
+
+// pbsCommand makes one of PBS's commands.
+func pbsCommand(use, short, long string, run func(cmd *cobra.Command, o *pbsOptions, args []string) error) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Long: long, DisableFlagParsing: true,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var platform, operator string
-			check := false
-			own := map[string]*string{"--config": &platform, "--settings": &operator}
-			for len(args) > 0 && strings.HasPrefix(args[0], "--") && args[0] != "--" {
-				name, value, joined := strings.Cut(args[0], "=")
-				switch into := own[name]; {
-				case name == "--help":
-					return cmd.Help()
-				case name == "--check":
-					check = true
-				case into == nil:
-					return fmt.Errorf("unknown option %s", name)
-				case joined:
-					*into = value
-				case len(args) < 2:
-					return fmt.Errorf("%s needs a FILE", name)
-				default:
-					args, *into = args[1:], args[1]
-				}
-				args = args[1:]
-			}
-			if !check {
-				return errors.New("scripts are not submitted yet: use --check, and submit what it prints at POST /v1/jobs")
-			}
-			if platform == "" || operator == "" {
-				return errors.New("qsub --check needs --config FILE and --settings FILE: they name the teams and queues")
-			}
-			c, err := config.Load(platform, operator)
-			if err != nil {
-				return err
-			}
-			if len(c.Queues) == 0 {
-				return fmt.Errorf("%s names no queues: (pbs (queue ...))", operator)
-			}
-			options, rest, err := pbs.Arguments(args)
-			if err != nil {
-				return err
-			}
-			if len(rest) > 1 {
-				return fmt.Errorf("one script is expected, not %s", strings.Join(rest, " "))
-			}
-			script, err := readScript(cmd.InOrStdin(), rest)
-			if err != nil {
-				return err
-			}
-			// A number of 17 digits drawn for each job: its native id has the same.
-			j, err := pbs.Translate(script, options, c.Queues, fmt.Sprintf("wk-%017d", rand.Int64N(1e17)))
-			if err != nil {
+			var o pbsOptions
+			rest, err := o.read(args)
+			switch {
+			case err != nil:
 				return err
+			case o.help:
+				return cmd.Help()
 			}
-			for _, n := range j.Notes {
-				fmt.Fprintln(cmd.ErrOrStderr(), "note:", n)
-			}
-			fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s in queue %s\n", pbs.Name(j.Spec.ID, j.Array != nil), cmp.Or(j.Name, "no name"), j.Queue)
-			e := json.NewEncoder(cmd.OutOrStdout())
-			e.SetIndent("", "  ")
-			return e.Encode(j.Spec)
-		},
+			return run(cmd, &o, rest)
+		}}
+}
+
+const doorsHelp = `
+The controller is that of --address HOST:PORT,... (front doors, tried in turn), of
+--config FILE, or of DALEDYKE_DOORS. What can't be taken now is tried again for a
+minute.`
+
+func qsubCommand() *cobra.Command {
+	return pbsCommand("qsub [--address HOST:PORT,...] [PBS options] [SCRIPT]", "Submits a batch script with PBS directives, or checks it",
+		`qsub submits a script (or standard input) as PBS's qsub does: #PBS lines up to the first
+command, then the options of the command line over them. It prints the job's name;
+directives without effect are named on standard error. What can't be taken is refused,
+each directive with its line, column and reason. Queues are those of (pbs ...) in the
+operators' settings.
+
+  qsub --check --config FILE --settings FILE [PBS options] [SCRIPT]
+
+only translates, without a controller, and prints the job as it would be submitted.`+doorsHelp, qsub)
+}
+
+func qsub(cmd *cobra.Command, o *pbsOptions, args []string) error {
+	options, rest, err := pbs.Arguments(args)
+	if err != nil {
+		return err
+	}
+	if len(rest) > 1 {
+		return fmt.Errorf("one script is expected, not %s", strings.Join(rest, " "))
+	}
+	script, err := readScript(cmd.InOrStdin(), rest)
+	if err != nil {
+		return err
+	}
+	if len(rest) == 1 && rest[0] != "-" && !hasName(script, options) { // as in PBS, it is named for its script
+		options = append(options, pbs.Option{Letter: 'N', Value: nameOf(rest[0])})
 	}
+	key := rand.Text()
+	if o.check {
+		return check(cmd, o, script, options, key)
+	}
+	u, err := o.users()
+	if err != nil {
+		return err
+	}
+	var line []string
+	for _, option := range options {
+		line = append(line, option.String())
+	}
+	taken, err := u.SubmitScript(contextOf(cmd), key, strings.Join(line, " "), script)
+	if err != nil {
+		return err
+	}
+	tellNotes(cmd, taken.Notes)
+	fmt.Fprintln(cmd.OutOrStdout(), taken.ID)
+	return nil
+}
+
+func check(cmd *cobra.Command, o *pbsOptions, script string, options []pbs.Option, key string) error {
+	if o.platform == "" || o.operator == "" {
+		return errors.New("qsub --check needs --config FILE and --settings FILE: they name the teams and queues")
+	}
+	c, err := config.Load(o.platform, o.operator)
+	if err != nil {
+		return err
+	}
+	if len(c.Queues) == 0 {
+		return fmt.Errorf("%s names no queues: (pbs (queue ...))", o.operator)
+	}
+	j, err := pbs.Translate(script, options, c.Queues, pbs.IDOf(key))
+	if err != nil {
+		return err
+	}
+	tellNotes(cmd, j.Notes)
+	e := json.NewEncoder(cmd.OutOrStdout())
+	e.SetIndent("", "  ")
+	return e.Encode(j.Native(script))
+}
+
+func tellNotes(cmd *cobra.Command, notes []string) {
+	for _, n := range notes {
+		fmt.Fprintln(cmd.ErrOrStderr(), "note:", n)
+	}
+}
+
+// nameOf makes a job's name of its script's.
+func nameOf(file string) string {
+	name := strings.Map(func(r rune) rune {
+		if r < 128 && (r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("_.+-", r)) {
+			return r
+		}
+		return '_'
+	}, filepath.Base(file))
+	if c := name[0]; !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_') {
+		name = "_" + name
+	}
+	return name[:min(len(name), 200)]
+}
+
+// hasName tells whether a script or the options over it name the job.
+func hasName(script string, options []pbs.Option) bool {
+	prefix := ""
+	for _, o := range options {
+		if o.Letter == 'C' {
+			prefix = o.Value
+		}
+	}
+	own, _ := pbs.Directives(script, prefix) // what is wrong with them is told later
+	for _, o := range append(own, options...) {
+		if o.Letter == 'N' {
+			return true
+		}
+	}
+	return false
 }
 
 // readScript reads a script from its file, or from in if none is named.
@@ -102,6 +209,144 @@
 		defer f.Close()
 		from = f
 	}
-	raw, err := io.ReadAll(io.LimitReader(from, pbs.MaxScript+1))
+	raw, err := io.ReadAll(io.LimitReader(from, protocol.MaxScript+1))
 	return string(raw), err
 }
+
+func contextOf(cmd *cobra.Command) context.Context {
+	if ctx := cmd.Context(); ctx != nil {
+		return ctx
+	}
+	return context.Background()
+}
+
+func qdelCommand() *cobra.Command {
+	return pbsCommand("qdel [--address HOST:PORT,...] JOB...", "Cancels jobs by their PBS names",
+		"qdel cancels jobs: 412.daledyke, 412, or 412[] of an array."+doorsHelp,
+		func(cmd *cobra.Command, o *pbsOptions, args []string) error {
+			return eachJob(cmd, o, args, func(u *transport.Users, id string) error {
+				st, err := u.Cancel(contextOf(cmd), id)
+				if err == nil && st.Status == protocol.Done {
+					err = errors.New("it is done already")
+				}
+				return err
+			})
+		})
+}
+
+// eachJob does something for each job named; all are tried, and what failed is told.
+func eachJob(cmd *cobra.Command, o *pbsOptions, args []string, do func(u *transport.Users, id string) error) error {
+	if len(args) == 0 {
+		return errors.New("no job is named")
+	}
+	u, err := o.users()
+	if err != nil {
+		return err
+	}
+	var failed error
+	for _, name := range args {
+		id, err := pbs.JobID(name)
+		if err == nil {
+			err = do(u, id)
+		}
+		if err != nil {
+			failed = errors.Join(failed, fmt.Errorf("%s: %w", name, err))
+		}
+	}
+	return failed
+}
+
+func qstatCommand() *cobra.Command {
+	return pbsCommand("qstat [--address HOST:PORT,...] [-f] [-F json] JOB...", "Shows how jobs stand, by their PBS names",
+		`qstat shows jobs as PBS's qstat does: Q waits, R runs, B is an array of which some run,
+F is over. -f shows all that is known, -F json the same for programs.`+doorsHelp, qstat)
+}
+
+// state is PBS's letter for how a job stands.
+func state(v *protocol.JobView) string {
+	switch {
+	case v.Status == protocol.Done || v.Status == protocol.Cancelled:
+		return "F"
+	case v.Status == protocol.Running && v.Shape == protocol.Array && v.Tasks > 1:
+		return "B"
+	case v.Status == protocol.Running:
+		return "R"
+	}
+	return "Q"
+}
+
+func qstat(cmd *cobra.Command, o *pbsOptions, args []string) error {
+	full, asJSON := false, false
+	for len(args) > 0 && strings.HasPrefix(args[0], "-") {
+		switch {
+		case args[0] == "-f" || args[0] == "-x" || args[0] == "-t":
+			full = full || args[0] == "-f" // jobs that are over, and arrays, are shown in any case
+		case args[0] == "-F" && len(args) > 1 && args[1] == "json":
+			asJSON, args = true, args[1:]
+		default:
+			return fmt.Errorf("unknown option %s (-f, -x, -t and -F json are known)", args[0])
+		}
+		args = args[1:]
+	}
+	var views []protocol.JobView
+	err := eachJob(cmd, o, args, func(u *transport.Users, id string) error {
+		v, err := u.View(contextOf(cmd), id)
+		if err == nil {
+			views = append(views, v)
+		}
+		return err
+	})
+	out := cmd.OutOrStdout()
+	switch {
+	case asJSON:
+		jobs := map[string]map[string]any{}
+		for i := range views {
+			jobs[pbsName(&views[i])] = attributes(&views[i])
+		}
+		e := json.NewEncoder(out)
+		e.SetIndent("", "    ")
+		err = errors.Join(err, e.Encode(map[string]any{"pbs_server": "daledyke", "Jobs": jobs}))
+	case full:
+		for i := range views {
+			fmt.Fprintf(out, "Job Id: %s\n", pbsName(&views[i]))
+			a := attributes(&views[i])
+			for _, key := range []string{"Job_Name", "job_state", "queue", "Account_Name", "project", "Priority", "estimated", "comment", "Resource_List"} {
+				if a[key] != nil {
+					fmt.Fprintf(out, "    %s = %v\n", key, a[key])
+				}
+			}
+			fmt.Fprintln(out)
+		}
+	case len(views) > 0:
+		t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(t, "Job id\tName\tUser\tTime Use\tS\tQueue")
+		fmt.Fprintln(t, "----------------\t----------------\t----------------\t--------\t-\t-----")
+		for i := range views {
+			v := &views[i]
+			age := int(v.AgeS)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%02d:%02d:%02d\t%s\t%s\n", pbsName(v), cmp.Or(v.Name, v.Class), v.Team, age/3600, age/60%60, age%60, state(v), cmp.Or(v.Queue, "-"))
+		}
+		t.Flush()
+	}
+	return err
+}
+
+func pbsName(v *protocol.JobView) string {
+	return pbs.Name(v.ID, v.Shape == protocol.Array && v.Tasks > 1)
+}
+
+// attributes are a job's as PBS's qstat -f names them.
+func attributes(v *protocol.JobView) map[string]any {
+	a := map[string]any{"Job_Name": cmp.Or(v.Name, v.Class), "job_state": state(v), "queue": cmp.Or(v.Queue, "-"), "Priority": v.Priority,
+		"project": v.Team, "Resource_List": fmt.Sprintf("tasks=%d, done=%d, running=%d", v.Tasks, v.Done, v.Running)}
+	if v.Account != "" {
+		a["Account_Name"] = v.Account
+	}
+	if v.Reason != "" {
+		a["comment"] = "Not Running: " + v.Reason
+	}
+	if v.StartsInS != nil {
+		a["estimated"] = fmt.Sprintf("starts in %.0f s", *v.StartsInS)
+	}
+	return a
+}
--- a/internal/bookkeeping/sizes.go
+++ b/internal/bookkeeping/sizes.go
@@ -151,7 +151,7 @@
 func (s *Store) brief(r *jobRecord) *jobRecord {
 	if !s.fits(r) {
 		spec := *r.Spec
-		spec.Class, spec.Image, spec.Zone = "", "", nil
+		spec.Class, spec.Image, spec.Zone, spec.Batch = "", "", nil, nil
 		r.Spec = &spec
 	}
 	return r
--- /dev/null
+++ b/internal/coordination/scripts.go
@@ -0,0 +1,75 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/pbs"
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// Batch scripts with PBS directives, at the front door (docs/design-pbs.md).
+
+var errNoQueues = errors.New("scripts are not taken here: the operators' settings have no (pbs ...)")
+
+// SubmitScript takes a batch script: it is translated, and goes the way of every
+// submission. The same key is the same job.
+func (k *Controller) SubmitScript(ctx context.Context, key, options, script string) (status int, answer any) {
+	if len(k.cfg.Queues) == 0 {
+		return http.StatusNotFound, errNoQueues
+	}
+	id := pbs.IDOf(key)
+	command, err := pbs.CommandLine(options)
+	var j *pbs.Job
+	if err == nil {
+		j, err = pbs.Translate(script, command, k.cfg.Queues, id)
+	}
+	if err != nil {
+		// An accepted job stays so, whatever else is sent under its key.
+		return k.known(ctx, id, func() (int, any) { return http.StatusUnprocessableEntity, err })
+	}
+	body, err := json.Marshal(j.Native(script))
+	if err == nil && len(body) > protocol.MaxBody {
+		err = fmt.Errorf("the script and what goes with it take %d bytes of %d", len(body), protocol.MaxBody)
+	}
+	if err != nil {
+		return http.StatusUnprocessableEntity, err
+	}
+	status, answer = k.Submit(ctx, body)
+	if st, ok := answer.(*protocol.JobStatus); ok {
+		return status, protocol.ScriptTaken{ID: pbs.Name(id, j.Array != nil), Job: id, Status: st.Status, Notes: j.Notes}
+	}
+	return status, answer
+}
+
+// Script is what a task of a batch job runs, or the script as it was submitted if the
+// task is -1.
+func (k *Controller) Script(ctx context.Context, id string, task int) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, bookkeeping.FreshWithin)
+	defer cancel()
+	j := k.owner.Known(ctx, id)
+	if j == nil {
+		found, err := k.reader.Find(ctx, id)
+		if err != nil {
+			return "", err
+		}
+		j = found
+	}
+	if j == nil || j.Spec.Batch == nil {
+		return "", fmt.Errorf("%w, or it has no script", transport.ErrNoSuchJob)
+	}
+	if task < 0 {
+		return j.Spec.Batch.Text()
+	}
+	text, err := pbs.Script(j.Spec, task)
+	if err != nil && strings.Contains(err.Error(), "has tasks") {
+		err = fmt.Errorf("%w: %v", transport.ErrNoSuchJob, err)
+	}
+	return text, err
+}
--- /dev/null
+++ b/internal/coordination/scripts_test.go
@@ -0,0 +1,160 @@
+package coordination
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daledyke/internal/pbs"
+	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
+)
+
+// qsub submits a script as its clients do, by any controller that answers.
+func (w *world) qsub(key, options, script string) (protocol.ScriptTaken, error) {
+	var doors []string
+	for _, n := range w.names {
+		doors = append(doors, "front-"+n+":1")
+	}
+	return transport.NewUsers(w.net.dialer("user"), doors).SubmitScript(w.t.Context(), key, options, script)
+}
+
+// know has workers know what a script's job is.
+func (w *world) know(key, options, script string) string {
+	id := pbs.IDOf(key)
+	command, err := pbs.CommandLine(options)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	j, err := pbs.Translate(script, command, w.settings("c0").Queues, id)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.mu.Lock()
+	w.specs[id], w.runs[id] = &j.Spec, 10*time.Second
+	w.mu.Unlock()
+	return id
+}
+
+// A script submitted through a crash of the controller that takes it, and of all, is
+// one job; it runs, its script can be read afterwards, and qdel ends another one.
+func TestScriptsAreTakenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, "", `(account "free")`)
+		defer w.end()
+		time.Sleep(3 * time.Second)
+		const script = "#!/bin/bash\n#PBS -N frames\n#PBS -J 10-30:10\n#PBS -l ncpus=2\n#PBS -v WHO='it is me'\n./x $PBS_ARRAY_INDEX\n"
+		id := w.know("key-1", "", script)
+		for _, name := range w.names {
+			w.crash(name)
+		}
+		time.AfterFunc(7*time.Second, func() {
+			for _, name := range w.names {
+				w.start(name)
+			}
+		})
+		for range 2 { // the client never heard the answer, and sends it again
+			taken, err := w.qsub("key-1", "", script)
+			if err != nil || taken.Job != id || taken.ID != pbs.Name(id, true) {
+				t.Fatalf("%+v, %v", taken, err)
+			}
+		}
+		time.Sleep(60 * time.Second)
+		if err := w.expect(id, []string{"done"}); err != nil {
+			t.Error(err)
+		}
+		if err := w.expect(id, []string{"starts", "3"}); err != nil {
+			t.Error(err)
+		}
+		users := transport.NewUsers(w.net.dialer("user"), []string{"front-c2:1"})
+		if got, err := users.Script(t.Context(), id); err != nil || got != script {
+			t.Errorf("the script is %q, %v", got, err)
+		}
+		_, raw, err := w.call("user", http.MethodGet, "front-c1/v1/jobs/"+id+"/script?pass=2", nil, 3*time.Second)
+		digits := strings.TrimPrefix(id, "wk-")
+		for _, line := range []string{"#!/bin/bash\n", "export PBS_JOBID='" + digits + "[30].daledyke'\n", "export PBS_ARRAY_INDEX=30\n", "export WHO='it is me'\n", "./x $PBS_ARRAY_INDEX\n"} {
+			if err != nil || !strings.Contains(string(raw), line) {
+				t.Errorf("no %q in %q, %v", line, raw, err)
+			}
+		}
+		other := w.know("key-2", "-l ncpus=2", "sleep 1\n")
+		if _, err := w.qsub("key-2", "-l ncpus=2", "sleep 1\n"); err != nil {
+			t.Error(err)
+		}
+		if st, err := users.Cancel(t.Context(), other); err != nil || st.Status != protocol.Cancelled {
+			t.Errorf("%+v, %v", st, err)
+		}
+		if v, err := users.View(t.Context(), id); err != nil || v.Name != "frames" || v.Queue != "work" {
+			t.Errorf("%+v, %v", v, err)
+		}
+		for _, e := range w.rules.errors {
+			t.Error(e)
+		}
+	})
+}
+
+// The same work has the same outcome at both doors: status, and the reason if it is
+// refused.
+func TestScriptsAndNativeJobsFareAlike(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, "", `(account "free" (cpus 0 16)) (account "free/a" (cpus 0 8) (ram 0 100))`)
+		defer w.end()
+		time.Sleep(3 * time.Second)
+		for k, options := range []string{"", "-l ncpus=8", "-l ncpus=9 -P free/a", "-l ncpus=17", "-l ncpus=64", "-l select=1:ngpus=9", "-P free/a", "-P free/b", "-P free/a -l mem=101gb",
+			"-q bound -l ncpus=8", "-q bound -l ncpus=9", "-q bound -l select=2:ncpus=8", "-l select=3:ncpus=6", "-J 0-99", "-W depend=afterok:999"} {
+			key := fmt.Sprint("fare-", k)
+			status, answer := w.raw(http.MethodPost, "front-c0/pbs/jobs?options="+strings.ReplaceAll(strings.ReplaceAll(options, " ", "+"), "=", "%3D"), "#PBS -N x\n./x\n", http.Header{"Idempotency-Key": {key}})
+			command, err := pbs.CommandLine(options)
+			if err != nil {
+				t.Fatal(err)
+			}
+			j, err := pbs.Translate("#PBS -N x\n./x\n", command, w.settings("c0").Queues, fmt.Sprint("wk-", 5000+k))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, _ := json.Marshal(j.Spec)
+			native, reason := w.raw(http.MethodPost, "front-c0/v1/jobs", string(body), nil)
+			if status != native || status >= 400 && answer != reason {
+				t.Errorf("%q: %d %s, as a native job %d %s", options, status, answer, native, reason)
+			}
+		}
+		if status, _ := w.raw(http.MethodPost, "front-c0/pbs/jobs", "./x\n", nil); status != 400 {
+			t.Errorf("without a key: %d", status)
+		}
+		if status, answer := w.raw(http.MethodPost, "front-c0/pbs/jobs", "#PBS -I\n./x\n", http.Header{"Idempotency-Key": {"i"}}); status != 422 || !strings.Contains(answer, "line 1, column 6: -I") {
+			t.Errorf("refused with %d %s", status, answer)
+		}
+	})
+}
+
+// raw makes one request and gives its status and body.
+func (w *world) raw(method, at, body string, header http.Header) (int, string) {
+	host, path, _ := strings.Cut(at, "/")
+	client := &http.Client{Transport: &http.Transport{DialContext: w.net.dialer("user"), DisableKeepAlives: true}}
+	req, err := http.NewRequest(method, "http://"+host+":1/"+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	var b strings.Builder
+	buf := make([]byte, 4096)
+	for {
+		n, err := resp.Body.Read(buf)
+		b.Write(buf[:n])
+		if err != nil {
+			break
+		}
+	}
+	return resp.StatusCode, b.String()
+}
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -101,6 +101,10 @@
 	s := js.job.Spec
 	v := protocol.JobView{ID: s.ID, Status: js.job.State, Class: s.Class, Team: s.Team, Shape: s.Shape, Priority: string(s.Priority),
 		AgeS: *seconds(max(0, now.Sub(js.job.Accepted))), Tasks: s.Tasks, Done: js.job.DoneCount(), FailedOn: len(js.badOn)}
+	v.Account = o.account(js)
+	if b := s.Batch; b != nil {
+		v.Name, v.Queue = b.Name, b.Queue
+	}
 	if w := o.window(); w != nil {
 		v.Owner = w.Owner(js.job.Token)
 	}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -118,6 +118,11 @@
 fd_limit = 1000
 `
 
+// someQueues are queues for batch scripts, in worlds with accounts.
+const someQueues = `(pbs
+  (queue "work" (default true) (team "free") (class "batch") (image "img") (image-gb 3) (urgency "normal") (walltime "30") (mem-gb 4))
+  (queue "bound" (team "bound") (class "batch") (image "img") (image-gb 3) (urgency "high") (walltime "30") (mem-gb 4)))`
+
 func (w *world) settings(name string) *config.Config {
 	siblings := ""
 	for _, n := range w.names {
@@ -132,7 +137,7 @@
 	operators := ""
 	if w.accounts != "" {
 		operators = filepath.Join(w.dir, "operators.edn")
-		if err := os.WriteFile(operators, []byte("(daledyke (quotas "+w.accounts+"))"), 0o600); err != nil {
+		if err := os.WriteFile(operators, []byte("(daledyke (quotas "+w.accounts+")"+someQueues+")"), 0o600); err != nil {
 			w.t.Fatal(err)
 		}
 	}
--- a/internal/pbs/options.go
+++ b/internal/pbs/options.go
@@ -72,9 +72,6 @@
 
 func takesValue(letter byte) bool { return strings.IndexByte(withValue, letter) >= 0 }
 
-// MaxScript bounds a script, in bytes: it travels in one request.
-const MaxScript = 48 << 10
-
 // defaultPrefix begins directive lines unless -C names another.
 const defaultPrefix = "#PBS"
 
@@ -129,6 +126,15 @@
 	return out, rest, err
 }
 
+// CommandLine reads options that stand in one line, as a shell would divide it.
+func CommandLine(line string) ([]Option, error) {
+	words, err := split(line, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	return parse(words, true)
+}
+
 // word is one word of a directive line.
 type word struct {
 	text string
--- a/internal/pbs/translate.go
+++ b/internal/pbs/translate.go
@@ -119,8 +119,8 @@
 // the command line come over those of the script. All that is refused is told
 // together, each as a *Refusal.
 func Translate(script string, command []Option, queues Queues, id string) (*Job, error) {
-	if len(script) > MaxScript {
-		return nil, &Refusal{Place{1, 1}, "script", fmt.Sprintf("it has %d bytes, of %d at most", len(script), MaxScript), "have it read what is larger from elsewhere"}
+	if len(script) > protocol.MaxScript {
+		return nil, &Refusal{Place{1, 1}, "script", fmt.Sprintf("it has %d bytes, of %d at most", len(script), protocol.MaxScript), "have it read what is larger from elsewhere"}
 	}
 	prefix := ""
 	for _, o := range command {
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -6,9 +6,11 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"slices"
 	"strconv"
@@ -78,6 +80,45 @@
 	// Account is the account of its team's quotas that the job counts for; "" is
 	// the team's own.
 	Account string `json:"account,omitempty"`
+	// Batch is the batch script that its tasks run, nil if they run what their image
+	// says.
+	Batch *Batch `json:"batch,omitempty"`
+}
+
+// Batch is a batch script and what goes with it.
+type Batch struct {
+	Name  string `json:"name"`
+	Queue string `json:"queue"`
+	Shell string `json:"shell,omitempty"`
+	// First and Step give an array's task with the number n the index First+n*Step;
+	// Step is 0 if it is no array.
+	First int `json:"first,omitempty"`
+	Step  int `json:"step,omitempty"`
+	// Variables are set for the script, as NAME=VALUE.
+	Variables []string `json:"variables,omitempty"`
+	// Script is compressed (DEFLATE).
+	Script []byte `json:"script"`
+}
+
+// MaxScript bounds a batch script, in bytes.
+const MaxScript = 48 << 10
+
+// Pack compresses a script.
+func Pack(script string) []byte {
+	var b bytes.Buffer
+	w, _ := flate.NewWriter(&b, flate.BestCompression) // the level is sound
+	w.Write([]byte(script))                            // a buffer takes all
+	w.Close()
+	return b.Bytes()
+}
+
+// Text is the script as it was submitted.
+func (b *Batch) Text() (string, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b.Script)), MaxScript+1))
+	if err != nil || len(raw) > MaxScript {
+		return "", errors.New("the batch script is not what was compressed, or too large")
+	}
+	return string(raw), nil
 }
 
 // Need is what one task of the job takes of its machine.
@@ -189,6 +230,14 @@
 			return errors.New("field awaits names something that is no job id")
 		}
 	}
+	if b := s.Batch; b != nil {
+		if _, err := b.Text(); err != nil {
+			return err
+		}
+		if b.First < 0 || b.Step < 0 || len(b.Name) > 230 || len(b.Queue) > 230 || len(b.Shell) > 1024 {
+			return errors.New("field batch is invalid")
+		}
+	}
 	amounts := []float64{s.Cores, s.Accels, s.RAM, s.ImageGB, s.EstimateS, s.CheckpointS, s.SaveS}
 	if s.DeadlineS != nil {
 		amounts = append(amounts, *s.DeadlineS)
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -117,19 +117,23 @@
 
 // JobView tells operators how a job stands, and why it waits.
 type JobView struct {
-	ID       string  `json:"id"`
-	Status   string  `json:"status"`
-	Class    string  `json:"class"`
-	Team     string  `json:"team"`
-	Shape    Shape   `json:"shape"`
-	Priority string  `json:"priority"`
-	Owner    string  `json:"owner"`
-	AgeS     float64 `json:"ageS"`
-	Tasks    int     `json:"tasks"`
-	Done     int     `json:"done"`
-	Running  int     `json:"running"`
-	Placed   int     `json:"placed"` // on machines, running or not
-	Reason   string  `json:"reason,omitempty"`
+	ID       string `json:"id"`
+	Status   string `json:"status"`
+	Class    string `json:"class"`
+	Team     string `json:"team"`
+	Shape    Shape  `json:"shape"`
+	Priority string `json:"priority"`
+	// Name, Queue and Account are those of a batch script, and of quotas.
+	Name    string  `json:"name,omitempty"`
+	Queue   string  `json:"queue,omitempty"`
+	Account string  `json:"account,omitempty"`
+	Owner   string  `json:"owner"`
+	AgeS    float64 `json:"ageS"`
+	Tasks   int     `json:"tasks"`
+	Done    int     `json:"done"`
+	Running int     `json:"running"`
+	Placed  int     `json:"placed"` // on machines, running or not
+	Reason  string  `json:"reason,omitempty"`
 	// StartsInS is when the first waiting task should start, nil if it can't
 	// be told.
 	StartsInS *float64 `json:"startsInS"`
@@ -148,6 +152,16 @@
 	FailedOn int `json:"failedOn,omitempty"`
 }
 
+// ScriptTaken answers a batch script that was accepted.
+type ScriptTaken struct {
+	// ID is the name that PBS's commands use, Job the native id.
+	ID     string `json:"id"`
+	Job    string `json:"job"`
+	Status string `json:"status"`
+	// Notes name directives that have no effect here.
+	Notes []string `json:"notes,omitempty"`
+}
+
 // QuotaAccount is an account of nested quotas as it stands.
 type QuotaAccount struct {
 	Name      string  `json:"name"`
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -8,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -25,6 +27,8 @@
 	Report(ctx context.Context, rep *protocol.Report) (status int, answer any)
 	Overview(ctx context.Context) *protocol.Overview
 	JobView(ctx context.Context, id string) (*protocol.JobView, error)
+	SubmitScript(ctx context.Context, key, options, script string) (status int, answer any)
+	Script(ctx context.Context, id string, task int) (script string, err error)
 }
 
 // answerWithin bounds how long a user's request may take here.
@@ -41,6 +45,8 @@
 	r.POST("/v1/jobs", f.submit)
 	r.GET("/v1/jobs/:id", aboutJob(f.status))
 	r.POST("/v1/jobs/:id/cancel", aboutJob(s.Cancel))
+	r.GET("/v1/jobs/:id/script", f.script)
+	r.POST(pathScripts, f.submitScript)
 	r.POST("/checkin", f.report)
 	r.GET(pathOverview, f.overview)
 	r.GET(pathJobView+":id", aboutJob(f.jobView))
@@ -113,6 +119,52 @@
 	reply(w, status, answer)
 }
 
+// pathScripts takes batch scripts with PBS directives, as text. Options over those of
+// the script come in the query ("options"). The header Idempotency-Key names the
+// submission: the same key is the same job, however often it is sent.
+const pathScripts = "/pbs/jobs"
+
+const headerKey = "Idempotency-Key"
+
+var errNoKey = errors.New("the header " + headerKey + " is missing: any text that is new for each job, and the same when it is sent again")
+
+func (f front) submitScript(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	key := r.Header.Get(headerKey)
+	if key == "" || len(key) > 200 {
+		reply(w, http.StatusBadRequest, errNoKey)
+		return
+	}
+	body, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	status, answer := f.s.SubmitScript(ctx, key, r.URL.Query().Get("options"), string(body))
+	reply(w, status, answer)
+}
+
+func (f front) script(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	id := p.ByName("id")
+	task, err := strconv.Atoi(cmp.Or(r.URL.Query().Get("pass"), "-1"))
+	if !protocol.ValidJobID(id) || err != nil {
+		reply(w, http.StatusNotFound, errNoJob)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	text, err := f.s.Script(ctx, id, task)
+	switch {
+	case errors.Is(err, ErrNoSuchJob):
+		reply(w, http.StatusNotFound, err)
+	case err != nil:
+		reply(w, http.StatusServiceUnavailable, err)
+	default:
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		io.WriteString(w, text)
+	}
+}
+
 var (
 	errNoJob  = errors.New("no such job")
 	errUntold = errors.New("cannot be told now")
