--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -187,6 +187,9 @@
 var jobFields = []string{"id", "laneClass", "crew", "shape", "urgency", "passes", "cores", "accelerators", "ramGb",
 	"build", "pullGb", "oneZone", "scatter", "standby", "expectedS", "snapshotS", "flushS"}
 
+// RequiredFields are the fields that a submission must have.
+func RequiredFields() []string { return slices.Clone(jobFields) }
+
 // ParseJob reads a submission; the error says what makes it malformed.
 func ParseJob(body []byte) (*JobSpec, error) {
 	var fields map[string]json.RawMessage
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"daledyke/internal/protocol"
+	"daledyke/internal/schema"
 )
 
 // Service is what the front door needs of a controller.
@@ -46,6 +47,10 @@
 	r.GET("/v1/jobs/:id", aboutJob(f.status))
 	r.POST("/v1/jobs/:id/cancel", aboutJob(s.Cancel))
 	r.GET("/v1/jobs/:id/script", f.script)
+	r.GET("/v1/schema", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		w.Header().Set("Content-Type", "application/schema+json")
+		w.Write(schema.Submission())
+	})
 	r.POST(pathScripts, f.submitScript)
 	r.POST("/checkin", f.report)
 	r.GET(pathOverview, f.overview)
