Held jobs: qsub -h, qhold, qrls

Need: held jobs that outlive restarts and are released once.

Change: a hold is a part of the job's record under its version, and waits as for one job more; POST /v1/jobs/ID/hold and /release; generation 3, since an older process would start a held job.

Measured (in-memory, TestHeldJobs): nothing starts through a crash of all, three releases change it once, four tasks start once each, another hold lets them end.

--- a/cmd/daledyke/qsub.go
+++ b/cmd/daledyke/qsub.go
@@ -234,6 +234,30 @@
 		})
 }
 
+// holdCommand makes qhold or qrls.
+func holdCommand(name, short, long string, held bool) *cobra.Command {
+	return pbsCommand(name+" [--address HOST:PORT,...] JOB...", short, long+doorsHelp, func(cmd *cobra.Command, o *pbsOptions, args []string) error {
+		return eachJob(cmd, o, args, func(u *transport.Users, id string) error {
+			a, err := u.Hold(contextOf(cmd), id, held)
+			switch {
+			case err != nil:
+				return err
+			case a.Status == protocol.Done || a.Status == protocol.Cancelled:
+				return fmt.Errorf("it is %s already", a.Status)
+			}
+			return nil
+		})
+	})
+}
+
+func qholdCommand() *cobra.Command {
+	return holdCommand("qhold", "Holds jobs: none of their tasks starts until they are released", "qhold holds jobs: what runs goes on, nothing more starts until qrls releases them.", true)
+}
+
+func qrlsCommand() *cobra.Command {
+	return holdCommand("qrls", "Releases held jobs", "qrls releases jobs that qsub -h or qhold holds.", false)
+}
+
 // eachJob does something for each job named; all are tried, and what failed is told.
 func eachJob(cmd *cobra.Command, o *pbsOptions, args []string, do func(u *transport.Users, id string) error) error {
 	if len(args) == 0 {
@@ -258,8 +282,8 @@
 
 func qstatCommand() *cobra.Command {
 	return pbsCommand("qstat [--address HOST:PORT,...] [-f] [-F json] JOB...", "Shows how jobs stand, by their PBS names",
-		`qstat shows jobs as PBS's qstat does: Q waits, R runs, B is an array of which some run,
-F is over. -f shows all that is known, -F json the same for programs.`+doorsHelp, qstat)
+		`qstat shows jobs as PBS's qstat does: Q waits, H is held, R runs, B is an array of which some
+run, F is over. -f shows all that is known, -F json the same for programs.`+doorsHelp, qstat)
 }
 
 // state is PBS's letter for how a job stands.
@@ -267,6 +291,8 @@
 	switch {
 	case v.Status == protocol.Done || v.Status == protocol.Cancelled:
 		return "F"
+	case v.Reason == protocol.ReasonHeld:
+		return "H"
 	case v.Status == protocol.Running && v.Shape == protocol.Array && v.Tasks > 1:
 		return "B"
 	case v.Status == protocol.Running:
--- a/internal/bookkeeping/chains.go
+++ b/internal/bookkeeping/chains.go
@@ -328,6 +328,7 @@
 // place gives a job, which nobody else sees yet, its place.
 func (c *chains) place(j *Job) {
 	j.State = j.Record
+	defer j.hold()
 	l := c.links[j.Spec.ID]
 	if l == nil {
 		j.Place = Place{Ready: j.Accepted, Urgency: c.weigh(j), With: j.With}
@@ -359,6 +360,18 @@
 	slices.Sort(j.Behind)
 }
 
+// hold has a job that is held wait, as for one job more, so that placing, renting and
+// the holder's second door go by it as they do by needs; times count from its release.
+func (j *Job) hold() {
+	switch {
+	case j.Final():
+	case j.Held:
+		j.Waits, j.Ready = j.Waits+1, time.Time{}
+	case j.Waits == 0 && j.Freed.After(j.Ready):
+		j.Ready = j.Freed
+	}
+}
+
 // lookUps gives some of the jobs of which nothing is known.
 func (c *chains) lookUps(most int) (ids []string) {
 	for id := range c.unknown {
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -26,6 +26,11 @@
 	EndedMs    int64             `json:"end,omitempty"`
 	// With is the job that it was cancelled with.
 	With string `json:"with,omitempty"`
+	// Held: none of its tasks starts until it is released, which was last at FreedMs.
+	// The version before holds ignores both, and would start it: none is held while
+	// such a process lives.
+	Held    bool  `json:"held,omitempty"`
+	FreedMs int64 `json:"freed,omitempty"`
 	// Parts is in how many further values the description stands, being too
 	// large for this one, and Sum what their names are made of.
 	Parts int    `json:"parts,omitempty"`
@@ -46,6 +51,9 @@
 	// purposes: cancelled too if a job that it needs is.
 	Record, State   string
 	Accepted, Ended time.Time
+	// Held: no task starts until the job is released; Freed is when it last was.
+	Held  bool
+	Freed time.Time
 	Place
 	// Created and Version are the revisions of the record's first and latest
 	// version that this controller has seen.
@@ -115,6 +123,9 @@
 	if r.EndedMs > 0 {
 		n.Ended = time.UnixMilli(r.EndedMs)
 	}
+	if n.Held = r.Held; r.FreedMs > 0 {
+		n.Freed = time.UnixMilli(r.FreedMs)
+	}
 	return n
 }
 
--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -79,8 +79,8 @@
 }
 
 // Generation is what this version understands of records: 2 with chains of
-// jobs, which a process of the first would run at once.
-const Generation = 2
+// jobs, which a process of the first would run at once, 3 with jobs that are held.
+const Generation = 3
 
 // Leader names the controller that leads.
 type Leader struct {
--- a/internal/bookkeeping/store_jobs.go
+++ b/internal/bookkeeping/store_jobs.go
@@ -20,6 +20,7 @@
 func (s *Store) CreateJob(ctx context.Context, spec *protocol.JobSpec, with string) error {
 	now := time.Now()
 	rec := &jobRecord{Spec: spec, State: protocol.Pending, AcceptedMs: now.UnixMilli()}
+	rec.Held = spec.Batch != nil && spec.Batch.Hold
 	if with != "" {
 		rec = s.brief((&Job{Spec: spec, Accepted: now}).ended(protocol.Cancelled, with, now))
 	}
@@ -161,6 +162,34 @@
 	return nil, ErrConflict
 }
 
+// HoldJob holds a job, or releases it. The job that it gives back is as it stands
+// afterwards, nil if it was never accepted; changed tells whether this very request
+// changed it: of several that release a job one does.
+func (s *Store) HoldJob(ctx context.Context, id string, held bool) (j *Job, changed bool, err error) {
+	for range 4 {
+		r, version, err := get[jobRecord](ctx, s, transport.Urgent, userPatience, jobKey(id))
+		if err != nil {
+			return nil, false, err
+		}
+		if r == nil || final(r.State) || r.Held == held {
+			j, err := s.ReadJob(ctx, id)
+			return j, false, err
+		}
+		if r.Held = held; !held {
+			r.FreedMs = time.Now().UnixMilli()
+		}
+		err = s.commit(ctx, transport.Urgent, userPatience, []protocol.Condition{{Key: jobKey(id), Version: version}}, set(jobKey(id), r, 0))
+		if err == nil {
+			j, err := s.ReadJob(ctx, id)
+			return j, true, err
+		}
+		if !errors.Is(err, ErrConflict) {
+			return nil, false, err
+		}
+	}
+	return nil, false, ErrConflict
+}
+
 // Outcome is a set of results of one job that are to be recorded.
 type Outcome struct {
 	Job   *Job
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -337,6 +337,9 @@
 	case err != nil:
 		return k.known(ctx, id, nil)
 	}
+	if spec.Batch != nil && spec.Batch.Hold && !k.understood(ctx, 3) {
+		return http.StatusServiceUnavailable, ErrLater // an older process would run it at once
+	}
 	for range 2 {
 		err = k.store.CreateJob(ctx, spec, with)
 		if err == nil {
--- a/internal/coordination/scripts.go
+++ b/internal/coordination/scripts.go
@@ -73,3 +73,32 @@
 	}
 	return text, err
 }
+
+// understood tells whether all controllers whose sessions live are of a generation at
+// least.
+func (k *Controller) understood(ctx context.Context, generation int) bool {
+	ok, asked := view(ctx, &k.owner.actor, func() bool {
+		for _, p := range k.owner.peers {
+			if p.generation > 0 && p.generation < generation {
+				return false
+			}
+		}
+		return true
+	})
+	return asked && ok
+}
+
+// Hold holds a job, or releases it: once, however many ask. What runs of it goes on.
+func (k *Controller) Hold(ctx context.Context, id string, held bool) (status int, answer any) {
+	if held && !k.understood(ctx, 3) {
+		return http.StatusServiceUnavailable, ErrLater
+	}
+	j, changed, err := k.store.HoldJob(ctx, id, held)
+	switch {
+	case err != nil:
+		return http.StatusServiceUnavailable, ErrLater
+	case j == nil:
+		return http.StatusNotFound, errors.New("no such job")
+	}
+	return http.StatusOK, protocol.HoldAnswer{ID: id, Held: j.Held && !j.Final(), Changed: changed, Status: j.State}
+}
--- a/internal/coordination/scripts_test.go
+++ b/internal/coordination/scripts_test.go
@@ -97,6 +97,68 @@
 	})
 }
 
+// A held job starts nothing, whatever crashes, until it is released; it is released
+// once, by whoever asks first, and another hold lets what runs go on.
+func TestHeldJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, "", `(account "free")`)
+		defer w.end()
+		time.Sleep(3 * time.Second)
+		const script = "#PBS -h -J 0-3\n./x\n"
+		id := w.know("held", "", script)
+		if _, err := w.qsub("held", "", script); err != nil {
+			t.Fatal(err)
+		}
+		users := transport.NewUsers(w.net.dialer("user"), []string{"front-c1:1", "front-c2:1"})
+		started := func() (n int) {
+			w.rules.mu.Lock()
+			defer w.rules.mu.Unlock()
+			for task, starts := range w.rules.starts {
+				if strings.HasPrefix(task, id+"/") {
+					n += starts
+				}
+			}
+			return n
+		}
+		time.Sleep(20 * time.Second)
+		for _, name := range w.names {
+			w.crash(name)
+		}
+		time.Sleep(4 * time.Second)
+		for _, name := range w.names {
+			w.start(name)
+		}
+		time.Sleep(60 * time.Second)
+		if v, err := users.View(t.Context(), id); err != nil || v.Reason != protocol.ReasonHeld || started() != 0 {
+			t.Errorf("%+v, %v, %d starts", v, err, started())
+		}
+		changed := 0
+		for range 3 {
+			a, err := users.Hold(t.Context(), id, false)
+			if err != nil || a.Held {
+				t.Errorf("%+v, %v", a, err)
+			}
+			if a.Changed {
+				changed++
+			}
+		}
+		time.Sleep(18 * time.Second)
+		if changed != 1 || started() != 4 {
+			t.Errorf("released %d times, %d starts", changed, started())
+		}
+		if a, err := users.Hold(t.Context(), id, true); err != nil || !a.Held && a.Status == protocol.Pending {
+			t.Errorf("%+v, %v", a, err)
+		}
+		time.Sleep(30 * time.Second)
+		if err := w.expect(id, []string{"done"}); err != nil || started() != 4 {
+			t.Errorf("%v, %d starts", err, started())
+		}
+		for _, e := range w.rules.errors {
+			t.Error(e)
+		}
+	})
+}
+
 // The same work has the same outcome at both doors: status, and the reason if it is
 // refused.
 func TestScriptsAndNativeJobsFareAlike(t *testing.T) {
--- a/internal/pbs/translate.go
+++ b/internal/pbs/translate.go
@@ -62,6 +62,8 @@
 	Spec protocol.JobSpec
 	// Name and Queue are what PBS's commands show.
 	Name, Queue string
+	// Hold: no task starts before it is released (qrls).
+	Hold bool
 	// Shell runs the script; "" is the system's.
 	Shell string
 	// Array is the range of its indices, nil if it is none.
@@ -85,7 +87,6 @@
 
 // refused are options that can't be expressed.
 var refused = map[byte][2]string{
-	'h': {"held jobs are not taken yet", "submit it when it may start"},
 	'a': {"jobs that start at a time are not taken yet", "submit it at that time"},
 	'I': {"there is no terminal on the machines", "submit a script"},
 	'X': {"there is no display on the machines", "submit a script that needs none"},
@@ -186,6 +187,8 @@
 		if t.job.Name = o.Value; !jobName.MatchString(o.Value) {
 			t.refuse(o, "a name begins with a letter, and has letters, digits and _ . + -", "")
 		}
+	case 'h':
+		t.job.Hold = true
 	case 'S':
 		if t.job.Shell = o.Value; !strings.HasPrefix(o.Value, "/") || strings.ContainsAny(o.Value, "@, ") {
 			t.refuse(o, "one path of a shell is expected, such as /bin/bash", "")
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -9,7 +9,7 @@
 
 // Wait is what is known of a job that may be waiting.
 type Wait struct {
-	Final, Needs, AtFault bool
+	Final, Held, Needs, AtFault bool
 	// Missing is how many tasks are neither done nor on a machine.
 	Missing int
 	// Fetching is how long the first of those that wait for their image still
@@ -66,6 +66,8 @@
 	switch {
 	case w.Final:
 		return "", -1
+	case w.Held:
+		return protocol.ReasonHeld, -1
 	case w.Needs:
 		return protocol.ReasonNeeds, -1
 	case w.AtFault:
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -94,6 +94,8 @@
 	// Step is 0 if it is no array.
 	First int `json:"first,omitempty"`
 	Step  int `json:"step,omitempty"`
+	// Hold: no task starts before the job is released.
+	Hold bool `json:"hold,omitempty"`
 	// Variables are set for the script, as NAME=VALUE.
 	Variables []string `json:"variables,omitempty"`
 	// Script is compressed (DEFLATE).
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -162,6 +162,15 @@
 	Notes []string `json:"notes,omitempty"`
 }
 
+// HoldAnswer tells how a job stands after it was to be held or released.
+type HoldAnswer struct {
+	ID   string `json:"id"`
+	Held bool   `json:"held"`
+	// Changed: by this very request.
+	Changed bool   `json:"changed"`
+	Status  string `json:"status"`
+}
+
 // QuotaAccount is an account of nested quotas as it stands.
 type QuotaAccount struct {
 	Name      string  `json:"name"`
@@ -209,4 +218,5 @@
 	ReasonNoRoom     = "no room"
 	ReasonPlacing    = "being placed"
 	ReasonNeeds      = "waits for other jobs"
+	ReasonHeld       = "held"
 )
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -30,6 +30,7 @@
 	JobView(ctx context.Context, id string) (*protocol.JobView, error)
 	SubmitScript(ctx context.Context, key, options, script string) (status int, answer any)
 	Script(ctx context.Context, id string, task int) (script string, err error)
+	Hold(ctx context.Context, id string, held bool) (status int, answer any)
 }
 
 // answerWithin bounds how long a user's request may take here.
@@ -47,6 +48,9 @@
 	r.GET("/v1/jobs/:id", aboutJob(f.status))
 	r.POST("/v1/jobs/:id/cancel", aboutJob(s.Cancel))
 	r.GET("/v1/jobs/:id/script", f.script)
+	for path, held := range map[string]bool{pathHold: true, pathRelease: false} {
+		r.POST("/v1/jobs/:id"+path, aboutJob(func(ctx context.Context, id string) (int, any) { return s.Hold(ctx, id, held) }))
+	}
 	r.GET("/v1/schema", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		w.Header().Set("Content-Type", "application/schema+json")
 		w.Write(schema.Submission())
@@ -124,6 +128,12 @@
 	reply(w, status, answer)
 }
 
+// What holds a job and releases it.
+const (
+	pathHold    = "/hold"
+	pathRelease = "/release"
+)
+
 // pathScripts takes batch scripts with PBS directives, as text. Options over those of
 // the script come in the query ("options"). The header Idempotency-Key names the
 // submission: the same key is the same job, however often it is sent.
--- a/internal/transport/users.go
+++ b/internal/transport/users.go
@@ -127,6 +127,15 @@
 	return st, u.ask(ctx, http.MethodPost, "/v1/jobs/"+id+"/cancel", &st)
 }
 
+// Hold holds a job, or releases it.
+func (u *Users) Hold(ctx context.Context, id string, held bool) (a protocol.HoldAnswer, err error) {
+	path := pathRelease
+	if held {
+		path = pathHold
+	}
+	return a, u.ask(ctx, http.MethodPost, "/v1/jobs/"+id+path, &a)
+}
+
 // View asks how a job stands.
 func (u *Users) View(ctx context.Context, id string) (v protocol.JobView, err error) {
 	return v, u.ask(ctx, http.MethodGet, pathJobView+id, &v)
