qstat lists, qselect, qalter; GET /operator/jobs

Need: lists without names, as scripts of PBS's users expect. Change: a filtered list of the jobs that a controller knows, 200 at a time; qalter changes holds and says why nothing else can change. Measured: tests over the front door.

--- a/cmd/daledyke/main.go
+++ b/cmd/daledyke/main.go
@@ -27,7 +27,7 @@
 func main() {
 	root := command()
 	// Under the names of PBS's commands (links) the program is those.
-	if name := filepath.Base(os.Args[0]); slices.Contains([]string{"qsub", "qstat", "qdel", "qhold", "qrls"}, name) {
+	if name := filepath.Base(os.Args[0]); slices.Contains([]string{"qsub", "qstat", "qdel", "qhold", "qrls", "qselect", "qalter"}, name) {
 		root.SetArgs(append([]string{name}, os.Args[1:]...))
 	}
 	if err := root.Execute(); err != nil {
@@ -65,7 +65,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&platform, "config", "", "the platform's settings `FILE` (TOML)")
 	flags.StringVar(&operator, "settings", "", "the operators' own settings `FILE` (an S-expression); optional")
-	root.AddCommand(statusCommand(&platform, &operator), quotaCommand(&platform, &operator), qsubCommand(), qstatCommand(), qdelCommand(), qholdCommand(), qrlsCommand(), &cobra.Command{
+	root.AddCommand(statusCommand(&platform, &operator), quotaCommand(&platform, &operator), qsubCommand(), qstatCommand(), qdelCommand(), qholdCommand(), qrlsCommand(), qselectCommand(), qalterCommand(), &cobra.Command{
 		Use:   "check --config FILE [--settings FILE]",
 		Short: "Checks the settings and says what a controller would run with",
 		Args:  cobra.NoArgs,
--- a/cmd/daledyke/qsub.go
+++ b/cmd/daledyke/qsub.go
@@ -281,9 +281,64 @@
 }
 
 func qstatCommand() *cobra.Command {
-	return pbsCommand("qstat [--address HOST:PORT,...] [-f] [-F json] JOB...", "Shows how jobs stand, by their PBS names",
+	return pbsCommand("qstat [--address HOST:PORT,...] [-f] [-x] [-F json] [-u TEAM] [-q QUEUE] [JOB...]", "Shows how batch jobs stand, those named or all",
 		`qstat shows jobs as PBS's qstat does: Q waits, H is held, R runs, B is an array of which some
-run, F is over. -f shows all that is known, -F json the same for programs.`+doorsHelp, qstat)
+run, F is over. Without names, the batch jobs that are not over, with -x also those that
+ended lately. -f shows all that is known, -F json the same for programs.`+doorsHelp, qstat)
+}
+
+// listed asks for the jobs that a filter chooses.
+func listed(cmd *cobra.Command, o *pbsOptions, f protocol.JobFilter) ([]protocol.JobView, error) {
+	u, err := o.users()
+	if err != nil {
+		return nil, err
+	}
+	return u.Jobs(contextOf(cmd), f)
+}
+
+func qselectCommand() *cobra.Command {
+	return pbsCommand("qselect [--address HOST:PORT,...] [-q QUEUE] [-N NAME] [-P ACCOUNT] [-s STATES] [-u TEAM] [-x]", "Prints the names of the batch jobs that match",
+		"qselect prints the names of batch jobs, one a line, for qdel and others. -s takes letters\nof qstat, such as QH; -x also those that ended lately."+doorsHelp,
+		func(cmd *cobra.Command, o *pbsOptions, args []string) error {
+			f := protocol.JobFilter{Batch: true}
+			states := ""
+			for len(args) > 0 {
+				option := args[0]
+				args = args[1:]
+				into := map[string]*string{"-q": &f.Queue, "-N": &f.Name, "-P": &f.Account, "-A": &f.Account, "-s": &states, "-u": &f.Team}[option]
+				switch {
+				case option == "-x":
+					f.Over = true
+				case into == nil || len(args) == 0:
+					return fmt.Errorf("%s is not known, or lacks its value", option)
+				default:
+					*into, args = args[0], args[1:]
+				}
+			}
+			f.Over = f.Over || strings.Contains(states, "F")
+			views, err := listed(cmd, o, f)
+			for i := range views {
+				if states == "" || strings.Contains(states, state(&views[i])) {
+					fmt.Fprintln(cmd.OutOrStdout(), pbsName(&views[i]))
+				}
+			}
+			return err
+		})
+}
+
+func qalterCommand() *cobra.Command {
+	return pbsCommand("qalter [--address HOST:PORT,...] -h u|n JOB...", "Changes what may still change of jobs: whether they are held",
+		"qalter -h u holds jobs, -h n releases them. What a job is can't change once it is\naccepted, since controllers and workers read its description as it was: cancel it and\nsubmit it again."+doorsHelp,
+		func(cmd *cobra.Command, o *pbsOptions, args []string) error {
+			if len(args) < 2 || args[0] != "-h" || args[1] != "u" && args[1] != "n" {
+				return errors.New("only -h u and -h n can be altered; for anything else cancel the job (qdel) and submit it again (qsub)")
+			}
+			held := args[1] == "u"
+			return eachJob(cmd, o, args[2:], func(u *transport.Users, id string) error {
+				_, err := u.Hold(contextOf(cmd), id, held)
+				return err
+			})
+		})
 }
 
 // state is PBS's letter for how a job stands.
@@ -303,25 +358,44 @@
 
 func qstat(cmd *cobra.Command, o *pbsOptions, args []string) error {
 	full, asJSON := false, false
+	f := protocol.JobFilter{Batch: true}
 	for len(args) > 0 && strings.HasPrefix(args[0], "-") {
+		option := args[0]
+		args = args[1:]
+		value := ""
+		if (option == "-F" || option == "-u" || option == "-q") && len(args) > 0 {
+			value, args = args[0], args[1:]
+		}
 		switch {
-		case args[0] == "-f" || args[0] == "-x" || args[0] == "-t":
-			full = full || args[0] == "-f" // jobs that are over, and arrays, are shown in any case
-		case args[0] == "-F" && len(args) > 1 && args[1] == "json":
-			asJSON, args = true, args[1:]
+		case option == "-f":
+			full = true
+		case option == "-x":
+			f.Over = true
+		case option == "-t" || option == "-J":
+			// Arrays are shown as one, with how many of their tasks are done.
+		case option == "-F" && value == "json":
+			asJSON = true
+		case option == "-u" && value != "":
+			f.Team = value // jobs belong to teams
+		case option == "-q" && value != "":
+			f.Queue = value
 		default:
-			return fmt.Errorf("unknown option %s (-f, -x, -t and -F json are known)", args[0])
+			return fmt.Errorf("%s is not known, or lacks its value (-f, -x, -t, -J, -F json, -u TEAM and -q QUEUE are)", option)
 		}
-		args = args[1:]
 	}
 	var views []protocol.JobView
-	err := eachJob(cmd, o, args, func(u *transport.Users, id string) error {
-		v, err := u.View(contextOf(cmd), id)
-		if err == nil {
-			views = append(views, v)
-		}
+	var err error
+	if len(args) > 0 {
+		err = eachJob(cmd, o, args, func(u *transport.Users, id string) error {
+			v, err := u.View(contextOf(cmd), id)
+			if err == nil {
+				views = append(views, v)
+			}
+			return err
+		})
+	} else if views, err = listed(cmd, o, f); err != nil {
 		return err
-	})
+	}
 	out := cmd.OutOrStdout()
 	switch {
 	case asJSON:
--- a/internal/coordination/scripts.go
+++ b/internal/coordination/scripts.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/pbs"
@@ -102,3 +104,25 @@
 	}
 	return http.StatusOK, protocol.HoldAnswer{ID: id, Held: j.Held && !j.Final(), Changed: changed, Status: j.State}
 }
+
+// Jobs lists jobs that this controller knows.
+func (k *Controller) Jobs(ctx context.Context, f *protocol.JobFilter) (*protocol.JobList, error) {
+	l, ok := view(ctx, &k.owner.actor, func() *protocol.JobList {
+		var ids []string
+		for id, js := range k.owner.jobs {
+			if f.Chooses(js.job.Spec, js.job.Final()) {
+				ids = append(ids, id)
+			}
+		}
+		slices.Sort(ids)
+		l := &protocol.JobList{Jobs: []protocol.JobView{}, More: len(ids) > protocol.MaxListed}
+		for _, id := range ids[:min(len(ids), protocol.MaxListed)] {
+			l.Jobs = append(l.Jobs, k.owner.jobView(k.owner.jobs[id], time.Now()))
+		}
+		return l
+	})
+	if !ok {
+		return nil, ErrLater
+	}
+	return l, nil
+}
--- a/internal/coordination/scripts_test.go
+++ b/internal/coordination/scripts_test.go
@@ -88,6 +88,16 @@
 		if st, err := users.Cancel(t.Context(), other); err != nil || st.Status != protocol.Cancelled {
 			t.Errorf("%+v, %v", st, err)
 		}
+		for _, f := range []protocol.JobFilter{{Batch: true, Over: true}, {Batch: true}, {Name: "frames", Over: true}, {Queue: "bound", Over: true}, {Over: true, After: id}} {
+			jobs, err := users.Jobs(t.Context(), f)
+			want := map[protocol.JobFilter]int{{Batch: true, Over: true}: 2, {Name: "frames", Over: true}: 1}[f]
+			if f.After != "" && other > id {
+				want = 1
+			}
+			if err != nil || len(jobs) != want {
+				t.Errorf("%+v lists %d jobs, %v", f, len(jobs), err)
+			}
+		}
 		if v, err := users.View(t.Context(), id); err != nil || v.Name != "frames" || v.Queue != "work" {
 			t.Errorf("%+v, %v", v, err)
 		}
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "strings"
+
 // Overview is what a controller shows its operators. All of it is what this
 // controller knows itself: nothing is asked of the state service, the cloud or
 // the siblings for it.
@@ -162,6 +164,36 @@
 	Notes []string `json:"notes,omitempty"`
 }
 
+// JobFilter chooses jobs; what is empty does not choose.
+type JobFilter struct {
+	Queue, Account, Name, Class, Team string
+	// Over: also jobs that ended lately. Batch: only those of batch scripts.
+	Over, Batch bool
+	// After is the id that the list goes on behind.
+	After string
+}
+
+// Chooses tells whether a job is chosen.
+func (f *JobFilter) Chooses(s *JobSpec, over bool) bool {
+	name, queue := "", ""
+	if s.Batch != nil {
+		name, queue = s.Batch.Name, s.Batch.Queue
+	}
+	is := func(want, got string) bool { return want == "" || want == got }
+	return (f.Over || !over) && (!f.Batch || s.Batch != nil) && is(f.Queue, queue) && is(f.Name, name) && is(f.Class, s.Class) && is(f.Team, s.Team) &&
+		(f.Account == "" || s.Account == f.Account || strings.HasPrefix(s.Account, f.Account+"/")) && s.ID > f.After
+}
+
+// JobList is a part of the jobs that a filter chooses, in the order of their ids.
+type JobList struct {
+	Jobs []JobView `json:"jobs"`
+	// More: there are others behind the last one.
+	More bool `json:"more"`
+}
+
+// MaxListed bounds the jobs of one part.
+const MaxListed = 200
+
 // HoldAnswer tells how a job stands after it was to be held or released.
 type HoldAnswer struct {
 	ID   string `json:"id"`
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -28,6 +28,7 @@
 	Report(ctx context.Context, rep *protocol.Report) (status int, answer any)
 	Overview(ctx context.Context) *protocol.Overview
 	JobView(ctx context.Context, id string) (*protocol.JobView, error)
+	Jobs(ctx context.Context, f *protocol.JobFilter) (*protocol.JobList, error)
 	SubmitScript(ctx context.Context, key, options, script string) (status int, answer any)
 	Script(ctx context.Context, id string, task int) (script string, err error)
 	Hold(ctx context.Context, id string, held bool) (status int, answer any)
@@ -59,6 +60,7 @@
 	r.POST("/checkin", f.report)
 	r.GET(pathOverview, f.overview)
 	r.GET(pathJobView+":id", aboutJob(f.jobView))
+	r.GET(pathJobs, f.jobs)
 	r.GET(pathMetrics, f.metrics)
 	r.PanicHandler = func(w http.ResponseWriter, _ *http.Request, p any) {
 		slog.Error("request failed", "panic", p)
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -23,6 +23,7 @@
 const (
 	pathOverview = "/operator/status"
 	pathJobView  = "/operator/jobs/"
+	pathJobs     = "/operator/jobs"
 	pathMetrics  = "/metrics"
 )
 
@@ -41,6 +42,17 @@
 	return http.StatusOK, v
 }
 
+func (f front) jobs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	q := r.URL.Query()
+	l, err := f.s.Jobs(r.Context(), &protocol.JobFilter{Queue: q.Get("queue"), Account: q.Get("account"), Name: q.Get("name"), Class: q.Get("class"),
+		Team: q.Get("team"), Over: q.Has("over"), Batch: q.Has("batch"), After: q.Get("after")})
+	if err != nil {
+		reply(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	reply(w, http.StatusOK, l)
+}
+
 func (f front) metrics(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	writeMetrics(w, f.s.Overview(r.Context()))
--- a/internal/transport/users.go
+++ b/internal/transport/users.go
@@ -141,6 +141,36 @@
 	return v, u.ask(ctx, http.MethodGet, pathJobView+id, &v)
 }
 
+// mostParts bounds the parts of a list that are asked for.
+const mostParts = 100
+
+// Jobs lists the jobs that a filter chooses, as one controller knows them.
+func (u *Users) Jobs(ctx context.Context, f protocol.JobFilter) (jobs []protocol.JobView, err error) {
+	for range mostParts {
+		q := url.Values{}
+		for name, v := range map[string]string{"queue": f.Queue, "account": f.Account, "name": f.Name, "class": f.Class, "team": f.Team, "after": f.After} {
+			if v != "" {
+				q.Set(name, v)
+			}
+		}
+		for name, set := range map[string]bool{"over": f.Over, "batch": f.Batch} {
+			if set {
+				q.Set(name, "")
+			}
+		}
+		var l protocol.JobList
+		if err := u.ask(ctx, http.MethodGet, pathJobs+"?"+q.Encode(), &l); err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, l.Jobs...)
+		if !l.More || len(l.Jobs) == 0 {
+			break
+		}
+		f.After = l.Jobs[len(l.Jobs)-1].ID
+	}
+	return jobs, nil
+}
+
 // Script asks for a job's script.
 func (u *Users) Script(ctx context.Context, id string) (string, error) {
 	status, raw, err := u.try(ctx, http.MethodGet, "/v1/jobs/"+id+"/script", http.Header{}, nil)
