Jobs that start at a time (-a); exit statuses and docs of the PBS commands

Need: delayed jobs, and scripts that look at exit statuses.

Change: a time of day in the description; the replica lets a job go when it has come, the holder's door by its own clock. 153 for unknown jobs, 35 for those that are over.

--- a/cmd/daledyke/main.go
+++ b/cmd/daledyke/main.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -32,7 +33,9 @@
 	}
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "daledyke:", err)
-		os.Exit(1)
+		status := exitError{status: 1}
+		errors.As(err, &status)
+		os.Exit(status.status)
 	}
 }
 
--- a/cmd/daledyke/qsub.go
+++ b/cmd/daledyke/qsub.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -82,10 +83,39 @@
 			case o.help:
 				return cmd.Help()
 			}
-			return run(cmd, &o, rest)
+			return asPBS(run(cmd, &o, rest))
 		}}
 }
 
+// exitError is an error with the exit status that a command ends with.
+type exitError struct {
+	error
+	status int
+}
+
+func (e exitError) Unwrap() error { return e.error }
+
+// errFinished: a job that should be changed is over.
+var errFinished = errors.New("it is over already")
+
+// The exit statuses of PBS's commands that scripts look at: the low bytes of its
+// errors for unknown and finished jobs.
+const (
+	exitUnknownJob  = 153
+	exitFinishedJob = 35
+)
+
+// asPBS gives an error the exit status that PBS's commands have for it.
+func asPBS(err error) error {
+	switch {
+	case errors.Is(err, transport.ErrNoSuchJob):
+		return exitError{err, exitUnknownJob}
+	case errors.Is(err, errFinished):
+		return exitError{err, exitFinishedJob}
+	}
+	return err
+}
+
 const doorsHelp = `
 The controller is that of --address HOST:PORT,... (front doors, tried in turn), of
 --config FILE, or of DALEDYKE_DOORS. What can't be taken now is tried again for a
@@ -151,7 +181,7 @@
 	if len(c.Queues) == 0 {
 		return fmt.Errorf("%s names no queues: (pbs (queue ...))", o.operator)
 	}
-	j, err := pbs.Translate(script, options, c.Queues, pbs.IDOf(key))
+	j, err := pbs.Translate(script, options, c.Queues, pbs.IDOf(key), time.Now().UTC())
 	if err != nil {
 		return err
 	}
@@ -227,7 +257,7 @@
 			return eachJob(cmd, o, args, func(u *transport.Users, id string) error {
 				st, err := u.Cancel(contextOf(cmd), id)
 				if err == nil && st.Status == protocol.Done {
-					err = errors.New("it is done already")
+					err = fmt.Errorf("%w (done)", errFinished)
 				}
 				return err
 			})
@@ -243,7 +273,7 @@
 			case err != nil:
 				return err
 			case a.Status == protocol.Done || a.Status == protocol.Cancelled:
-				return fmt.Errorf("it is %s already", a.Status)
+				return fmt.Errorf("%w (%s)", errFinished, a.Status)
 			}
 			return nil
 		})
@@ -282,8 +312,8 @@
 
 func qstatCommand() *cobra.Command {
 	return pbsCommand("qstat [--address HOST:PORT,...] [-f] [-x] [-F json] [-u TEAM] [-q QUEUE] [JOB...]", "Shows how batch jobs stand, those named or all",
-		`qstat shows jobs as PBS's qstat does: Q waits, H is held, R runs, B is an array of which some
-run, F is over. Without names, the batch jobs that are not over, with -x also those that
+		`qstat shows jobs as PBS's qstat does: Q waits, H is held, W waits for its
+time, R runs, B is an array of which some run, F is over. Without names, the batch jobs that are not over, with -x also those that
 ended lately. -f shows all that is known, -F json the same for programs.`+doorsHelp, qstat)
 }
 
@@ -348,6 +378,8 @@
 		return "F"
 	case v.Reason == protocol.ReasonHeld:
 		return "H"
+	case v.Reason == protocol.ReasonTime:
+		return "W"
 	case v.Status == protocol.Running && v.Shape == protocol.Array && v.Tasks > 1:
 		return "B"
 	case v.Status == protocol.Running:
--- a/internal/bookkeeping/chains.go
+++ b/internal/bookkeeping/chains.go
@@ -360,13 +360,24 @@
 	slices.Sort(j.Behind)
 }
 
-// hold has a job that is held wait, as for one job more, so that placing, renting and
+// From is the time of day before which no task of the job starts, zero if any will do.
+func (j *Job) From() time.Time {
+	if j.Spec.Batch == nil || j.Spec.Batch.FromMs == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(j.Spec.Batch.FromMs)
+}
+
+// hold has a job that is held, or whose time has not come, wait as for one job more, so that placing, renting and
 // the holder's second door go by it as they do by needs; times count from its release.
 func (j *Job) hold() {
+	from := j.From()
 	switch {
 	case j.Final():
-	case j.Held:
+	case j.Held || from.After(time.Now()):
 		j.Waits, j.Ready = j.Waits+1, time.Time{}
+	case j.Waits == 0 && from.After(j.Ready) && from.After(j.Freed):
+		j.Ready = from
 	case j.Waits == 0 && j.Freed.After(j.Ready):
 		j.Ready = j.Freed
 	}
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -52,7 +52,9 @@
 	findFrom time.Time
 	found    chan []finding
 	catalog  catalogParts
-	quotas   quotaParts
+	// delayed are jobs whose time has not come.
+	delayed map[string]time.Time
+	quotas  quotaParts
 	// caught hears up to which revision the listeners were told everything.
 	caught func(revision uint64)
 	// tokenOf gives a job its place on the ring.
@@ -63,7 +65,7 @@
 func NewReplica(st *Store, tokenOf func(*protocol.JobSpec) int64, weigh func(*Job) Urgency, to Listener, caught func(uint64)) *Replica {
 	return &Replica{store: st, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{},
 		homes: map[string]int{}, early: map[string]map[int]Chunk{}, tokenOf: tokenOf, chains: newChains(weigh),
-		divided: map[string]bool{}, found: make(chan []finding, 1)}
+		divided: map[string]bool{}, delayed: map[string]time.Time{}, found: make(chan []finding, 1)}
 }
 
 // watchBlock bounds one wait for changes, and so how stale a replica can be
@@ -107,6 +109,7 @@
 			r.learn(found)
 		default:
 		}
+		r.due(time.Now())
 		r.caught(from)
 		r.to.Synced(sent)
 	}
@@ -382,12 +385,26 @@
 	} else if !final(old.Record) && final(j.Record) && j.Ended.IsZero() {
 		j.Ended = time.Now() // the version before chains does not say
 	}
+	if from := j.From(); from.After(time.Now()) && !final(j.Record) {
+		r.delayed[id] = from
+	}
 	others := r.chains.take(j, func(id string) *Job { return r.jobs[id] })
 	r.chains.place(j)
 	r.show(j, old)
 	r.publish(others)
 }
 
+// due publishes jobs whose time has come; they are looked at as often as the watch
+// answers, within watchBlock.
+func (r *Replica) due(now time.Time) {
+	for id, from := range r.delayed {
+		if !from.After(now) || r.jobs[id] == nil || r.jobs[id].Final() {
+			delete(r.delayed, id)
+			r.publish([]string{id})
+		}
+	}
+}
+
 // publish publishes jobs whose place changed.
 func (r *Replica) publish(ids []string) {
 	for _, id := range ids {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -337,7 +337,7 @@
 	case err != nil:
 		return k.known(ctx, id, nil)
 	}
-	if spec.Batch != nil && spec.Batch.Hold && !k.understood(ctx, 3) {
+	if spec.Batch != nil && (spec.Batch.Hold || spec.Batch.FromMs > 0) && !k.understood(ctx, 3) {
 		return http.StatusServiceUnavailable, ErrLater // an older process would run it at once
 	}
 	for range 2 {
--- a/internal/coordination/scripts.go
+++ b/internal/coordination/scripts.go
@@ -30,7 +30,7 @@
 	command, err := pbs.CommandLine(options)
 	var j *pbs.Job
 	if err == nil {
-		j, err = pbs.Translate(script, command, k.cfg.Queues, id)
+		j, err = pbs.Translate(script, command, k.cfg.Queues, id, time.Now().UTC())
 	}
 	if err != nil {
 		// An accepted job stays so, whatever else is sent under its key.
--- a/internal/coordination/scripts_test.go
+++ b/internal/coordination/scripts_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	j, err := pbs.Translate(script, command, w.settings("c0").Queues, id)
+	j, err := pbs.Translate(script, command, w.settings("c0").Queues, id, time.Now().UTC())
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -184,7 +184,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			j, err := pbs.Translate("#PBS -N x\n./x\n", command, w.settings("c0").Queues, fmt.Sprint("wk-", 5000+k))
+			j, err := pbs.Translate("#PBS -N x\n./x\n", command, w.settings("c0").Queues, fmt.Sprint("wk-", 5000+k), time.Now())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -203,6 +203,41 @@
 	})
 }
 
+// A job that is to start at a time does so, though all controllers were away when it
+// came.
+func TestJobsStartAtTheirTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, "", `(account "free")`)
+		defer w.end()
+		time.Sleep(3 * time.Second)
+		const script = "./x\n"
+		options := "-l ncpus=2 -a " + time.Now().UTC().Add(2*time.Minute).Format("200601021504.05")
+		id := w.know("later", options, script)
+		if _, err := w.qsub("later", options, script); err != nil {
+			t.Fatal(err)
+		}
+		users := transport.NewUsers(w.net.dialer("user"), []string{"front-c1:1"})
+		time.Sleep(100 * time.Second)
+		if v, err := users.View(t.Context(), id); err != nil || v.Reason != protocol.ReasonTime || v.StartsInS == nil || *v.StartsInS < 15 || *v.StartsInS > 25 {
+			t.Errorf("%+v, %v", v, err)
+		}
+		for _, name := range w.names {
+			w.crash(name)
+		}
+		time.Sleep(25 * time.Second)
+		for _, name := range w.names {
+			w.start(name)
+		}
+		time.Sleep(50 * time.Second)
+		if err := w.expect(id, []string{"done"}); err != nil {
+			t.Error(err)
+		}
+		if err := w.expect(id, []string{"starts", "1"}); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // raw makes one request and gives its status and body.
 func (w *world) raw(method, at, body string, header http.Header) (int, string) {
 	host, path, _ := strings.Cut(at, "/")
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -58,7 +58,7 @@
 // and when the next should start, negative if that can't be told.
 func (o *Owner) why(js *jobState, now time.Time) (reason string, in time.Duration) {
 	s := js.job.Spec
-	w := placement.Wait{Final: js.job.Final(), Held: js.job.Held, Needs: js.job.Waits > 0, AtFault: js.opinion == placement.AtFault,
+	w := placement.Wait{Final: js.job.Final(), Held: js.job.Held, Until: js.job.From().Sub(now), Needs: js.job.Waits > 0, AtFault: js.opinion == placement.AtFault,
 		Missing: s.Tasks - js.job.DoneCount(), Incomplete: !o.board.AllComplete(o.slots, 0), Asked: len(js.pending) > 0,
 		Quota:   o.binds(js, now),
 		Limited: func() bool { return js.gain != 0 && !o.teamRoom(js, 1) },
--- a/internal/pbs/batch.go
+++ b/internal/pbs/batch.go
@@ -14,6 +14,9 @@
 func (j *Job) Native(script string) protocol.JobSpec {
 	s := j.Spec
 	s.Batch = &protocol.Batch{Name: j.Name, Queue: j.Queue, Shell: j.Shell, Hold: j.Hold, Variables: j.Variables, Script: protocol.Pack(script)}
+	if !j.From.IsZero() {
+		s.Batch.FromMs = j.From.UnixMilli()
+	}
 	if j.Array != nil {
 		s.Batch.First, s.Batch.Step = j.Array.First, j.Array.Step
 	}
--- a/internal/pbs/corpus_test.go
+++ b/internal/pbs/corpus_test.go
@@ -24,6 +24,8 @@
 	{Name: "post", Team: "data", Class: "post", Image: "tools-2", ImageGB: 1, Priority: "idle", Spot: true, Walltime: 10 * time.Minute, MemGB: 4, MostTasks: 5000},
 }
 
+var evening = time.Date(2026, 12, 30, 21, 30, 0, 0, time.UTC)
+
 // translated is a script's translation as people read it: the job, or what is
 // refused.
 func translated(script string, command []string) string {
@@ -33,7 +35,7 @@
 		err = fmt.Errorf("left over: %v", rest)
 	}
 	if err == nil {
-		j, err = Translate(script, options, queues, "wk-412")
+		j, err = Translate(script, options, queues, "wk-412", evening)
 	}
 	if err != nil {
 		return "refused\n" + err.Error() + "\n"
@@ -86,7 +88,7 @@
 
 // Every refusal says where and why, and names the directive.
 func TestRefusalsHaveTheirPlace(t *testing.T) {
-	_, err := Translate("#!/bin/sh\n#PBS -N x -I\n  #PBS -l walltime=soon\n./run\n#PBS -X\n", nil, queues, "wk-1")
+	_, err := Translate("#!/bin/sh\n#PBS -N x -I\n  #PBS -l walltime=soon\n./run\n#PBS -X\n", nil, queues, "wk-1", evening)
 	var r *Refusal
 	if !errors.As(err, &r) || r.At != (Place{2, 11}) || !strings.Contains(err.Error(), "line 3, column 8: -l walltime=soon") || strings.Contains(err.Error(), "-X") {
 		t.Errorf("%v", err)
@@ -104,6 +106,18 @@
 	}
 }
 
+// Of a time what is left out is the next that comes.
+func TestDates(t *testing.T) {
+	for text, want := range map[string]string{"2200": "2026-12-30T22:00:00Z", "2100": "2026-12-31T21:00:00Z", "2130.05": "2026-12-30T21:30:05Z", "291200": "2027-01-29T12:00:00Z",
+		"01020304": "2027-01-02T03:04:00Z", "2701020304": "2027-01-02T03:04:00Z", "202701020304.30": "2027-01-02T03:04:30Z",
+		"2460": "", "2400": "", "13012200": "", "02302200": "", "202512010000": "", "noon": "", "12": "", "2200.5": "", "": "", "209901010000": ""} {
+		got, err := ParseDate(text, evening)
+		if (err != nil) != (want == "") || err == nil && got.Format(time.RFC3339) != want {
+			t.Errorf("%q is %v, %v, not %s", text, got, err, want)
+		}
+	}
+}
+
 func FuzzScript(f *testing.F) {
 	f.Add("#!/bin/sh\n#PBS -N a -l select=2:ncpus=4:mem=2gb -J 0-9:2\n#PBS -v A='b c',D=1 # said\necho\n", "-p 5")
 	f.Add("#PBS -W depend=afterok:1:2.daledyke -l nodes=2:ppn=4:gpus=1,walltime=1:00:00\n", "")
@@ -113,7 +127,7 @@
 		if err != nil {
 			return
 		}
-		j, err := Translate(script, options, queues, "wk-1")
+		j, err := Translate(script, options, queues, "wk-1", evening)
 		if err != nil {
 			return
 		}
@@ -131,7 +145,7 @@
 				fmt.Fprintf(&b, "#PBS %v\n", o)
 			}
 		}
-		again, err := Translate(b.String(), nil, queues, "wk-1")
+		again, err := Translate(b.String(), nil, queues, "wk-1", evening)
 		if err != nil {
 			t.Fatalf("%q was accepted, printed as %q it is refused: %v", script, b.String(), err)
 		}
@@ -183,6 +197,9 @@
 				}
 			}
 		}
+		if at, err := ParseDate(s, evening); err == nil && !at.After(evening) {
+			t.Errorf("date %q is %v", s, at)
+		}
 		if c, err := ParseNodes(s); err == nil && c.Count < 1 {
 			t.Errorf("nodes %q are %+v", s, c)
 		}
@@ -197,7 +214,7 @@
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := Translate(script, nil, queues, "wk-1"); err != nil {
+				if _, err := Translate(script, nil, queues, "wk-1", evening); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/pbs/resources.go
+++ b/internal/pbs/resources.go
@@ -268,3 +268,44 @@
 	}
 	return ids, nil
 }
+
+// ParseDate reads -a: [[[[CC]YY]MM]DD]hhmm[.SS]. What is left out is the next that is
+// to come after now, in its zone.
+func ParseDate(text string, now time.Time) (time.Time, error) {
+	bad := fmt.Errorf("%q is no time of day, such as 2200, 12312200 or 202612312200", text)
+	digits, seconds, given := strings.Cut(text, ".")
+	if given && len(seconds) != 2 || len(digits) < 4 || len(digits) > 12 || len(digits)%2 != 0 || strings.Trim(digits+seconds, "0123456789") != "" {
+		return time.Time{}, bad
+	}
+	two := func(from, otherwise int) int { // counted from the end of the digits
+		if at := len(digits) - from; at >= 0 {
+			return int(digits[at]-'0')*10 + int(digits[at+1]-'0')
+		}
+		return otherwise
+	}
+	year := two(12, now.Year()/100)*100 + two(10, now.Year()%100)
+	month, day, hour, minute, second := two(8, int(now.Month())), two(6, now.Day()), two(4, 0), two(2, 0), 0
+	if given {
+		second, _ = strconv.Atoi(seconds)
+	}
+	t := time.Date(year, time.Month(month), day, hour, minute, second, 0, now.Location())
+	if t.Year() != year || int(t.Month()) != month || t.Day() != day || t.Hour() != hour || t.Minute() != minute || second > 59 {
+		return time.Time{}, bad
+	}
+	if !t.After(now) {
+		switch len(digits) {
+		case 4:
+			t = time.Date(year, time.Month(month), day+1, hour, minute, second, 0, now.Location())
+		case 6:
+			t = time.Date(year, time.Month(month)+1, day, hour, minute, second, 0, now.Location())
+		case 8:
+			t = time.Date(year+1, time.Month(month), day, hour, minute, second, 0, now.Location())
+		default:
+			return time.Time{}, fmt.Errorf("%q is past", text)
+		}
+	}
+	if t.Sub(now) > 400*24*time.Hour {
+		return time.Time{}, fmt.Errorf("%q is more than a year ahead", text)
+	}
+	return t, nil
+}
--- a/internal/pbs/translate.go
+++ b/internal/pbs/translate.go
@@ -64,6 +64,8 @@
 	Name, Queue string
 	// Hold: no task starts before it is released (qrls).
 	Hold bool
+	// From is the time of day before which no task starts, zero for any.
+	From time.Time
 	// Shell runs the script; "" is the system's.
 	Shell string
 	// Array is the range of its indices, nil if it is none.
@@ -87,7 +89,6 @@
 
 // refused are options that can't be expressed.
 var refused = map[byte][2]string{
-	'a': {"jobs that start at a time are not taken yet", "submit it at that time"},
 	'I': {"there is no terminal on the machines", "submit a script"},
 	'X': {"there is no display on the machines", "submit a script that needs none"},
 	'u': {"machines have no users", "name the account by -P"},
@@ -102,6 +103,7 @@
 // translation is a translation under way.
 type translation struct {
 	job     Job
+	now     time.Time
 	queue   *Queue
 	refused []error
 
@@ -118,8 +120,8 @@
 
 // Translate says what a script is as a job with the native id given. The options of
 // the command line come over those of the script. All that is refused is told
-// together, each as a *Refusal.
-func Translate(script string, command []Option, queues Queues, id string) (*Job, error) {
+// together, each as a *Refusal. now is the time of day, in the zone that -a is read in.
+func Translate(script string, command []Option, queues Queues, id string, now time.Time) (*Job, error) {
 	if len(script) > protocol.MaxScript {
 		return nil, &Refusal{Place{1, 1}, "script", fmt.Sprintf("it has %d bytes, of %d at most", len(script), protocol.MaxScript), "have it read what is larger from elsewhere"}
 	}
@@ -135,7 +137,7 @@
 	}
 	// What comes later counts, as in PBS; -l and -W add up by what they name.
 	options = append(options, command...)
-	t := &translation{job: Job{Spec: protocol.JobSpec{ID: id}}}
+	t := &translation{now: now, job: Job{Spec: protocol.JobSpec{ID: id}}}
 	queue := Option{}
 	for _, o := range options {
 		if o.Letter == 'q' {
@@ -189,6 +191,13 @@
 		}
 	case 'h':
 		t.job.Hold = true
+	case 'a':
+		var err error
+		if t.job.From, err = ParseDate(o.Value, t.now); err != nil {
+			t.refuse(o, err.Error(), "")
+		} else {
+			t.note(o, "no task starts before "+t.job.From.Format(time.RFC3339))
+		}
 	case 'S':
 		if t.job.Shell = o.Value; !strings.HasPrefix(o.Value, "/") || strings.ContainsAny(o.Value, "@, ") {
 			t.refuse(o, "one path of a shell is expected, such as /bin/bash", "")
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -10,6 +10,8 @@
 // Wait is what is known of a job that may be waiting.
 type Wait struct {
 	Final, Held, Needs, AtFault bool
+	// Until is how long it still waits for its time.
+	Until time.Duration
 	// Missing is how many tasks are neither done nor on a machine.
 	Missing int
 	// Fetching is how long the first of those that wait for their image still
@@ -68,6 +70,8 @@
 		return "", -1
 	case w.Held:
 		return protocol.ReasonHeld, -1
+	case w.Until > 0:
+		return protocol.ReasonTime, w.Until
 	case w.Needs:
 		return protocol.ReasonNeeds, -1
 	case w.AtFault:
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -96,6 +96,8 @@
 	Step  int `json:"step,omitempty"`
 	// Hold: no task starts before the job is released.
 	Hold bool `json:"hold,omitempty"`
+	// FromMs is the time of day before which no task starts, 0 for any.
+	FromMs int64 `json:"fromMs,omitempty"`
 	// Variables are set for the script, as NAME=VALUE.
 	Variables []string `json:"variables,omitempty"`
 	// Script is compressed (DEFLATE).
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -251,4 +251,5 @@
 	ReasonPlacing    = "being placed"
 	ReasonNeeds      = "waits for other jobs"
 	ReasonHeld       = "held"
+	ReasonTime       = "waits for its time"
 )
--- a/internal/schema/schema_test.go
+++ b/internal/schema/schema_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 
@@ -57,7 +58,7 @@
 	s := compiled(t)
 	queues := pbs.Queues{{Name: "q", Default: true, Team: "vision", Class: "c", Image: "i", Priority: "normal", Walltime: 1e9}}
 	for _, script := range []string{"./x\n", "#PBS -J 0-9 -l ncpus=2\n./x\n", "#PBS -l select=3:ncpus=2:mem=1gb -W depend=afterok:5 -P vision/a -v A=1\n./x\n"} {
-		j, err := pbs.Translate(script, nil, queues, "wk-1")
+		j, err := pbs.Translate(script, nil, queues, "wk-1", time.Unix(0, 0))
 		if err != nil {
 			t.Fatal(err)
 		}
