--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,22 @@
 	return Load(file, "")
 }
 
+// loadWith gives a function that loads operators' settings beside sound ones of a
+// platform with a team.
+func loadWith(t *testing.T, team string) func(text string) (*Config, error) {
+	dir := t.TempDir()
+	platform, operators := filepath.Join(dir, "settings.toml"), filepath.Join(dir, "operators.edn")
+	if err := os.WriteFile(platform, []byte(sound+"[[deployment.teams]]\nname = \""+team+"\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return func(text string) (*Config, error) {
+		if err := os.WriteFile(operators, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return Load(platform, operators)
+	}
+}
+
 func TestPlatformSettings(t *testing.T) {
 	c, err := load(t, sound)
 	if err != nil || c.WorkerLease() != 26*time.Second || c.Window != 10*time.Second || len(c.Names()) != 2 {
@@ -123,18 +139,7 @@
 
 // Faults of queues are told with their line.
 func TestQueues(t *testing.T) {
-	dir := t.TempDir()
-	platform := filepath.Join(dir, "settings.toml")
-	if err := os.WriteFile(platform, []byte(sound+"[[deployment.teams]]\nname = \"vision\"\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	load := func(text string) (*Config, error) {
-		file := filepath.Join(dir, "operators.edn")
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return Load(platform, file)
-	}
+	load := loadWith(t, "vision")
 	const queue = `(queue "a" (team "vision") (class "c") (image "i") (urgency "normal") (walltime "1:00"))`
 	c, err := load("(daledyke (pbs\n" + queue + `(queue "b" (default true) (team "vision") (class "c") (image "i") (urgency "idle") (walltime "60") (types "x" "y") (spot true) (most-cpus 4))))`)
 	if err != nil || len(c.Queues) != 2 || c.Queues[0].Walltime != time.Minute || !c.Queues[1].Default || len(c.Queues[1].Types) != 2 || c.Queues[1].Most.Cores != 4 {
@@ -158,18 +163,7 @@
 
 // Faults of quotas are told with their line and account.
 func TestQuotas(t *testing.T) {
-	dir := t.TempDir()
-	platform := filepath.Join(dir, "settings.toml")
-	if err := os.WriteFile(platform, []byte(sound+"[[deployment.teams]]\nname = \"hosting\"\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	load := func(text string) (*Config, error) {
-		file := filepath.Join(dir, "operators.edn")
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		return Load(platform, file)
-	}
+	load := loadWith(t, "hosting")
 	c, err := load("(daledyke\n  (quotas ; ours\n    (account \"hosting\" (cpus 40 60) (gpus 8))\n    (account \"hosting/songshan\" (cpus 10 30.5) (weight 2)))\n  (sample 5))")
 	if err != nil || c.Sample != 5 || !c.Quotas.Has("hosting") {
 		t.Fatalf("read as %+v, %v", c, err)
