--- /dev/null
+++ b/internal/config/forms.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+
+	"olympos.io/encoding/edn"
+)
+
+// How the operators' S-expressions are read, with the lines for their faults.
+
+// formItem is one item of a list, and the line at which it begins.
+type formItem struct {
+	raw  edn.RawMessage
+	line int
+}
+
+// items reads a list that begins with a head, at the line given; ok is false if it is
+// another one.
+func items(raw []byte, head edn.Symbol, line int) (out []formItem, ok bool) {
+	var form []edn.RawMessage
+	var first edn.Symbol
+	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &first) != nil || first != head {
+		return nil, false
+	}
+	from := 0
+	for _, item := range form[1:] {
+		if at := bytes.Index(raw[from:], item); at >= 0 {
+			from += at // items come in order: their places tell their lines
+		}
+		out = append(out, formItem{item, line + bytes.Count(raw[:from], []byte("\n"))})
+		from += len(item)
+	}
+	return out, true
+}
+
+// entry is a name and its values.
+type entry struct {
+	name   string
+	values []edn.RawMessage
+}
+
+// named reads (KIND "name" (entry value ...) ...), in which no entry is there twice.
+func named(raw []byte, kind edn.Symbol) (name string, entries []entry, err error) {
+	var form []edn.RawMessage
+	var head edn.Symbol
+	if edn.Unmarshal(raw, &form) != nil || len(form) < 2 || edn.Unmarshal(form[0], &head) != nil || head != kind ||
+		edn.Unmarshal(form[1], &name) != nil || name == "" {
+		article := "a"
+		if kind == "account" {
+			article = "an"
+		}
+		return "", nil, fmt.Errorf("not %s %s with a name: %.60s", article, kind, raw)
+	}
+	seen := map[edn.Symbol]bool{}
+	for _, item := range form[2:] {
+		var of []edn.RawMessage
+		var what edn.Symbol
+		if edn.Unmarshal(item, &of) != nil || len(of) < 2 || edn.Unmarshal(of[0], &what) != nil {
+			return "", nil, fmt.Errorf("%s %q: not an entry with a value: %.60s", kind, name, item)
+		}
+		if seen[what] {
+			return "", nil, fmt.Errorf("%s %q: %s is there twice", kind, name, what)
+		}
+		seen[what] = true
+		entries = append(entries, entry{string(what), of[1:]})
+	}
+	return name, entries, nil
+}
+
+// number reads a whole or decimal number.
+func number(raw []byte) (v float64, ok bool) {
+	if edn.Unmarshal(raw, &v) == nil {
+		return v, true
+	}
+	var whole int64
+	if edn.Unmarshal(raw, &whole) != nil {
+		return 0, false
+	}
+	return float64(whole), true
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"time"
@@ -53,17 +52,12 @@
 	if err := edn.Unmarshal(raw, &form); err != nil {
 		return fmt.Errorf("not one list of settings: %w", err)
 	}
-	var head edn.Symbol
-	if len(form) == 0 || edn.Unmarshal(form[0], &head) != nil || head != "daledyke" {
+	list, ok := items(raw, "daledyke", 1)
+	if !ok {
 		return fmt.Errorf("the list must begin with daledyke")
 	}
-	from := 0
-	for _, item := range form[1:] {
-		if at := bytes.Index(raw[from:], item); at >= 0 {
-			from += at // items come in order: their places tell their lines
-		}
-		line := lineAt(raw, from)
-		from += len(item)
+	for _, part := range list {
+		item, line := part.raw, part.line
 		if q, err := parseQuotas(item, line); q != nil || err != nil {
 			if err == nil && o.quotas != nil {
 				err = fmt.Errorf("line %d: quotas are there twice", q.line)
--- a/internal/config/queues.go
+++ b/internal/config/queues.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 
@@ -27,20 +26,14 @@
 //
 // which begins at the line given. Nil without an error if it is another form.
 func parseQueues(raw []byte, line int) (*pbsForm, error) {
-	var form []edn.RawMessage
-	var head edn.Symbol
-	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &head) != nil || head != "pbs" {
+	list, ok := items(raw, "pbs", line)
+	if !ok {
 		return nil, nil
 	}
 	f := &pbsForm{line: line}
-	from := 0
-	for _, item := range form[1:] {
-		if at := bytes.Index(raw[from:], item); at >= 0 {
-			from += at
-		}
-		at := line + lineAt(raw, from) - 1
-		from += len(item)
-		q, err := parseQueue(item)
+	for _, item := range list {
+		at := item.line
+		q, err := parseQueue(item.raw)
 		if err != nil {
 			return nil, fmt.Errorf("line %d: %w", at, err)
 		}
@@ -58,24 +51,13 @@
 }
 
 func parseQueue(raw []byte) (q pbs.Queue, err error) {
-	var form []edn.RawMessage
-	var head edn.Symbol
-	if edn.Unmarshal(raw, &form) != nil || len(form) < 2 || edn.Unmarshal(form[0], &head) != nil || head != "queue" || edn.Unmarshal(form[1], &q.Name) != nil || q.Name == "" {
-		return q, fmt.Errorf("not a queue with a name: %.60s", raw)
+	var entries []entry
+	if q.Name, entries, err = named(raw, "queue"); err != nil {
+		return q, err
 	}
-	seen := map[edn.Symbol]bool{}
-	for _, item := range form[2:] {
-		var of []edn.RawMessage
-		var what edn.Symbol
-		if edn.Unmarshal(item, &of) != nil || len(of) < 2 || edn.Unmarshal(of[0], &what) != nil {
-			return q, fmt.Errorf("queue %q: not an entry with a value: %.60s", q.Name, item)
-		}
-		if seen[what] {
-			return q, fmt.Errorf("queue %q: %s is there twice", q.Name, what)
-		}
-		seen[what] = true
-		if err := setQueue(&q, string(what), of[1:]); err != nil {
-			return q, fmt.Errorf("queue %q: %s: %w", q.Name, what, err)
+	for _, e := range entries {
+		if err := setQueue(&q, e.name, e.values); err != nil {
+			return q, fmt.Errorf("queue %q: %s: %w", q.Name, e.name, err)
 		}
 	}
 	return q, nil
--- a/internal/config/quotas.go
+++ b/internal/config/quotas.go
@@ -1,13 +1,10 @@
 package config
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"os"
 
-	"olympos.io/encoding/edn"
-
 	"daledyke/internal/protocol"
 	"daledyke/internal/quota"
 )
@@ -20,9 +17,6 @@
 	lines    []int
 }
 
-// lineAt is the line of a place in a text, from 1.
-func lineAt(raw []byte, at int) int { return 1 + bytes.Count(raw[:at], []byte("\n")) }
-
 // parseQuotas reads a form such as
 //
 //	(quotas
@@ -32,47 +26,30 @@
 // which begins at the line given: of each resource the guarantee, then the limit, which
 // is none if it is 0 or left out. Nil without an error if it is another form.
 func parseQuotas(raw []byte, line int) (*quotaForm, error) {
-	var form []edn.RawMessage
-	var head edn.Symbol
-	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &head) != nil || head != "quotas" {
+	list, ok := items(raw, "quotas", line)
+	if !ok {
 		return nil, nil
 	}
 	q := &quotaForm{line: line}
-	from := 0
-	for _, item := range form[1:] {
-		if at := bytes.Index(raw[from:], item); at >= 0 {
-			from += at
-		}
-		at := line + lineAt(raw, from) - 1
-		a, err := parseAccount(item)
+	for _, item := range list {
+		a, err := parseAccount(item.raw)
 		if err != nil {
-			return nil, fmt.Errorf("line %d: %w", at, err)
+			return nil, fmt.Errorf("line %d: %w", item.line, err)
 		}
-		q.accounts, q.lines = append(q.accounts, a), append(q.lines, at)
-		from += len(item)
+		q.accounts, q.lines = append(q.accounts, a), append(q.lines, item.line)
 	}
 	return q, nil
 }
 
 func parseAccount(raw []byte) (a quota.Account, err error) {
-	var form []edn.RawMessage
-	var head edn.Symbol
-	if edn.Unmarshal(raw, &form) != nil || len(form) < 2 || edn.Unmarshal(form[0], &head) != nil || head != "account" || edn.Unmarshal(form[1], &a.Name) != nil {
-		return a, fmt.Errorf("not an account with a name: %.60s", raw)
+	var entries []entry
+	if a.Name, entries, err = named(raw, "account"); err != nil {
+		return a, err
 	}
-	seen := map[edn.Symbol]bool{}
-	for _, item := range form[2:] {
-		var of []edn.RawMessage
-		var what edn.Symbol
-		if edn.Unmarshal(item, &of) != nil || len(of) < 2 || edn.Unmarshal(of[0], &what) != nil {
-			return a, fmt.Errorf("account %q: not a resource with amounts: %.60s", a.Name, item)
-		}
-		if seen[what] {
-			return a, fmt.Errorf("account %q: %s is there twice", a.Name, what)
-		}
-		seen[what] = true
+	for _, e := range entries {
+		what := e.name
 		var amounts []float64
-		for _, n := range of[1:] {
+		for _, n := range e.values {
 			v, ok := number(n)
 			if !ok {
 				return a, fmt.Errorf("account %q: %s: not a number: %.60s", a.Name, what, n)
@@ -110,18 +87,6 @@
 	return a, nil
 }
 
-// number reads a whole or decimal number.
-func number(raw []byte) (v float64, ok bool) {
-	if edn.Unmarshal(raw, &v) == nil {
-		return v, true
-	}
-	var whole int64
-	if edn.Unmarshal(raw, &whole) != nil {
-		return 0, false
-	}
-	return float64(whole), true
-}
-
 // Accounts reads accounts from a file that holds one (quotas ...).
 func Accounts(file string) ([]quota.Account, error) {
 	raw, err := os.ReadFile(file)
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -495,16 +495,22 @@
 	if q.uses != nil && now.Sub(q.usesAt) < time.Second && q.uses.Tree() == q.tree {
 		return q.uses
 	}
-	q.uses, q.usesAt = quota.NewLedger(q.tree), now
+	q.uses, q.usesAt = o.sumUp(), now
+	return q.uses
+}
+
+// sumUp gives a ledger of what the board shows.
+func (o *Owner) sumUp() *quota.Ledger {
+	l := quota.NewLedger(o.quotas.tree)
 	for id := range o.board.Tasks {
 		if js := o.jobs[id]; js != nil {
 			if account := o.account(js); account != "" {
 				live, _ := o.placed(id)
-				q.uses.Use(account, scaled(js.job.Spec.Need(), live))
+				l.Use(account, scaled(js.job.Spec.Need(), live))
 			}
 		}
 	}
-	return q.uses
+	return l
 }
 
 // binds is the account whose limit lets no more of a job start: as its authority
@@ -527,16 +533,10 @@
 	if o.quotas.tree == nil {
 		return nil
 	}
-	l := quota.NewLedger(o.quotas.tree)
+	l := o.sumUp()
 	var waiting []*jobState
 	for id, js := range o.active {
-		account := o.account(js)
-		if account == "" {
-			continue
-		}
-		live, _ := o.placed(id)
-		l.Use(account, scaled(js.job.Spec.Need(), live))
-		if live < js.job.Spec.Tasks-js.job.DoneCount() && js.job.Waits == 0 {
+		if live, _ := o.placed(id); o.account(js) != "" && live < js.job.Spec.Tasks-js.job.DoneCount() && js.job.Waits == 0 {
 			waiting = append(waiting, js)
 		}
 	}
--- a/internal/coordination/scripts_test.go
+++ b/internal/coordination/scripts_test.go
@@ -71,8 +71,8 @@
 			t.Error(err)
 		}
 		users := transport.NewUsers(w.net.dialer("user"), []string{"front-c2:1"})
-		if got, err := users.Script(t.Context(), id); err != nil || got != script {
-			t.Errorf("the script is %q, %v", got, err)
+		if status, got := w.raw(http.MethodGet, "front-c2/v1/jobs/"+id+"/script", "", nil); status != 200 || got != script {
+			t.Errorf("the script is %q, answer %d", got, status)
 		}
 		_, raw, err := w.call("user", http.MethodGet, "front-c1/v1/jobs/"+id+"/script?pass=2", nil, 3*time.Second)
 		digits := strings.TrimPrefix(id, "wk-")
--- a/internal/pbs/batch.go
+++ b/internal/pbs/batch.go
@@ -34,7 +34,7 @@
 func TaskName(s *protocol.JobSpec, task int) string {
 	digits := strings.TrimPrefix(s.ID, "wk-")
 	if b := s.Batch; b != nil && b.Step > 0 {
-		digits += fmt.Sprintf("[%d]", b.First+task*b.Step)
+		digits += fmt.Sprintf("[%d]", b.Index(task))
 	}
 	return digits + ".daledyke"
 }
@@ -98,7 +98,7 @@
 	var b strings.Builder
 	b.WriteString(first)
 	err = prologue.Execute(&b, map[string]any{"ID": TaskName(s, task), "Batch": s.Batch, "Task": task, "Tasks": s.Tasks, "CPUs": max(1, int(s.Cores)),
-		"Array": s.Batch.Step > 0, "ArrayID": Name(s.ID, true), "Index": s.Batch.First + task*s.Batch.Step})
+		"Array": s.Batch.Step > 0, "ArrayID": Name(s.ID, true), "Index": s.Batch.Index(task)})
 	b.WriteString(rest)
 	return b.String(), err
 }
--- a/internal/pbs/resources.go
+++ b/internal/pbs/resources.go
@@ -170,9 +170,6 @@
 // Count is how many indices there are.
 func (a Array) Count() int { return (a.Last-a.First)/a.Step + 1 }
 
-// Index is the index of the job's task with a number from 0.
-func (a Array) Index(task int) int { return a.First + task*a.Step }
-
 // String writes the range as -J takes it.
 func (a Array) String() string {
 	if a.Step == 1 {
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -104,6 +104,9 @@
 	Script []byte `json:"script"`
 }
 
+// Index is the index of an array's task with a number from 0.
+func (b *Batch) Index(task int) int { return b.First + task*b.Step }
+
 // MaxScript bounds a batch script, in bytes.
 const MaxScript = 48 << 10
 
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -50,7 +50,11 @@
 		reply(w, http.StatusServiceUnavailable, err)
 		return
 	}
-	reply(w, http.StatusOK, l)
+	// Users ask for it too, and no line of an answer to them may exceed 64 KiB.
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	e.Encode(l)
 }
 
 func (f front) metrics(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
--- a/internal/transport/users.go
+++ b/internal/transport/users.go
@@ -171,15 +171,6 @@
 	return jobs, nil
 }
 
-// Script asks for a job's script.
-func (u *Users) Script(ctx context.Context, id string) (string, error) {
-	status, raw, err := u.try(ctx, http.MethodGet, "/v1/jobs/"+id+"/script", http.Header{}, nil)
-	if err == nil && status != http.StatusOK {
-		err = refusal(status, raw)
-	}
-	return string(raw), err
-}
-
 func (u *Users) ask(ctx context.Context, method, path string, into any) error {
 	status, raw, err := u.try(ctx, method, path, http.Header{}, nil)
 	switch {
