--- /dev/null
+++ b/regress.sh
@@ -0,0 +1,101 @@
+#!/usr/bin/env bash
+# The regression runs on the users' bench; CONTRIBUTING.md tells which before what.
+#
+#   ./regress.sh quick [WHY]    the two roughest days of each of the four sites
+#   ./regress.sh fleet [WHY]    the same, and of the two fleet sites
+#   ./regress.sh full  [WHY]    all six in full, and a hunt on each
+#   ./regress.sh compare FILE   what a run printed earlier, compared again
+#   ./regress.sh keep FILE      makes the figures in FILE the ones to compare with
+#
+# Exit status: 0 nothing fell, 1 a rule broke, a day failed or a figure fell by more
+# than 0.03 against docs/regression.txt, 2 it could not be run.
+set -uo pipefail
+cd "$(dirname "$0")"
+given=../given/kit
+bench=$given/more/fleet/bin/fleetbench
+kept=docs/regression.txt
+four=("$given/more/korvanel-ops-ops.toml" "$given/more/lanyu-hosted-ops.toml"
+  "$given/change/korvanel-ops-next.toml" "$given/change/lanyu-hosted-next.toml")
+fleet=("$given/more/fleet/korvanel-ops-fleet.toml" "$given/more/fleet/lanyu-hosted-fleet.toml")
+
+usage() { sed -n '2,11s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+
+# figures FILE: "site mode figure" for each site scored in what a run printed. A
+# quick score says so itself, in the words behind its figure.
+figures() {
+  awk '/^score on .* of [^ ]+/ {
+    mode = /two roughest|quick/ ? "quick" : "full"
+    for (i = 1; i < NF; i++) if ($i == "of" && site == "") site = $(i + 1)
+    for (i = NF; i > 0; i--) if ($i ~ /^[01]\.[0-9]+$/) { print site, mode, $i; break }
+    site = ""
+  }' "$1"
+}
+
+# compare FILE: every figure against the kept one, and all that failed outright.
+compare() {
+  local status=0 found=0 site mode now before
+  while read -r site mode now; do
+    found=1
+    before=$(awk -v s="$site" -v m="$mode" '$1 == s && $2 == m { print $3 }' "$kept")
+    if [ -z "$before" ]; then
+      printf '%-24s %-6s %s  (none kept yet)\n' "$site" "$mode" "$now"
+    elif awk -v a="$before" -v b="$now" 'BEGIN { exit !(a - b > 0.0300001) }'; then
+      printf '%-24s %-6s %s  FELL from %s\n' "$site" "$mode" "$now" "$before"
+      status=1
+    else
+      printf '%-24s %-6s %s  (kept %s)\n' "$site" "$mode" "$now" "$before"
+    fi
+  done < <(figures "$1")
+  if [ "$found" = 0 ]; then
+    echo "no figure was printed: nothing was scored" >&2
+    status=1
+  fi
+  # The bench names broken rules, and counts a day that failed as 0.00; "0 with a
+  # rule broken" is a hunt's all-clear.
+  if grep -nE 'BROKEN|[1-9][0-9]* with a rule broken|missed (rules|node_restarts)|^[^ ].* [0-9]+ +0\.00 +[0-9]+/[0-9]+' "$1"; then
+    echo "a rule broke or a day failed: see above" >&2
+    status=1
+  fi
+  return $status
+}
+
+keep() {
+  local new site mode now
+  new=$(figures "$1")
+  [ -n "$new" ] || { echo "no figure in $1" >&2; exit 2; }
+  {
+    grep '^#' "$kept"
+    { echo "$new"; grep -v '^#' "$kept"; } | awk '!seen[$1, $2]++' | sort
+  } >"$kept.new" && mv "$kept.new" "$kept"
+}
+
+why=${2:-}
+case "${1:-}" in
+  quick | fleet | full) ;;
+  compare | keep)
+    [ -r "$why" ] || usage
+    "$1" "$why"
+    exit
+    ;;
+  *) usage ;;
+esac
+if [ ! -x "$bench" ]; then
+  echo "the users' bench is not here ($bench): nothing was run" >&2
+  exit 2
+fi
+sites=("${four[@]}")
+[ "$1" = quick ] || sites+=("${fleet[@]}")
+why=${why:-regression run, $1}
+out=$(mktemp -t regress.XXXXXX)
+failed=0
+if [ "$1" = full ]; then
+  "$bench" score "${sites[@]}" --why "$why" | tee "$out" || failed=1
+  for site in "${sites[@]}"; do
+    "$bench" hunt "$site" --days 8 --why "$why" | tee -a "$out" || failed=1
+  done
+else
+  "$bench" score "${sites[@]}" --quick --why "$why" | tee "$out" || failed=1
+fi
+echo "== compared with $kept (printed: $out)"
+compare "$out" || failed=1
+exit $failed
