--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -238,7 +238,9 @@
 		if !w.doubted.IsZero() {
 			h.judge(w)
 		}
-		if quiet := now.Sub(w.lastHeard) > h.silentAfter() && now.Sub(w.slot.adopted) > h.silentAfter(); quiet != w.silent {
+		// While this controller answers nobody, nobody is silent: after an outage of the
+		// state service, a small fleet's machines were given back as lost, with their results.
+		if quiet := min(now.Sub(w.lastHeard), now.Sub(w.slot.adopted), now.Sub(h.invalid)) > h.silentAfter(); quiet != w.silent {
 			w.silent = quiet
 			h.touch(w)
 		}
--- a/internal/coordination/scripts_test.go
+++ b/internal/coordination/scripts_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"daledyke/internal/history"
 	"daledyke/internal/pbs"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
@@ -20,7 +21,7 @@
 	for _, n := range w.names {
 		doors = append(doors, "front-"+n+":1")
 	}
-	return transport.NewUsers(w.net.dialer("user"), doors).SubmitScript(w.t.Context(), key, options, script)
+	return transport.NewUsers(w.net.Dialer("user"), doors).SubmitScript(w.t.Context(), key, options, script)
 }
 
 // know has workers know what a script's job is.
@@ -34,9 +35,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.mu.Lock()
-	w.specs[id], w.runs[id] = &j.Spec, 10*time.Second
-	w.mu.Unlock()
+	w.upload(&j.Spec, 10*time.Second, false)
 	return id
 }
 
@@ -70,7 +69,7 @@
 		if err := w.expect(id, []string{"starts", "3"}); err != nil {
 			t.Error(err)
 		}
-		users := transport.NewUsers(w.net.dialer("user"), []string{"front-c2:1"})
+		users := transport.NewUsers(w.net.Dialer("user"), []string{"front-c2:1"})
 		if status, got := w.raw(http.MethodGet, "front-c2/v1/jobs/"+id+"/script", "", nil); status != 200 || got != script {
 			t.Errorf("the script is %q, answer %d", got, status)
 		}
@@ -101,9 +100,6 @@
 		if v, err := users.View(t.Context(), id); err != nil || v.Name != "frames" || v.Queue != "work" {
 			t.Errorf("%+v, %v", v, err)
 		}
-		for _, e := range w.rules.errors {
-			t.Error(e)
-		}
 	})
 }
 
@@ -119,15 +115,9 @@
 		if _, err := w.qsub("held", "", script); err != nil {
 			t.Fatal(err)
 		}
-		users := transport.NewUsers(w.net.dialer("user"), []string{"front-c1:1", "front-c2:1"})
+		users := transport.NewUsers(w.net.Dialer("user"), []string{"front-c1:1", "front-c2:1"})
 		started := func() (n int) {
-			w.rules.mu.Lock()
-			defer w.rules.mu.Unlock()
-			for task, starts := range w.rules.starts {
-				if strings.HasPrefix(task, id+"/") {
-					n += starts
-				}
-			}
+			w.em.Rules(func(r *history.Checker) { n = r.Starts(id) })
 			return n
 		}
 		time.Sleep(20 * time.Second)
@@ -163,9 +153,6 @@
 		if err := w.expect(id, []string{"done"}); err != nil || started() != 4 {
 			t.Errorf("%v, %d starts", err, started())
 		}
-		for _, e := range w.rules.errors {
-			t.Error(e)
-		}
 	})
 }
 
@@ -216,7 +203,7 @@
 		if _, err := w.qsub("later", options, script); err != nil {
 			t.Fatal(err)
 		}
-		users := transport.NewUsers(w.net.dialer("user"), []string{"front-c1:1"})
+		users := transport.NewUsers(w.net.Dialer("user"), []string{"front-c1:1"})
 		time.Sleep(100 * time.Second)
 		if v, err := users.View(t.Context(), id); err != nil || v.Reason != protocol.ReasonTime || v.StartsInS == nil || *v.StartsInS < 15 || *v.StartsInS > 25 {
 			t.Errorf("%+v, %v", v, err)
@@ -241,7 +228,7 @@
 // raw makes one request and gives its status and body.
 func (w *world) raw(method, at, body string, header http.Header) (int, string) {
 	host, path, _ := strings.Cut(at, "/")
-	client := &http.Client{Transport: &http.Transport{DialContext: w.net.dialer("user"), DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: w.net.Dialer("user"), DisableKeepAlives: true}}
 	req, err := http.NewRequest(method, "http://"+host+":1/"+path, strings.NewReader(body))
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,6 +18,9 @@
 	"testing/synctest"
 	"time"
 
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/emulator"
+	"daledyke/internal/history"
 	"daledyke/internal/protocol"
 	"daledyke/internal/quota"
 	"daledyke/internal/transport"
@@ -94,11 +98,6 @@
 			t.Errorf("line %d: %s: %v", number, lines.Text(), err)
 		}
 	}
-	w.rules.mu.Lock()
-	defer w.rules.mu.Unlock()
-	for _, e := range w.rules.errors {
-		t.Error(e)
-	}
 }
 
 // storm has many users ask every controller at once: all must be answered in
@@ -107,9 +106,7 @@
 func (w *world) storm(path, users, reads string) error {
 	n, err1 := strconv.Atoi(users)
 	most, err2 := strconv.Atoi(reads)
-	w.state.mu.Lock()
-	before := w.state.requests
-	w.state.mu.Unlock()
+	before := w.em.State.Counts().Requests
 	answers := make(chan error)
 	for _, name := range w.names {
 		for range n {
@@ -126,9 +123,7 @@
 	for range n * len(w.names) {
 		failed = errors.Join(failed, <-answers)
 	}
-	w.state.mu.Lock()
-	defer w.state.mu.Unlock()
-	if took := w.state.requests - before; took > most {
+	if took := w.em.State.Counts().Requests - before; took > most {
 		failed = errors.Join(failed, fmt.Errorf("%d requests to the state service", took))
 	}
 	return errors.Join(failed, err1, err2)
@@ -147,9 +142,7 @@
 func (w *world) meanwhile(verb string, args []string) {
 	go func() {
 		if err := w.step(verb, args); err != nil {
-			w.rules.mu.Lock()
-			w.rules.broken("%s: %v", verb, err)
-			w.rules.mu.Unlock()
+			w.t.Errorf("%s %v: %v", verb, args, err)
 		}
 	}()
 }
@@ -167,14 +160,12 @@
 			return err
 		}
 		c.Set = append(c.Set, a)
-		w.rules.mu.Lock()
-		delete(w.rules.limits, a.Name) // until limit-holds says so
-		w.rules.mu.Unlock()
+		w.em.Rules(func(r *history.Checker) { r.LimitAccount(a.Name, -1) }) // until limit-holds says so
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	var out quota.Outcome
-	err = transport.NewPeer(ctx, w.net.dialer("operator"), "inner-"+controller+":1").Call(ctx, 10*time.Second, "Quota.Change", c, &out)
+	err = transport.NewPeer(ctx, w.net.Dialer("operator"), "inner-"+controller+":1").Call(ctx, 10*time.Second, "Quota.Change", c, &out)
 	if out.Refused != "" {
 		err = errors.New(out.Refused)
 	}
@@ -227,15 +218,12 @@
 		}
 		return err
 	case "cancel":
+		w.em.Note(history.Event{Kind: history.CancelAsked, Job: args[0]})
 		status, st := w.ask(http.MethodPost, "/v1/jobs/"+args[0]+"/cancel", []byte("{}"))
+		w.told(history.CancelTold, args[0], status, st.Status)
 		if status != 200 {
 			return fmt.Errorf("answer %d", status)
 		}
-		if st.Status == protocol.Cancelled {
-			w.rules.mu.Lock()
-			w.rules.cancelled[args[0]] = time.Now()
-			w.rules.mu.Unlock()
-		}
 	case "expect":
 		return w.expect(args[0], args[1:])
 	case "answer": // answer STATUS METHOD PATH BODY
@@ -257,15 +245,11 @@
 		}
 	case "lags": // lags CONTROLLER TIME: it hears of changes so much later
 		lag, err := time.ParseDuration(args[1])
-		w.state.mu.Lock()
-		w.state.lags[args[0]] = lag
-		w.state.mu.Unlock()
+		w.em.State.Lag(args[0], lag)
 		return err
 	case "uses": // uses ACCOUNT N: its tasks use N CPUs
-		w.rules.mu.Lock()
-		use := w.rules.uses(args[0])
-		w.rules.mu.Unlock()
-		if n, err := strconv.ParseFloat(args[1], 64); err != nil || use != n {
+		use := w.uses(args[0])
+		if n, err := strconv.ParseFloat(args[1], 64); err != nil || math.Abs(use-n) > 1e-6 {
 			return fmt.Errorf("uses %v", use)
 		}
 	case "quota-set": // quota-set CONTROLLER REVISION ACCOUNT GUARANTEE LIMIT ...: operators change accounts, by the revision
@@ -276,10 +260,8 @@
 		}
 	case "limit-holds": // limit-holds ACCOUNT N: from now on the account may not use more than that
 		n, err := strconv.ParseFloat(args[1], 64)
-		w.rules.mu.Lock()
-		defer w.rules.mu.Unlock()
-		w.rules.limits[args[0]] = n
-		if use := w.rules.uses(args[0]); use > n {
+		w.em.Rules(func(r *history.Checker) { r.LimitAccount(args[0], n) })
+		if use := w.uses(args[0]); use > n+1e-6 {
 			return fmt.Errorf("uses %v", use)
 		}
 		return err
@@ -295,18 +277,14 @@
 			return fmt.Errorf("%d slots are incomplete, %v", n, err)
 		}
 	case "limits": // limits VALUE_KB TXN_OPS WRITE_RPS: the state service has these from now on
-		var l stateLimits
-		_, err := fmt.Sscan(strings.Join(args, " "), &l.valueKB, &l.txnOps, &l.writeRPS)
-		w.state.mu.Lock()
-		w.state.limit(l)
-		w.state.mu.Unlock()
+		var l emulator.Limits
+		_, err := fmt.Sscan(strings.Join(args, " "), &l.ValueKB, &l.TxnOps, &l.WriteRPS)
+		w.em.State.Limit(l)
 		return err
 	case "malformed": // malformed N: no more requests than that were called malformed
 		n, err := strconv.Atoi(args[0])
-		w.state.mu.Lock()
-		defer w.state.mu.Unlock()
-		if w.state.malformed > n {
-			return fmt.Errorf("%d requests were malformed", w.state.malformed)
+		if was := w.em.State.Counts().Malformed; was > n {
+			return fmt.Errorf("%d requests were malformed", was)
 		}
 		return err
 	case "crash":
@@ -318,37 +296,29 @@
 			w.start(n)
 		}
 	case "state-outage":
-		w.state.outage(onOff(args))
+		w.em.State.Outage(onOff(args))
 	case "state-refuses":
-		w.state.mu.Lock()
-		w.state.refuses[args[0]] = onOff(args)
-		w.state.mu.Unlock()
+		w.em.State.Refuse(args[0], onOff(args))
 	case "older-records": // as a version left them that kept no rosters
-		return w.state.olderRecords()
+		return w.olderRecords()
 	case "older": // older CONTROLLER: its session is of the version before chains
-		return w.state.rewrite("m/"+args[0], "gen")
+		return w.rewrite("m/"+args[0], "gen")
 	case "rewritten": // jobs that are over, as the version before chains writes them
-		return w.state.rewrite("z/", "end", "with")
+		return w.rewrite("z/", "end", "with")
 	case "archived": // archived JOB STATE: its record stands with those long over
-		return w.state.archive(args[0], args[1])
+		return w.archive(args[0], args[1])
 	case "cloud-outage":
-		w.cloud.mu.Lock()
-		w.cloud.down = onOff(args)
-		w.cloud.mu.Unlock()
+		w.em.CloudOutage(onOff(args))
 	case "capacity":
 		n, err := strconv.Atoi(args[0])
-		w.cloud.mu.Lock()
-		w.cloud.capacity = n
-		w.cloud.mu.Unlock()
+		w.em.Capacity(n)
 		return err
 	case "cut": // cut CONTROLLER from workers|siblings|all, or cut off
 		w.cut(args)
 	case "rented": // rented N: no more machines than that so far
 		n, err := strconv.Atoi(args[0])
-		w.cloud.mu.Lock()
-		defer w.cloud.mu.Unlock()
-		if w.cloud.next > n {
-			return fmt.Errorf("%d machines were rented", w.cloud.next)
+		if made := w.em.Made(); made > n {
+			return fmt.Errorf("%d machines were rented", made)
 		}
 		return err
 	case "machine": // machine TASK hangs|resumes|dies|sickens|leaves
@@ -361,11 +331,11 @@
 
 func (w *world) cut(args []string) {
 	if args[0] == "off" {
-		w.net.sever(func(string, string) bool { return false })
+		w.net.Sever(func(string, string) bool { return false })
 		return
 	}
 	name, what := args[0], args[2]
-	w.net.sever(func(from, to string) bool {
+	w.net.Sever(func(from, to string) bool {
 		mine := from == name || strings.HasSuffix(to, "-"+name+":1")
 		other := to
 		if from != name {
@@ -386,15 +356,13 @@
 	s := &protocol.JobSpec{ID: args[0], Class: "batch", Team: "free", Shape: map[string]protocol.Shape{"array": protocol.Array,
 		"gang": protocol.Gang, "service": protocol.Service}[args[1]], Priority: "normal", Tasks: tasks, Cores: 4, Accels: 1, RAM: 16,
 		Image: "img", ImageGB: 3, EstimateS: 30}
-	run := 30 * time.Second
+	run, mistake := 30*time.Second, false
 	for _, a := range args[3:] {
 		key, value, _ := strings.Cut(a, "=")
 		number, _ := strconv.ParseFloat(strings.TrimSuffix(value, "s"), 64)
 		switch key {
 		case "mistake": // fails on every machine
-			w.mu.Lock()
-			w.wrong[s.ID] = true
-			w.mu.Unlock()
+			mistake = true
 		case "run":
 			run = protocol.Seconds(number)
 			s.EstimateS = number
@@ -438,10 +406,10 @@
 			return fmt.Errorf("unknown property %s", key)
 		}
 	}
-	w.mu.Lock()
-	w.specs[s.ID], w.runs[s.ID] = s, run
-	w.mu.Unlock()
-	if status, _ := w.ask(http.MethodPost, "/v1/jobs", s); status != 201 && status != 200 {
+	w.upload(s, run, mistake)
+	status, st := w.ask(http.MethodPost, "/v1/jobs", s)
+	w.told(history.Answered, s.ID, status, st.Status)
+	if status != 201 && status != 200 {
 		return fmt.Errorf("answer %d", status)
 	}
 	return nil
@@ -451,20 +419,13 @@
 // expect JOB starts N: no more than N starts of its tasks so far, or
 // expect JOB machines N: its tasks are on N machines.
 func (w *world) expect(job string, what []string) error {
-	w.rules.mu.Lock()
-	starts := 0
-	machines := map[string]bool{}
-	for task, n := range w.rules.starts {
-		if strings.HasPrefix(task, job+"/") {
-			starts += n
-		}
-	}
-	for task, at := range w.rules.at {
-		if strings.HasPrefix(task, job+"/") {
-			machines[at.machine] = true
+	starts, machines := 0, map[string]bool{}
+	w.em.Rules(func(r *history.Checker) {
+		starts = r.Starts(job)
+		for _, m := range r.Machines(job) {
+			machines[m] = true
 		}
-	}
-	w.rules.mu.Unlock()
+	})
 	switch what[0] {
 	case "starts":
 		if n, err := strconv.Atoi(what[1]); err != nil || starts > n || starts == 0 {
@@ -480,6 +441,9 @@
 	for _, n := range w.names {
 		status, raw, err := w.call("user", http.MethodGet, "front-"+n+"/v1/jobs/"+job, nil, 5*time.Second)
 		got := string(raw)
+		var st protocol.JobStatus
+		json.Unmarshal(raw, &st)
+		w.told(history.Polled, job, status, st.Status)
 		if what[0] == "unknown" && status == 404 || err == nil && strings.Contains(got, `"status":"`+what[0]+`"`) {
 			continue
 		}
@@ -490,44 +454,74 @@
 
 // strike does something to the machine that a task is on.
 func (w *world) strike(task, how string) error {
-	w.rules.mu.Lock()
-	id := w.rules.at[task].machine
-	if how == "resumes" {
-		id = w.rules.struck[task]
+	job, index, _ := protocol.SplitTask(task)
+	id := ""
+	w.em.Rules(func(r *history.Checker) { id = r.Machines(job)[index] })
+	if how == string(emulator.Resumes) {
+		w.em.Strike(w.struck[task], emulator.Resumes) // it may have been returned meanwhile
+		return nil
 	}
-	w.rules.struck[task] = id
-	w.rules.mu.Unlock()
-	w.cloud.mu.Lock()
-	m := w.cloud.machines[id]
-	w.cloud.mu.Unlock()
-	if m == nil {
-		if how == "resumes" {
-			return nil // it was returned meanwhile
-		}
-		return fmt.Errorf("%s is on no machine", task)
+	w.struck[task] = id
+	return w.em.Strike(id, emulator.Trouble(how))
+}
+
+// upload has the workers know a job; a service runs until it is stopped.
+func (w *world) upload(s *protocol.JobSpec, run time.Duration, mistake bool) {
+	if s.Shape == protocol.Service {
+		run = 0
 	}
-	if how == "dies" {
-		m.destroy()
-		return nil
+	w.em.Upload(s, func(int) time.Duration { return run }, mistake)
+}
+
+// uses is how many CPUs an account's tasks use.
+func (w *world) uses(account string) (cpus float64) {
+	w.em.Rules(func(r *history.Checker) { cpus = r.Uses(account).Cores })
+	return cpus
+}
+
+// olderRecords takes out of the slots' records what only this version writes.
+func (w *world) olderRecords() error {
+	return w.em.State.Edit(bookkeeping.Root+"s/", func(key string, value json.RawMessage, lease uint64) ([]protocol.Change, error) {
+		var rec bookkeeping.Slot
+		err := json.Unmarshal(value, &rec)
+		rec.Roster, rec.Listed = nil, false
+		return []protocol.Change{{Set: key, Value: rec, Lease: lease}}, err
+	})
+}
+
+// rewrite changes the values of all keys with a prefix, as the version before chains
+// leaves them: it drops what it doesn't know.
+func (w *world) rewrite(prefix string, drop ...string) error {
+	return w.em.State.Edit(bookkeeping.Root+prefix, func(key string, value json.RawMessage, lease uint64) ([]protocol.Change, error) {
+		var rec map[string]any
+		err := json.Unmarshal(value, &rec)
+		for _, field := range drop {
+			delete(rec, field)
+		}
+		return []protocol.Change{{Set: key, Value: rec, Lease: lease}}, err
+	})
+}
+
+// archive puts a job's record where those of jobs long over stand, in a state.
+func (w *world) archive(id, state string) error {
+	if state == protocol.Cancelled { // as if by its user
+		w.em.Note(history.Event{Kind: history.CancelAsked, Job: id})
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch how {
-	case "hangs", "resumes":
-		m.hung = how == "hangs"
-	case "sickens":
-		m.faulty = true
-		for _, t := range m.tasks {
-			m.exit(t, "error")
-		}
-		m.say()
-	case "leaves":
-		notice := 20.0
-		m.notice = &notice
-		m.say()
-		time.AfterFunc(20*time.Second, m.destroy)
-	default:
-		return fmt.Errorf("machines don't do that: %s", how)
+	to := bookkeeping.Root + "z/" + id
+	for _, from := range []string{bookkeeping.Root + "j/" + id, to} {
+		err := w.em.State.Edit(from, func(key string, value json.RawMessage, _ uint64) ([]protocol.Change, error) {
+			var rec map[string]any
+			err := json.Unmarshal(value, &rec)
+			rec["state"] = state
+			changes := []protocol.Change{{Set: to, Value: rec}}
+			if key != to {
+				changes = append(changes, protocol.Change{Drop: key})
+			}
+			return changes, err
+		})
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -2,78 +2,75 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"daledyke/internal/config"
+	"daledyke/internal/emulator"
+	"daledyke/internal/history"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
 
-// world is a whole deployment in memory.
+// world is a whole deployment in memory: the controllers among what the emulator plays.
 type world struct {
-	t     *testing.T
-	net   *memNet
-	state *stateService
-	cloud *cloud
-	rules *rules
-	names []string
-	types []protocol.MachineType
-	lease time.Duration
-	dir   string
-	nodes map[string]context.CancelFunc
-	mu    sync.Mutex
-	specs map[string]*protocol.JobSpec
-	runs  map[string]time.Duration
-	wrong map[string]bool // jobs submitted with a mistake
-	since time.Time
-	stops []func()
+	t      *testing.T
+	net    *emulator.Pipes
+	em     *emulator.World
+	names  []string
+	dir    string
+	nodes  map[string]context.CancelFunc
+	struck map[string]string // machines that something happened to, by the task named then
+	since  time.Time
+	cancel context.CancelFunc
 	// coming are the limits that the settings announce, as TOML.
 	coming string
 	// accounts are the operators' quotas, as S-expressions.
 	accounts string
 }
 
+// stateLimits are those of the settings below.
+var stateLimits = emulator.Limits{ValueKB: 8, WriteRPS: 100, TxnOps: 12}
+
 func newWorld(t *testing.T, controllers int, coming, accounts string) *world {
-	w := &world{t: t, net: newMemNet(), state: newStateService(), lease: 20 * time.Second,
-		dir: t.TempDir(), nodes: map[string]context.CancelFunc{}, specs: map[string]*protocol.JobSpec{}, runs: map[string]time.Duration{}, wrong: map[string]bool{}, since: time.Now(), coming: coming, accounts: accounts,
-		types: []protocol.MachineType{
-			{Name: "small", Cores: 8, Accels: 2, RAM: 64, CacheGB: 50, FetchRate: 1, Price: 2, SpotPrice: 0.5, BootS: 10, Zones: []string{"a", "b"}},
-			{Name: "large", Cores: 32, Accels: 8, RAM: 256, CacheGB: 50, FetchRate: 1, Price: 9, SpotPrice: 2, BootS: 20, Zones: []string{"a", "b"}}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{t: t, net: emulator.NewPipes(ctx), dir: t.TempDir(), nodes: map[string]context.CancelFunc{}, struck: map[string]string{},
+		since: time.Now(), cancel: cancel, coming: coming, accounts: accounts}
+	fronts := map[string]string{}
 	for n := range controllers {
 		w.names = append(w.names, fmt.Sprintf("c%d", n))
+		fronts[w.names[n]] = "front-" + w.names[n] + ":1"
 	}
-	w.rules = &rules{w: w, at: map[string]place{}, starts: map[string]int{}, cancelled: map[string]time.Time{}, done: map[string]bool{}, struck: map[string]string{}, limits: map[string]float64{}}
-	w.cloud = &cloud{w: w, machines: map[string]*worker1{}, booked: map[string][]string{}, capacity: 30}
-	w.stops = append(w.stops, w.net.serve("cloud:1", w.cloud))
-	for _, n := range w.names {
-		// Each controller reaches the state service under a name of its own,
-		// so that one of them alone can be refused.
-		h := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			r.Header.Set("From", n)
-			w.state.ServeHTTP(rw, r)
-		})
-		w.stops = append(w.stops, w.net.serve("state:"+portOf(n), h))
+	var err error
+	w.em, err = emulator.New(ctx, w.net, emulator.Setup{Controllers: w.names, Capacity: 30, State: stateLimits,
+		Teams:       []config.Team{{Name: "free"}, {Name: "bound", CoresMax: 8}},
+		ReportEvery: 3 * time.Second, Lease: 20 * time.Second, GangWait: 30 * time.Second, GangPeer: 5 * time.Second, CancelWithin: 40 * time.Second,
+		Types: []protocol.MachineType{
+			{Name: "small", Cores: 8, Accels: 2, RAM: 64, CacheGB: 50, FetchRate: 1, Price: 2, SpotPrice: 0.5, BootS: 10, Zones: []string{"a", "b"}},
+			{Name: "large", Cores: 32, Accels: 8, RAM: 256, CacheGB: 50, FetchRate: 1, Price: 9, SpotPrice: 2, BootS: 20, Zones: []string{"a", "b"}}}})
+	if err == nil {
+		_, _, err = w.em.Serve()
+	}
+	if err != nil {
+		t.Fatal(err)
 	}
+	w.em.State.Pages(40) // small pages, so that paging is tested too
+	w.em.Fronts(fronts)
 	for _, n := range w.names {
 		w.start(n)
 	}
 	return w
 }
 
-func portOf(name string) string { return "1" + name[1:] }
-
 const settingsText = `host_name = "%s"
 zone = "a"
 front = "front-%s:1"
@@ -81,7 +78,7 @@
 %s
 [services]
 cloud = "cloud:1"
-state = "state:%s"
+state = "state-%s:1"
 [deployment]
 size = 3
 zones = ["a", "b"]
@@ -131,7 +128,7 @@
 		}
 	}
 	file := filepath.Join(w.dir, name+".toml")
-	if err := os.WriteFile(file, []byte(fmt.Sprintf(settingsText, name, name, name, siblings, portOf(name), w.coming)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(fmt.Sprintf(settingsText, name, name, name, siblings, name, w.coming)), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
 	operators := ""
@@ -145,13 +142,13 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	for _, a := range c.Quotas.Accounts() {
-		w.rules.mu.Lock()
-		if _, known := w.rules.limits[a.Name]; !known && a.Limit.Cores > 0 {
-			w.rules.limits[a.Name] = a.Limit.Cores
+	w.em.Rules(func(r *history.Checker) {
+		for _, a := range c.Quotas.Accounts() {
+			if _, known := r.Limit(a.Name); !known && a.Limit.Cores > 0 {
+				r.LimitAccount(a.Name, a.Limit.Cores)
+			}
 		}
-		w.rules.mu.Unlock()
-	}
+	})
 	return c
 }
 
@@ -159,8 +156,12 @@
 func (w *world) start(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := w.settings(name)
-	k := NewController(ctx, c, w.net.dialer(name))
-	front, inner := w.net.listen("front-"+name+":1"), w.net.listen("inner-"+name+":1")
+	k := NewController(ctx, c, w.net.Dialer(name))
+	front, err1 := w.net.Listen("front-" + name)
+	inner, err2 := w.net.Listen("inner-" + name)
+	if err := errors.Join(err1, err2); err != nil {
+		w.t.Fatal(err)
+	}
 	go transport.ServeFront(front, k, 100)
 	go transport.ServeRPC(inner, k.Receivers())
 	go k.Run(ctx)
@@ -168,64 +169,31 @@
 		front.Close()
 		inner.Close()
 		cancel()
-		w.net.mu.Lock()
-		var open []net.Conn
-		for c := range w.net.conns {
-			if c.from == name || strings.HasSuffix(c.to, "-"+name+":1") {
-				open = append(open, c)
-			}
-		}
-		w.net.mu.Unlock()
-		for _, c := range open {
-			c.Close()
-		}
+		w.net.Break(func(from, to string) bool { return from == name || strings.HasSuffix(to, "-"+name+":1") })
 	}
 }
 
 func (w *world) crash(name string) { w.nodes[name]() }
 
+// end ends the world; the rules must have held in it.
 func (w *world) end() {
+	w.em.Rules(func(r *history.Checker) {
+		for _, v := range r.Violations() {
+			w.t.Error(v)
+		}
+	})
 	for _, stop := range w.nodes {
 		stop()
 	}
-	for _, stop := range w.stops {
-		stop()
-	}
-	w.cloud.mu.Lock()
-	for _, m := range w.cloud.machines {
-		m.destroy()
-	}
-	w.cloud.mu.Unlock()
-	w.net.sever(func(string, string) bool { return true })
+	w.em.End()
+	w.net.Sever(func(string, string) bool { return true })
+	w.cancel()
 	time.Sleep(30 * time.Second) // all goroutines notice and end
 }
 
-func (w *world) machineType(name string) protocol.MachineType {
-	for _, t := range w.types {
-		if t.Name == name {
-			return t
-		}
-	}
-	w.t.Fatalf("no machine type %s", name)
-	return protocol.MachineType{}
-}
-
-func (w *world) spec(job string) *protocol.JobSpec {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.specs[job]
-}
-
-func (w *world) runTime(s *protocol.JobSpec) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.runs[s.ID]
-}
-
-func (w *world) mistaken(s *protocol.JobSpec) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.wrong[s.ID]
+// told notes what a user was told, for the rules.
+func (w *world) told(kind history.Kind, job string, status int, answer string) {
+	w.em.Note(history.Event{Kind: kind, Job: job, Code: status, Status: answer})
 }
 
 // call makes one request over the in-memory network.
@@ -241,7 +209,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	c := http.Client{Transport: &http.Transport{DialContext: w.net.dialer(from), DisableKeepAlives: true}}
+	c := http.Client{Transport: &http.Transport{DialContext: w.net.Dialer(from), DisableKeepAlives: true}}
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil, err
@@ -265,104 +233,3 @@
 	}
 	return 0, protocol.JobStatus{}
 }
-
-// ---- the rules, checked at every start
-
-type place struct{ machine, zone string }
-
-type rules struct {
-	mu        sync.Mutex
-	w         *world
-	at        map[string]place
-	starts    map[string]int
-	cancelled map[string]time.Time
-	done      map[string]bool // tasks that were completed
-	errors    []string
-	struck    map[string]string
-	limits    map[string]float64 // of accounts, in CPUs
-}
-
-func (r *rules) broken(format string, args ...any) {
-	r.errors = append(r.errors, fmt.Sprintf("%v: ", time.Since(r.w.since).Round(time.Millisecond))+fmt.Sprintf(format, args...))
-}
-
-func (r *rules) started(task string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.starts[task]++
-	job, _, _ := protocol.SplitTask(task)
-	if at, ok := r.cancelled[job]; ok && time.Since(at) > 40*time.Second {
-		r.broken("ran_cancelled: %s started", task)
-	}
-	for _, id := range r.w.spec(job).Needs {
-		for index := range r.w.spec(id).Tasks {
-			if !r.done[protocol.TaskName(id, index)] {
-				r.broken("too_early: %s started before %s/%d was completed", task, id, index)
-			}
-		}
-	}
-}
-
-func (r *rules) completed(task string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.done[task] = true
-}
-
-// on notes that a task is on a machine from now.
-func (r *rules) on(task, machine string, kind *protocol.RentRequest) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if other, ok := r.at[task]; ok && other.machine != machine {
-		r.broken("ran_twice: %s runs on %s and starts on %s", task, other.machine, machine)
-	}
-	r.at[task] = place{machine, kind.Zone}
-	job, _, _ := protocol.SplitTask(task)
-	spec := r.w.spec(job)
-	if !spec.Allows(kind.Type, kind.Zone, kind.Spot) {
-		r.broken("wrong_place: %s on %+v", task, *kind)
-	}
-	zones := map[string]int{}
-	use := protocol.Room{}
-	for name, at := range r.at {
-		j, _, _ := protocol.SplitTask(name)
-		s := r.w.spec(j)
-		if s.Team == "bound" {
-			use = use.Add(s.Need())
-		}
-		if j == job {
-			zones[at.zone]++
-		}
-	}
-	for account, limit := range r.limits {
-		if use := r.uses(account); use > limit+1e-6 {
-			r.broken("nested quota: %v CPUs of %v in use in %s", use, limit, account)
-		}
-	}
-	if use.Cores > 8 {
-		r.broken("quota: %v cores in use", use.Cores)
-	}
-	if spec.OneZone && len(zones) > 1 || zones[kind.Zone] > spec.ZoneShare() {
-		r.broken("wrong_place: %s spread as %v", task, zones)
-	}
-}
-
-// uses is how many CPUs an account's tasks use.
-func (r *rules) uses(account string) (cpus float64) {
-	for name := range r.at {
-		job, _, _ := protocol.SplitTask(name)
-		s := r.w.spec(job)
-		if a := cmp.Or(s.Account, s.Team); a == account || strings.HasPrefix(a, account+"/") {
-			cpus += s.Cores
-		}
-	}
-	return cpus
-}
-
-func (r *rules) off(task, machine string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.at[task].machine == machine {
-		delete(r.at, task)
-	}
-}
--- /dev/null
+++ b/internal/emulator/cloud.go
@@ -0,0 +1,229 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"daledyke/internal/history"
+	"daledyke/internal/protocol"
+)
+
+// leastCharge is what a machine that is deleted costs at least.
+const leastCharge = time.Minute
+
+// listedDead is for how long a machine that died stays listed as running.
+const listedDead = 30 * time.Second
+
+// mostListed bounds a page of the machine list.
+const mostListed = 500
+
+// cloudHandler serves the cloud's interface.
+func (w *World) cloudHandler() http.Handler {
+	r := httprouter.New()
+	r.GET("/catalog", w.cloudDoor(func(*http.Request) (int, any) {
+		c := protocol.Catalog{Types: slices.Clone(w.set.Types)}
+		for i := range c.Types {
+			c.Types[i].SpotPrice *= w.prices[c.Types[i].Name]
+		}
+		return http.StatusOK, c
+	}))
+	r.GET("/rentals", w.cloudDoor(func(r *http.Request) (int, any) {
+		q := r.URL.Query()
+		most, err := strconv.Atoi(q.Get("limit"))
+		if err != nil || most <= 0 {
+			most = mostListed
+		}
+		return http.StatusOK, w.list(q.Get("from"), min(most, mostListed))
+	}))
+	r.POST("/rentals", func(rw http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		var q protocol.RentRequest
+		err := read(r, &q)
+		w.cloudDoor(func(*http.Request) (int, any) {
+			if err != nil {
+				return http.StatusBadRequest, problem(err.Error())
+			}
+			return w.rent(q)
+		})(rw, r, p)
+	})
+	r.POST("/rentals/return", func(rw http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		var q protocol.MachineNames
+		err := read(r, &q)
+		w.cloudDoor(func(*http.Request) (int, any) {
+			if err != nil || len(q.Machines) > protocol.MaxReturn {
+				return http.StatusBadRequest, problem("malformed")
+			}
+			for _, id := range q.Machines {
+				if m := w.machines[id]; m != nil {
+					m.vanish("returned")
+				}
+			}
+			return http.StatusOK, struct{}{}
+		})(rw, r, p)
+	})
+	return r
+}
+
+// cloudDoor has f answer on the loop, within the cloud's rate and out of outages.
+func (w *World) cloudDoor(f func(*http.Request) (int, any)) httprouter.Handle {
+	return func(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		status, body := http.StatusServiceUnavailable, any(problem("trouble"))
+		w.loop.do(func() {
+			switch {
+			case w.down:
+			case !w.bucket.Allow():
+				status, body = http.StatusTooManyRequests, nil
+			default:
+				status, body = f(r)
+			}
+		})
+		answer(rw, status, body)
+	}
+}
+
+// rent carries a rental out; one that was carried out before is only answered again.
+func (w *World) rent(q protocol.RentRequest) (int, any) {
+	t := w.types[q.Type]
+	if q.Booking == "" || t == nil || !slices.Contains(t.Zones, q.Zone) || q.Count < 1 || q.Count > protocol.MaxRent {
+		return http.StatusBadRequest, problem("malformed")
+	}
+	if ids, done := w.booked[q.Booking]; done {
+		return http.StatusOK, protocol.MachineNames{Machines: ids}
+	}
+	var ids []string
+	for range min(q.Count, w.capacity-w.live) {
+		ids = append(ids, w.newMachine(q, t).id)
+	}
+	if ids == nil {
+		return http.StatusServiceUnavailable, problem("no capacity")
+	}
+	w.booked[q.Booking] = ids
+	return http.StatusOK, protocol.MachineNames{Machines: ids}
+}
+
+// newMachine rents a machine, which boots.
+func (w *World) newMachine(q protocol.RentRequest, t *protocol.MachineType) *machine {
+	id := fmt.Sprintf("host-%06d", w.made)
+	v := w.set.Variation
+	m := &machine{w: w, id: id, kind: q, typ: t, born: time.Now(), session: 1, tasks: map[string]*task{}, speed: 1, fetchSpeed: 1,
+		node: w.made % max(1, len(w.nodes())), poke: make(chan struct{}, 1), resumed: make(chan struct{})}
+	close(m.resumed)
+	w.made++
+	boot := t.BootS * w.boots
+	if v.Boots {
+		boot *= w.spread(0.6, 1.5)
+		if w.rng.Float64() < 0.03 {
+			boot *= w.spread(2, 5)
+		}
+	}
+	if v.Speeds {
+		m.speed, m.fetchSpeed = w.spread(0.9, 1), w.spread(0.67, 1.33)
+	}
+	m.listed = m.born.Add(w.lag())
+	w.machines[id] = m
+	w.order = append(w.order, m)
+	w.charge(m, 1)
+	w.note(history.Event{Kind: history.Rented, Machine: id, Type: q.Type, Zone: q.Zone, Spot: q.Spot})
+	if !v.Boots || w.rng.Float64() >= v.NeverUp {
+		w.loop.after(protocol.Seconds(boot), m.comeUp)
+	}
+	return m
+}
+
+// lag is by how much the list is late with one piece of news.
+func (w *World) lag() time.Duration {
+	lag := w.set.Variation.ListLag
+	if lag > 0 && w.rng.Float64() < 0.1 {
+		lag = time.Duration(float64(lag) * w.spread(1, 2))
+	}
+	return lag
+}
+
+// price is what a machine costs an hour now.
+func (w *World) price(m *machine) float64 {
+	if m.kind.Spot {
+		return m.typ.SpotPrice * w.prices[m.typ.Name]
+	}
+	return m.typ.Price
+}
+
+// pay adds up what the machines cost until now.
+func (w *World) pay() {
+	now := time.Now()
+	w.money += w.minutely * now.Sub(w.paidTo).Hours()
+	w.paidTo = now
+}
+
+// charge begins (1) or ends (-1) what a machine costs.
+func (w *World) charge(m *machine, sign int) {
+	w.pay()
+	m.charged = sign > 0
+	w.live += sign
+	w.minutely += float64(sign) * w.price(m)
+	if sign < 0 {
+		w.money += w.price(m) * max(0, leastCharge-time.Since(m.born)).Hours()
+	}
+	if w.live == 0 {
+		w.minutely = 0 // of roundings
+	}
+}
+
+// movePrices moves the spot prices, and again later.
+func (w *World) movePrices() {
+	w.pay()
+	for i := range w.set.Types {
+		name := w.set.Types[i].Name
+		w.prices[name] = math.Max(0.67, math.Min(1.33, w.prices[name]*w.spread(0.93, 1.07)))
+	}
+	w.minutely = 0
+	for _, m := range w.order {
+		if m.charged {
+			w.minutely += w.price(m)
+		}
+	}
+	w.loop.after(30*time.Second, w.movePrices)
+}
+
+// list is a page of the machine list, as late as it is.
+func (w *World) list(from string, most int) protocol.MachineList {
+	l := protocol.MachineList{Machines: []protocol.Machine{}}
+	now := time.Now()
+	w.forget(now)
+	at, found := slices.BinarySearchFunc(w.order, from, func(m *machine, id string) int { return strings.Compare(m.id, id) })
+	if found {
+		at++
+	}
+	for _, m := range w.order[at:] {
+		if now.Before(m.listed) || m.unlisted != nil && !now.Before(*m.unlisted) {
+			continue
+		}
+		if len(l.Machines) == most {
+			l.More = true
+			break
+		}
+		status := "starting"
+		switch {
+		case m.failed != nil && now.After(m.failed.Add(listedDead)):
+			status = "failed"
+		case m.up && !now.Before(m.upAt.Add(w.set.Variation.ListLag)):
+			status = "running"
+		}
+		l.Machines = append(l.Machines, protocol.Machine{ID: m.id, Addr: m.addr, Type: m.kind.Type, Zone: m.kind.Zone, Spot: m.kind.Spot,
+			Status: status, AgeS: max(0, now.Sub(m.born)-w.set.Variation.ListLag).Seconds()})
+	}
+	return l
+}
+
+// forget drops machines that are gone and not listed any more, when there are many.
+func (w *World) forget(now time.Time) {
+	if len(w.order) < 2*len(w.machines)+100 {
+		return
+	}
+	w.order = slices.DeleteFunc(w.order, func(m *machine) bool { return m.unlisted != nil && !now.Before(*m.unlisted) })
+}
--- /dev/null
+++ b/internal/emulator/loop.go
@@ -0,0 +1,104 @@
+package emulator
+
+import (
+	"container/heap"
+	"context"
+	"time"
+)
+
+// loop is an actor with timers: one goroutine runs, one after the other, what it is
+// told and what falls due. All state of the world belongs to one loop, that of the
+// state service to another.
+type loop struct {
+	inbox chan func()
+	ctx   context.Context
+	due   timers
+	seq   uint64
+	began time.Time
+}
+
+// timer is something that the loop does later, unless it is stopped.
+type timer struct {
+	at  time.Time
+	seq uint64 // equal times come in their order
+	f   func() // nil once it was stopped
+}
+
+type timers []*timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, k int) bool {
+	return t[i].at.Before(t[k].at) || t[i].at.Equal(t[k].at) && t[i].seq < t[k].seq
+}
+func (t timers) Swap(i, k int) { t[i], t[k] = t[k], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(*timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	return x
+}
+
+func newLoop(ctx context.Context) *loop {
+	l := &loop{inbox: make(chan func(), 256), ctx: ctx, began: time.Now()}
+	go l.run()
+	return l
+}
+
+func (l *loop) run() {
+	clock := time.NewTimer(time.Hour)
+	defer clock.Stop()
+	for {
+		for len(l.due) > 0 && !time.Now().Before(l.due[0].at) {
+			if t := heap.Pop(&l.due).(*timer); t.f != nil {
+				t.f()
+			}
+		}
+		if len(l.due) > 0 {
+			clock.Reset(time.Until(l.due[0].at))
+		}
+		select {
+		case f := <-l.inbox:
+			f()
+		case <-clock.C:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// do runs f on the loop and waits for it; false once the loop has ended, in which case
+// f may not have run. It must not be called on the loop.
+func (l *loop) do(f func()) bool {
+	done := make(chan struct{})
+	select {
+	case l.inbox <- func() { f(); close(done) }:
+	case <-l.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// after has f run so much later. It may be called on the loop alone.
+func (l *loop) after(d time.Duration, f func()) *timer {
+	l.seq++
+	t := &timer{at: time.Now().Add(d), seq: l.seq, f: f}
+	heap.Push(&l.due, t)
+	return t
+}
+
+// stop keeps a timer from running; it may be nil. On the loop alone.
+func (t *timer) stop() {
+	if t != nil {
+		t.f = nil
+	}
+}
+
+// since is the time from the loop's beginning.
+func (l *loop) since() time.Duration { return time.Since(l.began) }
--- /dev/null
+++ b/internal/emulator/network.go
@@ -0,0 +1,191 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"daledyke/internal/transport"
+)
+
+// Network is what the parts of a world speak over.
+type Network interface {
+	// Listen opens the place of a name, such as front-c0; its address is that of the
+	// listener.
+	Listen(name string) (net.Listener, error)
+	// Dialer is how the named host opens connections.
+	Dialer(from string) transport.Dialer
+}
+
+// Loopback is TCP on this machine: names get ports that are free.
+type Loopback struct{}
+
+// Listen opens a free port.
+func (Loopback) Listen(string) (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
+// Dialer dials TCP.
+func (Loopback) Dialer(string) transport.Dialer { return transport.NetDialer() }
+
+// Pipes is a network in memory, for virtual time: NAME listens at NAME:1, and
+// connections between hosts can be cut. It is an actor; use NewPipes.
+type Pipes struct {
+	told      chan func()
+	ctx       context.Context
+	listeners map[string]*pipeListener
+	conns     map[*pipeConn]bool
+	cut       func(from, to string) bool
+}
+
+// silence is how long a connection that is cut stays silent before its attempt ends.
+const silence = 2 * time.Second
+
+var errRefused = errors.New("connection refused")
+
+// NewPipes makes a network without listeners, which lives as long as ctx.
+func NewPipes(ctx context.Context) *Pipes {
+	n := &Pipes{told: make(chan func()), ctx: ctx, listeners: map[string]*pipeListener{}, conns: map[*pipeConn]bool{},
+		cut: func(string, string) bool { return false }}
+	go func() {
+		for {
+			select {
+			case f := <-n.told:
+				f()
+			case <-ctx.Done():
+				for _, l := range n.listeners {
+					l.end()
+				}
+				for c := range n.conns {
+					c.Conn.Close()
+				}
+				return
+			}
+		}
+	}()
+	return n
+}
+
+// do runs f on the network's goroutine and waits for it; not once the network has ended.
+// It is called under locks of net/http, so that it must not wait for time to pass: in
+// virtual time none does while somebody waits for a lock.
+func (n *Pipes) do(f func()) {
+	done := make(chan struct{})
+	select {
+	case n.told <- func() { f(); close(done) }:
+		<-done
+	case <-n.ctx.Done():
+	}
+}
+
+type pipeAddr string
+
+func (a pipeAddr) Network() string { return "tcp" }
+func (a pipeAddr) String() string  { return string(a) }
+
+type pipeListener struct {
+	net    *Pipes
+	at     string
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+type pipeConn struct {
+	net.Conn
+	from, to string
+	net      *Pipes
+}
+
+// Close takes the connection off the network's list.
+func (c *pipeConn) Close() error {
+	err := c.Conn.Close()
+	c.net.do(func() { delete(c.net.conns, c) })
+	return err
+}
+
+// Listen opens NAME:1.
+func (n *Pipes) Listen(name string) (net.Listener, error) {
+	l := &pipeListener{net: n, at: name + ":1", conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.do(func() { n.listeners[l.at] = l })
+	return l, nil
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// end closes the listener, on the network's goroutine.
+func (l *pipeListener) end() {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	if l.net.listeners[l.at] == l {
+		delete(l.net.listeners, l.at)
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.net.do(l.end)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddr(l.at) }
+
+// Dialer opens pipes; an attempt that is cut stays silent.
+func (n *Pipes) Dialer(from string) transport.Dialer {
+	return func(ctx context.Context, _, to string) (net.Conn, error) {
+		var l *pipeListener
+		cut := false
+		n.do(func() { l, cut = n.listeners[to], n.cut(from, to) })
+		if cut {
+			select {
+			case <-ctx.Done():
+			case <-time.After(silence):
+			}
+			return nil, errors.New("timed out")
+		}
+		if l == nil {
+			return nil, errRefused
+		}
+		a, b := net.Pipe()
+		c := &pipeConn{a, from, to, n}
+		select {
+		case l.conns <- b:
+		case <-l.closed:
+			return nil, errRefused
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		n.do(func() { n.conns[c] = true })
+		return c, nil
+	}
+}
+
+// Sever sets which connections are cut, by the host that opens them and the address,
+// and breaks those that are open.
+func (n *Pipes) Sever(cut func(from, to string) bool) {
+	n.Break(cut)
+	n.do(func() { n.cut = cut })
+	n.Break(cut) // those that were just being opened
+}
+
+// Break ends the open connections that are chosen.
+func (n *Pipes) Break(which func(from, to string) bool) {
+	var broken []*pipeConn
+	n.do(func() {
+		for c := range n.conns {
+			if which(c.from, c.to) {
+				broken = append(broken, c)
+			}
+		}
+	})
+	for _, c := range broken {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/emulator/task.go
@@ -0,0 +1,215 @@
+package emulator
+
+import (
+	"time"
+
+	"daledyke/internal/history"
+	"daledyke/internal/protocol"
+)
+
+// The causes of an exit that only the world gives.
+const (
+	causeHalted     = "halted"
+	causePeers      = "peers"
+	causeIncomplete = "incomplete"
+	causeNoRoom     = "no_room"
+	causeInUse      = "in_use"
+	causeUnknown    = "unknown"
+)
+
+// work is a job as the workers know it: its description and what is kept of its
+// progress outside the machines.
+type work struct {
+	w       *World
+	spec    *protocol.JobSpec
+	run     func(task int) time.Duration // on a machine of nominal speed; 0: for ever
+	mistake bool
+	tasks   map[int]*progress
+	gangs   map[uint64]*gang // by attempt
+	saved   time.Duration    // of a gang
+}
+
+// progress is what is kept of a task.
+type progress struct {
+	saved time.Duration
+	done  bool
+}
+
+func (k *work) progress(index int) *progress {
+	p := k.tasks[index]
+	if p == nil {
+		p = &progress{}
+		k.tasks[index] = p
+	}
+	return p
+}
+
+// checkpoint is the last checkpoint at or before some progress.
+func (k *work) checkpoint(made time.Duration) time.Duration {
+	every := protocol.Seconds(k.spec.CheckpointS)
+	if every <= 0 {
+		return 0
+	}
+	return made / every * every
+}
+
+// task is a task on a machine.
+type task struct {
+	protocol.TaskReport
+	m     *machine
+	work  *work
+	index int
+	gang  *gang // of a gang's task, once it has its image
+	on    bool  // it is on the machine, as the rules count
+	holds bool  // it takes room
+	since time.Time
+	base  time.Duration // progress at since
+	timer *timer
+}
+
+// start carries a command to start out, or refuses it; t is the task with another
+// attempt that is here, if any.
+func (m *machine) start(c protocol.Command, t *task) {
+	if t != nil && t.State != protocol.TaskExited {
+		m.w.note(history.Event{Kind: history.Told, Task: c.Task, Machine: m.id, Attempt: c.Attempt, Cause: causeInUse})
+		return // the report goes on telling of the attempt that is here
+	}
+	id, index, _ := protocol.SplitTask(c.Task)
+	k := m.w.works[id]
+	t = &task{TaskReport: protocol.TaskReport{Task: c.Task, Attempt: c.Attempt, State: protocol.TaskPulling}, m: m, work: k, index: index}
+	m.tasks[c.Task] = t
+	if k == nil || index >= k.spec.Tasks {
+		t.State, t.Cause = protocol.TaskExited, causeUnknown
+		return
+	}
+	m.w.note(history.Event{Kind: history.Told, Task: c.Task, Machine: m.id, Attempt: c.Attempt})
+	if !m.free.Fits(k.spec.Need()) {
+		t.State, t.Cause = protocol.TaskExited, causeNoRoom
+		return
+	}
+	m.free = m.free.Sub(k.spec.Need())
+	m.w.used = m.w.used.Add(k.spec.Need())
+	t.holds = true
+	if m.has(k.spec.Image) {
+		t.begin()
+		return
+	}
+	for _, f := range m.fetches {
+		if f.name == k.spec.Image {
+			return
+		}
+	}
+	m.fetchOn() // those under way had the rate until now
+	m.fetches = append(m.fetches, &fetch{image{k.spec.Image, k.spec.ImageGB}, k.spec.ImageGB})
+	m.fetchOn()
+}
+
+// begin begins a task that has its image.
+func (t *task) begin() {
+	t.on = true
+	t.m.w.running++
+	t.m.w.note(history.Event{Kind: history.On, Task: t.Task, Machine: t.m.id, Attempt: t.Attempt, Type: t.m.kind.Type, Zone: t.m.kind.Zone, Spot: t.m.kind.Spot})
+	switch p := t.work.progress(t.index); {
+	case t.m.faulty || t.work.mistake:
+		t.State = protocol.TaskRunning
+		t.leave(protocol.CauseError)
+	case p.done:
+		t.State = protocol.TaskRunning
+		t.leave(protocol.CauseDone)
+	case t.work.spec.Shape == protocol.Gang:
+		t.State = protocol.TaskWaiting
+		t.work.join(t)
+	default:
+		t.State, t.base = protocol.TaskRunning, p.saved
+		t.goOn()
+	}
+}
+
+// goOn has a task of no gang run on from its base; of a gang, all go on together.
+func (t *task) goOn() {
+	if t.gang != nil || t.State != protocol.TaskRunning || t.m.hung {
+		return
+	}
+	t.since = time.Now()
+	if whole := t.work.run(t.index); whole > 0 {
+		left := time.Duration(float64(whole-t.base) / t.m.speed)
+		t.timer = t.m.w.loop.after(left, func() { t.leave(protocol.CauseDone) })
+	}
+}
+
+// pause holds a task's progress where it is; that of a gang is lost by it.
+func (t *task) pause() {
+	if t.gang != nil {
+		t.gang.lost(t, false)
+		return
+	}
+	if t.State == protocol.TaskRunning && !t.since.IsZero() {
+		t.base, t.since = t.made(), time.Time{}
+	}
+	t.timer.stop()
+}
+
+// made is a running task's progress.
+func (t *task) made() time.Duration {
+	if t.since.IsZero() {
+		return t.base
+	}
+	return t.base + time.Duration(float64(time.Since(t.since))*t.m.speed)
+}
+
+// halt has a task end, saving first if there is time for it.
+func (t *task) halt(grace *float64) {
+	saves := t.work != nil && t.work.spec.Saves() && grace != nil && *grace >= t.work.spec.SaveS
+	switch {
+	case t.State == protocol.TaskExited:
+	case t.gang != nil && t.State != protocol.TaskWaiting:
+		t.gang.halt(t, saves, grace)
+	case t.State == protocol.TaskRunning && saves:
+		t.base, t.since = t.made(), time.Time{}
+		t.timer.stop()
+		t.State = protocol.TaskFlushing
+		t.timer = t.m.w.loop.after(protocol.Seconds(t.work.spec.SaveS), func() {
+			t.work.progress(t.index).saved = t.base
+			t.Saved = true
+			t.leave(causeHalted)
+		})
+	case t.State == protocol.TaskFlushing && (grace == nil || *grace > 0):
+	default:
+		t.leave(causeHalted)
+	}
+}
+
+// leave ends a task on its machine, for a cause. Of a gang, the others notice.
+func (t *task) leave(cause string) {
+	if t.State == protocol.TaskExited {
+		return
+	}
+	t.timer.stop()
+	fetched := t.State == protocol.TaskPulling
+	if k := t.work; t.gang == nil && t.State == protocol.TaskRunning && cause != protocol.CauseDone && k.spec.Saves() {
+		p := k.progress(t.index)
+		p.saved = max(p.saved, k.checkpoint(t.made()))
+	}
+	t.State, t.Cause = protocol.TaskExited, cause
+	if cause == protocol.CauseDone {
+		t.work.progress(t.index).done = true
+	}
+	if t.holds {
+		t.holds = false
+		t.m.free = t.m.free.Add(t.work.spec.Need())
+		t.m.w.used = t.m.w.used.Sub(t.work.spec.Need())
+	}
+	if t.on {
+		t.on = false
+		t.m.w.running--
+		t.m.w.note(history.Event{Kind: history.Off, Task: t.Task, Machine: t.m.id, Cause: cause})
+	}
+	if g := t.gang; g != nil {
+		t.gang = nil
+		g.lost(t, true)
+	}
+	if fetched {
+		t.m.fetchOn()
+	}
+	t.m.say()
+}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,329 @@
+// Package emulator plays the world around daledyke by its published protocol: the
+// state service, the cloud, the machines with their workers, and the load balancer that
+// users come through. It runs over any network, in memory under virtual time as well as
+// on loopback, and can be told to fail in all the ways that the protocol names. What
+// happens is noted as events, over which the rules are checked at once.
+package emulator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"daledyke/internal/config"
+	"daledyke/internal/history"
+	"daledyke/internal/protocol"
+)
+
+// Variation is how far the world strays from its nominal values, as the protocol lets
+// it. The zero value strays nowhere.
+type Variation struct {
+	// Boots: boot times are 0.6 to 1.5 times the nominal, some several times as long;
+	// NeverUp is the share of machines that never come up.
+	Boots   bool
+	NeverUp float64
+	// Speeds: machines are up to a tenth slower and fetch up to a third off their rate.
+	Speeds bool
+	// Reports come up to a quarter early or late.
+	Reports bool
+	// Prices of spot machines move by up to a third.
+	Prices bool
+	// ListLag is by how much the machine list is late; at times it is up to twice that.
+	ListLag time.Duration
+}
+
+// Setup is what a world is made of.
+type Setup struct {
+	// Controllers are the names of the controllers, in the order workers know them.
+	Controllers []string
+	Types       []protocol.MachineType
+	// Teams' limits bound what their tasks may use.
+	Teams []config.Team
+	// Capacity is how many machines there are at once.
+	Capacity int
+	// CloudRPS bounds the cloud's requests a second, 0 not at all.
+	CloudRPS float64
+	State    Limits
+	// StateDir keeps the state service's state, "" in memory.
+	StateDir string
+	// The workers' times, as the settings have them.
+	ReportEvery, Lease, GangWait, GangPeer, CancelWithin time.Duration
+	Variation                                            Variation
+	Seed                                                 uint64
+	// Record is given every event, in its order, on the world's goroutine; it may be nil.
+	Record func(history.Event)
+}
+
+// World is all that is around the controllers. Its loop owns all but the state service.
+type World struct {
+	State *State
+	loop  *loop
+	net   Network
+	set   Setup
+	rng   *rand.Rand
+	types map[string]*protocol.MachineType
+	rules *history.Checker
+	works map[string]*work
+	// The cloud.
+	machines map[string]*machine
+	order    []*machine // by name, gone ones among them while they are listed
+	booked   map[string][]string
+	made     int // machines so far
+	live     int // machines that are charged
+	capacity int
+	down     bool
+	bucket   *rate.Limiter
+	prices   map[string]float64 // factors of spot prices, by type
+	money    float64            // spent on machines that are gone
+	minutely float64            // on those that are charged, an hour
+	paidTo   time.Time
+	boots    float64 // factor on boot times
+	// Room in use and there.
+	used, whole protocol.Room
+	running     int
+	// fronts are the addresses of the controllers' doors, by name.
+	fronts map[string]string
+	stops  []func()
+}
+
+// New makes a world on a network, which lives as long as ctx. Its services listen as
+// cloud and state-CONTROLLER.
+func New(ctx context.Context, n Network, set Setup) (*World, error) {
+	w := &World{net: n, set: set, rng: rand.New(rand.NewPCG(set.Seed, 0x1dea)), types: map[string]*protocol.MachineType{}, works: map[string]*work{},
+		machines: map[string]*machine{}, booked: map[string][]string{}, capacity: set.Capacity, prices: map[string]float64{}, paidTo: time.Now(), boots: 1,
+		fronts: map[string]string{}, bucket: rate.NewLimiter(rate.Inf, 0)}
+	if set.CloudRPS > 0 {
+		w.bucket = rate.NewLimiter(rate.Limit(set.CloudRPS), max(1, int(2*set.CloudRPS)))
+	}
+	limits := map[string]protocol.Room{}
+	for _, t := range set.Teams {
+		limits[t.Name] = protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}
+	}
+	w.rules = history.NewChecker(history.Deployment{Limits: limits, CancelWithin: set.CancelWithin})
+	for i := range set.Types {
+		w.types[set.Types[i].Name] = &set.Types[i]
+		w.prices[set.Types[i].Name] = 1
+	}
+	var err error
+	if w.State, err = NewState(ctx, set.State, set.StateDir); err != nil {
+		return nil, err
+	}
+	w.loop = newLoop(ctx)
+	if set.Variation.Prices {
+		w.loop.do(w.movePrices)
+	}
+	return w, nil
+}
+
+// Serve opens the cloud's and the state service's doors, and gives their addresses: the
+// state service's by controller.
+func (w *World) Serve() (cloud string, state map[string]string, err error) {
+	if cloud, err = w.serve("cloud", w.cloudHandler()); err != nil {
+		return "", nil, err
+	}
+	state = map[string]string{}
+	for _, name := range w.set.Controllers {
+		if state[name], err = w.serve("state-"+name, w.State.Handler(name)); err != nil {
+			return "", nil, err
+		}
+	}
+	return cloud, state, nil
+}
+
+func (w *World) serve(name string, h http.Handler) (addr string, err error) {
+	l, err := w.net.Listen(name)
+	if err != nil {
+		return "", fmt.Errorf("%s: %w", name, err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	go srv.Serve(l)
+	stop := func() { srv.Close() }
+	if !w.loop.do(func() { w.stops = append(w.stops, stop) }) {
+		stop()
+	}
+	return l.Addr().String(), nil
+}
+
+// Fronts tells the workers where the controllers' doors are.
+func (w *World) Fronts(addrs map[string]string) { w.loop.do(func() { maps.Copy(w.fronts, addrs) }) }
+
+// End takes all machines away and closes all doors.
+func (w *World) End() {
+	var stops []func()
+	w.loop.do(func() {
+		for _, m := range w.order {
+			m.vanish("the world ends")
+		}
+		stops = w.stops
+	})
+	for _, stop := range stops {
+		stop()
+	}
+}
+
+// Note notes what happened outside of the world, such as what a user was told.
+func (w *World) Note(e history.Event) { w.loop.do(func() { w.note(e) }) }
+
+func (w *World) note(e history.Event) {
+	e.At = w.loop.since()
+	w.rules.Note(e)
+	if w.set.Record != nil {
+		w.set.Record(e)
+	}
+}
+
+// Rules has f look at what the rules know, or change limits of accounts.
+func (w *World) Rules(f func(*history.Checker)) { w.loop.do(func() { f(w.rules) }) }
+
+// Since is the time from the world's beginning.
+func (w *World) Since() time.Duration { return w.loop.since() }
+
+// Sample is the state of the world now; it is noted, too.
+func (w *World) Sample() (s history.Sample) {
+	state := w.State.Counts()
+	w.loop.do(func() {
+		w.pay()
+		s = history.Sample{Running: w.running, Waiting: w.rules.Waiting(), Machines: w.live, CoresUsed: w.used.Cores, Cores: w.whole.Cores,
+			StateRequests: state.Requests, StateChanges: state.Changes, Money: w.money}
+		w.note(history.Event{Kind: history.Sampled, Sample: &s})
+	})
+	return s
+}
+
+// Upload tells the world of a job's image: how long its tasks run on a machine of
+// nominal speed, and whether it was submitted with a mistake.
+func (w *World) Upload(spec *protocol.JobSpec, run func(task int) time.Duration, mistake bool) {
+	w.loop.do(func() {
+		if w.works[spec.ID] == nil {
+			w.works[spec.ID] = &work{w: w, spec: spec, run: run, mistake: mistake, tasks: map[int]*progress{}, gangs: map[uint64]*gang{}}
+			w.note(history.Event{Kind: history.Submitted, Job: spec.ID, Spec: spec})
+		}
+	})
+}
+
+// Capacity sets how many machines there can be at once.
+func (w *World) Capacity(n int) { w.loop.do(func() { w.capacity = n }) }
+
+// Boots sets a factor on the boot times of machines rented from now on; 0 has them up
+// at once.
+func (w *World) Boots(factor float64) { w.loop.do(func() { w.boots = factor }) }
+
+// CloudOutage takes the cloud away, or gives it back.
+func (w *World) CloudOutage(down bool) { w.loop.do(func() { w.down = down }) }
+
+// Made is how many machines were rented so far.
+func (w *World) Made() (n int) {
+	w.loop.do(func() { n = w.made })
+	return n
+}
+
+// Trouble is what can happen to a machine.
+type Trouble string
+
+// The troubles of machines.
+const (
+	Hangs   Trouble = "hangs"   // it does nothing, until it resumes
+	Resumes Trouble = "resumes" // it goes on, if its lease still lives
+	Dies    Trouble = "dies"    // it stops on its own
+	Sickens Trouble = "sickens" // all tasks on it fail
+	Slows   Trouble = "slows"   // it runs at a quarter of its speed
+	Leaves  Trouble = "leaves"  // the cloud takes it after a notice of 20 s
+	Taken   Trouble = "taken"   // the cloud takes it without a notice
+)
+
+// notice is how long a spot notice is.
+const notice = 20 * time.Second
+
+// Strike has something happen to a machine; it is an error if there is none.
+func (w *World) Strike(id string, t Trouble) (err error) {
+	w.loop.do(func() { err = w.strike(id, t) })
+	return err
+}
+
+// StrikeSome has something happen to so many machines that run, chosen by chance among
+// those that fit; it gives their names.
+func (w *World) StrikeSome(n int, t Trouble, fits func(zone string, spot bool) bool) (ids []string) {
+	w.loop.do(func() {
+		var up []string
+		for _, m := range w.order {
+			if m.up && !m.dead && !m.hung && fits(m.kind.Zone, m.kind.Spot) {
+				up = append(up, m.id)
+			}
+		}
+		w.rng.Shuffle(len(up), func(i, k int) { up[i], up[k] = up[k], up[i] })
+		for _, id := range up[:min(n, len(up))] {
+			if w.strike(id, t) == nil {
+				ids = append(ids, id)
+			}
+		}
+	})
+	return ids
+}
+
+func (w *World) strike(id string, t Trouble) error {
+	m := w.machines[id]
+	if m == nil || m.dead || !m.up {
+		return fmt.Errorf("machine %q is not there", id)
+	}
+	switch t {
+	case Hangs:
+		m.hang()
+	case Resumes:
+		m.resume()
+	case Dies:
+		m.fail()
+	case Sickens:
+		m.faulty = true
+		for _, t := range m.sorted() {
+			t.leave(protocol.CauseError)
+		}
+		m.say()
+	case Slows:
+		m.slowDown(0.25)
+	case Leaves:
+		at := time.Now().Add(notice)
+		m.leaves = &at
+		m.say()
+		w.loop.after(notice, func() { m.vanish("taken") })
+	case Taken:
+		m.vanish("taken")
+	default:
+		return fmt.Errorf("machines don't do that: %s", t)
+	}
+	return nil
+}
+
+// Machines are the names of all machines that run and their zones.
+func (w *World) Machines() map[string]string {
+	zones := map[string]string{}
+	w.loop.do(func() {
+		for id, m := range w.machines {
+			if m.up && !m.dead {
+				zones[id] = m.kind.Zone
+			}
+		}
+	})
+	return zones
+}
+
+// frontsOf lists the controllers that have a door, in their order.
+func (w *World) nodes() []string { return w.set.Controllers }
+
+func (w *World) fetchTime(m *machine, gb float64) time.Duration {
+	return protocol.Seconds(gb / cmp.Or(m.typ.FetchRate, 1))
+}
+
+// spread is a factor that lies between two values, by chance.
+func (w *World) spread(low, high float64) float64 { return low + (high-low)*w.rng.Float64() }
+
+// sorted lists a machine's tasks in the order of their names, so that a world repeats.
+func (m *machine) sorted() []*task {
+	return slices.SortedFunc(maps.Values(m.tasks), func(a, b *task) int { return cmp.Compare(a.Task, b.Task) })
+}
