What teams use is worked out once a round

Cause: for each task to place, and for each job that waits, the owner of a team with a limit went through all tasks of all teams: at 1,500 machines in simulated time that was 42% of the processor of seven controllers, growing with tasks times waiting work.

Change: the sums are made once a round of placing, and starts of the round are added to them. Amounts are multiplied in one place (Room.Scale).

--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -75,7 +75,8 @@
 	classes   map[string]*fleet.Class
 	rng       *rand.Rand
 
-	// usable and scarceNow are worked out once a round.
+	// usable, scarceNow and teams are worked out once a round.
+	teams     *teams
 	usable    []*board.Machine
 	scarceNow map[string]bool
 
@@ -391,7 +392,7 @@
 		return cmp.Or(cmp.Compare(b.job.Rank, a.job.Rank), o.due(a).Compare(o.due(b)),
 			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
-	o.usable, o.scarceNow = nil, o.scarce()
+	o.usable, o.scarceNow, o.teams = nil, o.scarce(), nil
 	o.promise()
 	budget := 64
 	for _, js := range ready {
@@ -450,6 +451,10 @@
 	ps := &pendingStart{attempt: attempt, machine: m.ID, holder: m.Holder, inc: o.peers[m.Holder].incarnation, slot: m.Slot, term: m.Term,
 		need: js.job.Spec.Need()}
 	js.pending[index] = ps
+	if o.teams != nil {
+		team := js.job.Spec.Team
+		o.teams.pending[team] = o.teams.pending[team].Add(ps.need)
+	}
 	js.stale = true
 	o.unclear[js.job.Spec.ID] = js
 	m.Promised = m.Promised.Add(ps.need)
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -75,24 +75,47 @@
 	}, o.types)
 }
 
-// teamUse is what each team's tasks take, as far as the board shows.
-func (o *Owner) teamUse() map[string]protocol.Room {
-	use := map[string]protocol.Room{}
+// teams is what the teams' work takes, worked out once a round: for each task that was
+// placed anew, the owner of a large team went through all tasks of all teams, which was
+// half of its work at 1,500 machines.
+type teams struct {
+	// use is that of tasks on the board, pending that of starts that are under way.
+	use, pending map[string]protocol.Room
+	// strange: the board shows tasks of jobs that are not known, of whatever team.
+	strange bool
+}
+
+// teamsNow is what the teams' work takes, as this round sees it.
+func (o *Owner) teamsNow() *teams {
+	if o.teams != nil {
+		return o.teams
+	}
+	t := &teams{use: map[string]protocol.Room{}, pending: map[string]protocol.Room{}}
 	for job, tasks := range o.board.Tasks {
 		js := o.jobs[job]
 		if js == nil {
+			t.strange = true
 			continue
 		}
 		s := js.job.Spec
+		n := 0.0
 		for _, list := range tasks {
 			for _, i := range list {
 				if !i.Exited() {
-					use[s.Team] = use[s.Team].Add(s.Need())
+					n++
 				}
 			}
 		}
+		t.use[s.Team] = t.use[s.Team].Add(s.Need().Scale(n))
+	}
+	for _, js := range o.active {
+		if n := len(js.pending); n > 0 {
+			s := js.job.Spec
+			t.pending[s.Team] = t.pending[s.Team].Add(s.Need().Scale(float64(n)))
+		}
 	}
-	return use
+	o.teams = t
+	return t
 }
 
 // claim is a job as it is weighed against others, where teams use so much.
@@ -127,22 +150,11 @@
 	if o.bornBy(js.gain) == 0 {
 		return false // not everything that runs is known yet
 	}
-	for job := range o.board.Tasks {
-		if o.jobs[job] == nil {
-			return false // it may be one of the team's
-		}
-	}
-	use := o.teamUse()[t.Name]
-	for _, x := range o.active {
-		if x.job.Spec.Team == t.Name {
-			for range x.pending {
-				use = use.Add(x.job.Spec.Need())
-			}
-		}
-	}
-	for range more {
-		use = use.Add(js.job.Spec.Need())
+	now := o.teamsNow()
+	if now.strange {
+		return false // it may be one of the team's
 	}
+	use := now.use[t.Name].Add(now.pending[t.Name]).Add(js.job.Spec.Need().Scale(float64(more)))
 	return t.Admits(use)
 }
 
@@ -227,7 +239,7 @@
 	}
 	var use map[string]protocol.Room
 	if t := o.cfg.Team(s.Team); t != nil && t.Guarantees(protocol.Room{}) {
-		use = o.teamUse()
+		use = o.teamsNow().use
 	}
 	by := o.claim(js.job, use)
 	if by.Rank < placement.Preempts && !by.Guaranteed || now.Sub(js.known) < 500*time.Millisecond {
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -506,7 +506,7 @@
 		if js := o.jobs[id]; js != nil {
 			if account := o.account(js); account != "" {
 				live, _ := o.placed(id)
-				l.Use(account, scaled(js.job.Spec.Need(), live))
+				l.Use(account, js.job.Spec.Need().Scale(float64(live)))
 			}
 		}
 	}
@@ -521,7 +521,7 @@
 	}
 	need := js.job.Spec.Need()
 	if js.job.Spec.Shape == protocol.Gang {
-		need = scaled(need, js.job.Spec.Tasks)
+		need = need.Scale(float64(js.job.Spec.Tasks))
 	}
 	binds, _ := o.used(now).Admits(&quota.Claim{Account: o.account(js), Need: need, Rank: js.job.Rank})
 	return binds
@@ -634,10 +634,6 @@
 	return v
 }
 
-func scaled(r protocol.Room, n int) protocol.Room {
-	return protocol.Room{Cores: r.Cores * float64(n), Accels: r.Accels * float64(n), RAM: r.RAM * float64(n)}
-}
-
 var errNoQuotas = errors.New("quotas are not switched on: the operators' settings have no (quotas ...)")
 
 // showQuotas is the view for operators.
--- a/internal/protocol/machine.go
+++ b/internal/protocol/machine.go
@@ -20,6 +20,9 @@
 // Sub gives what is left of r without o.
 func (r Room) Sub(o Room) Room { return Room{r.Cores - o.Cores, r.Accels - o.Accels, r.RAM - o.RAM} }
 
+// Scale gives n times the amount.
+func (r Room) Scale(n float64) Room { return Room{r.Cores * n, r.Accels * n, r.RAM * n} }
+
 // Fits tells whether need goes into r.
 func (r Room) Fits(need Room) bool {
 	return need.Cores <= r.Cores+roomSlack && need.Accels <= r.Accels+roomSlack && need.RAM <= r.RAM+roomSlack
--- a/internal/quota/authority.go
+++ b/internal/quota/authority.go
@@ -172,19 +172,13 @@
 		}
 	}
 	if len(there) > 0 {
-		b := booking{j.Account, times(j.Need, len(there))}
+		b := booking{j.Account, j.Need.Scale(float64(len(there)))}
 		a.book(b, 1)
 		a.counted[id] = b
 	}
 }
 
-func (a *Authority) book(b booking, sign float64) { a.ledger.Use(b.account, scale(b.room, sign)) }
-
-func times(r protocol.Room, n int) protocol.Room { return scale(r, float64(n)) }
-
-func scale(r protocol.Room, by float64) protocol.Room {
-	return protocol.Room{Cores: r.Cores * by, Accels: r.Accels * by, RAM: r.RAM * by}
-}
+func (a *Authority) book(b booking, sign float64) { a.ledger.Use(b.account, b.room.Scale(sign)) }
 
 // settle forgets permits that can't have a task any more which the board lacks: the
 // owner no longer holds them, or is none under the present windows, and all
@@ -236,7 +230,7 @@
 		}
 		denied := 0
 		for k := 0; k+each <= len(w.Attempts) && each > 0; k += each {
-			c := &Claim{Account: j.Account, Need: times(j.Need, each), Rank: j.Rank}
+			c := &Claim{Account: j.Account, Need: j.Need.Scale(float64(each)), Rank: j.Rank}
 			if denied == 0 {
 				binds, ok = a.ledger.Admits(c)
 			}
@@ -255,7 +249,7 @@
 			reply.Granted = append(reply.Granted, w.Attempts[k:k+each]...)
 		}
 		if denied > 0 {
-			c := &claim{Claim: Claim{Account: j.Account, Need: times(j.Need, denied), Rank: j.Rank}, since: since, made: now, binds: binds}
+			c := &claim{Claim: Claim{Account: j.Account, Need: j.Need.Scale(float64(denied)), Rank: j.Rank}, since: since, made: now, binds: binds}
 			a.claims[w.Job] = c
 			if c.noted = now.Sub(since)%(keepFor+letBy) < keepFor; c.noted {
 				a.ledger.Wait(&c.Claim)
