--- a/cmd/daledyke/main.go
+++ b/cmd/daledyke/main.go
@@ -68,7 +68,7 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&platform, "config", "", "the platform's settings `FILE` (TOML)")
 	flags.StringVar(&operator, "settings", "", "the operators' own settings `FILE` (an S-expression); optional")
-	root.AddCommand(statusCommand(&platform, &operator), quotaCommand(&platform, &operator), qsubCommand(), qstatCommand(), qdelCommand(), qholdCommand(), qrlsCommand(), qselectCommand(), qalterCommand(), &cobra.Command{
+	root.AddCommand(upCommand(&operator), labCommand(), statusCommand(&platform, &operator), quotaCommand(&platform, &operator), qsubCommand(), qstatCommand(), qdelCommand(), qholdCommand(), qrlsCommand(), qselectCommand(), qalterCommand(), &cobra.Command{
 		Use:   "check --config FILE [--settings FILE]",
 		Short: "Checks the settings and says what a controller would run with",
 		Args:  cobra.NoArgs,
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"daledyke/internal/forms"
 	"fmt"
 	"os"
 	"time"
@@ -52,12 +53,12 @@
 	if err := edn.Unmarshal(raw, &form); err != nil {
 		return fmt.Errorf("not one list of settings: %w", err)
 	}
-	list, ok := items(raw, "daledyke", 1)
+	list, ok := forms.Items(raw, "daledyke", 1)
 	if !ok {
 		return fmt.Errorf("the list must begin with daledyke")
 	}
 	for _, part := range list {
-		item, line := part.raw, part.line
+		item, line := part.Raw, part.Line
 		if q, err := parseQuotas(item, line); q != nil || err != nil {
 			if err == nil && o.quotas != nil {
 				err = fmt.Errorf("line %d: quotas are there twice", q.line)
@@ -83,7 +84,7 @@
 		if err := edn.Unmarshal(item, &pair); err != nil || len(pair) != 2 || edn.Unmarshal(pair[0], &name) != nil {
 			return fmt.Errorf("not a pair of name and number: %s", item)
 		}
-		v, ok := number(pair[1])
+		v, ok := forms.Number(pair[1])
 		if !ok {
 			return fmt.Errorf("%s: not a number: %s", name, pair[1])
 		}
--- a/internal/config/queues.go
+++ b/internal/config/queues.go
@@ -6,6 +6,7 @@
 
 	"olympos.io/encoding/edn"
 
+	"daledyke/internal/forms"
 	"daledyke/internal/pbs"
 	"daledyke/internal/protocol"
 )
@@ -26,14 +27,14 @@
 //
 // which begins at the line given. Nil without an error if it is another form.
 func parseQueues(raw []byte, line int) (*pbsForm, error) {
-	list, ok := items(raw, "pbs", line)
+	list, ok := forms.Items(raw, "pbs", line)
 	if !ok {
 		return nil, nil
 	}
 	f := &pbsForm{line: line}
 	for _, item := range list {
-		at := item.line
-		q, err := parseQueue(item.raw)
+		at := item.Line
+		q, err := parseQueue(item.Raw)
 		if err != nil {
 			return nil, fmt.Errorf("line %d: %w", at, err)
 		}
@@ -51,13 +52,13 @@
 }
 
 func parseQueue(raw []byte) (q pbs.Queue, err error) {
-	var entries []entry
-	if q.Name, entries, err = named(raw, "queue"); err != nil {
+	var entries []forms.Entry
+	if q.Name, entries, err = forms.Named(raw, "queue"); err != nil {
 		return q, err
 	}
 	for _, e := range entries {
-		if err := setQueue(&q, e.name, e.values); err != nil {
-			return q, fmt.Errorf("queue %q: %s: %w", q.Name, e.name, err)
+		if err := setQueue(&q, e.Name, e.Values); err != nil {
+			return q, fmt.Errorf("queue %q: %s: %w", q.Name, e.Name, err)
 		}
 	}
 	return q, nil
@@ -75,7 +76,7 @@
 		return nil
 	}
 	amount := func(v *float64) error {
-		n, ok := number(values[0])
+		n, ok := forms.Number(values[0])
 		if !ok || !(n >= 0) || n > 1e9 {
 			return fmt.Errorf("not an amount: %.60s", values[0])
 		}
--- a/internal/config/quotas.go
+++ b/internal/config/quotas.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"daledyke/internal/forms"
 	"daledyke/internal/protocol"
 	"daledyke/internal/quota"
 )
@@ -26,31 +27,31 @@
 // which begins at the line given: of each resource the guarantee, then the limit, which
 // is none if it is 0 or left out. Nil without an error if it is another form.
 func parseQuotas(raw []byte, line int) (*quotaForm, error) {
-	list, ok := items(raw, "quotas", line)
+	list, ok := forms.Items(raw, "quotas", line)
 	if !ok {
 		return nil, nil
 	}
 	q := &quotaForm{line: line}
 	for _, item := range list {
-		a, err := parseAccount(item.raw)
+		a, err := parseAccount(item.Raw)
 		if err != nil {
-			return nil, fmt.Errorf("line %d: %w", item.line, err)
+			return nil, fmt.Errorf("line %d: %w", item.Line, err)
 		}
-		q.accounts, q.lines = append(q.accounts, a), append(q.lines, item.line)
+		q.accounts, q.lines = append(q.accounts, a), append(q.lines, item.Line)
 	}
 	return q, nil
 }
 
 func parseAccount(raw []byte) (a quota.Account, err error) {
-	var entries []entry
-	if a.Name, entries, err = named(raw, "account"); err != nil {
+	var entries []forms.Entry
+	if a.Name, entries, err = forms.Named(raw, "account"); err != nil {
 		return a, err
 	}
 	for _, e := range entries {
-		what := e.name
+		what := e.Name
 		var amounts []float64
-		for _, n := range e.values {
-			v, ok := number(n)
+		for _, n := range e.Values {
+			v, ok := forms.Number(n)
 			if !ok {
 				return a, fmt.Errorf("account %q: %s: not a number: %.60s", a.Name, what, n)
 			}
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -112,7 +112,7 @@
 	id := fmt.Sprintf("host-%06d", w.made)
 	v := w.set.Variation
 	m := &machine{w: w, id: id, kind: q, typ: t, born: time.Now(), session: 1, tasks: map[string]*task{}, speed: 1, fetchSpeed: 1,
-		node: w.made % max(1, len(w.nodes())), poke: make(chan struct{}, 1), resumed: make(chan struct{})}
+		node: w.made % max(1, len(w.set.Controllers)), poke: make(chan struct{}, 1), resumed: make(chan struct{})}
 	close(m.resumed)
 	w.made++
 	boot := t.BootS * w.boots
--- a/internal/emulator/gang.go
+++ b/internal/emulator/gang.go
@@ -9,9 +9,13 @@
 	"daledyke/internal/protocol"
 )
 
-// gang is one attempt of a gang: its tasks find each other by it.
+// gang is tasks that found each other by their attempt's number. After it failed, tasks
+// that are started under the same number find each other again: the protocol does not
+// say that a number serves once, and an owner that missed the gang's beginning replaces
+// what is gone under the number it had.
 type gang struct {
 	work    *work
+	attempt uint64
 	members map[int]*task
 	running bool
 	broken  bool // a task is gone: the others are about to notice
@@ -28,14 +32,10 @@
 // join has a task that has its image wait for the others of its attempt.
 func (k *work) join(t *task) {
 	g := k.gangs[t.Attempt]
-	if g == nil {
-		g = &gang{work: k, members: map[int]*task{}, halted: map[*task]bool{}, saved: map[*task]bool{}}
+	if g == nil { // tasks that are left of one that failed are not joined
+		g = &gang{work: k, attempt: t.Attempt, members: map[int]*task{}, halted: map[*task]bool{}, saved: map[*task]bool{}}
 		k.gangs[t.Attempt] = g
 	}
-	if g.running || g.broken { // an attempt that began is not joined any more
-		t.timer = k.w.loop.after(k.w.set.GangWait, func() { t.leave(causeIncomplete) })
-		return
-	}
 	t.gang = g
 	g.members[t.index] = t
 	if len(g.members) < k.spec.Tasks {
@@ -66,19 +66,20 @@
 	}
 	left := time.Duration(float64(g.work.run(0)-g.base) / g.speed)
 	g.end = g.work.w.loop.after(left, func() {
+		g.over()
 		for _, t := range g.sorted() {
 			t.gang = nil
 			t.leave(protocol.CauseDone)
 		}
-		delete(g.work.gangs, g.attempt())
 	})
 }
 
-func (g *gang) attempt() uint64 {
-	for _, t := range g.members {
-		return t.Attempt
+// over ends the gang as such: nothing more is lost with its tasks, and none join it.
+func (g *gang) over() {
+	g.broken = true
+	if g.work.gangs[g.attempt] == g {
+		delete(g.work.gangs, g.attempt)
 	}
-	return 0
 }
 
 // progress is what a gang that runs has reached.
@@ -95,7 +96,7 @@
 	if !g.running || g.broken {
 		return
 	}
-	g.broken = true
+	g.over()
 	g.end.stop()
 	reached := g.made
 	if len(g.halted) == 0 {
@@ -152,7 +153,7 @@
 	if g.broken || len(g.halted) == g.work.spec.Tasks {
 		return
 	}
-	g.broken = true
+	g.over()
 	g.work.saved = max(g.work.saved, g.work.checkpoint(g.made))
 	g.disband(causePeers)
 }
@@ -162,7 +163,7 @@
 	if g.broken || len(g.saved) < g.work.spec.Tasks {
 		return
 	}
-	g.broken = true // it is over: nothing is lost any more
+	g.over()
 	g.work.saved = g.made
 	for _, t := range g.sorted() {
 		t.gang = nil
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -240,7 +240,7 @@
 				return
 			}
 			rep = m.snapshot()
-			node = m.w.nodes()[m.node]
+			node = m.w.set.Controllers[m.node]
 			addr = m.w.fronts[node]
 			if m.w.set.Variation.Reports {
 				every = time.Duration(float64(every) * m.w.spread(0.75, 1.25))
@@ -284,7 +284,7 @@
 	}
 	wait = nextNode
 	m.w.loop.do(func() {
-		next := (m.node + 1) % len(m.w.nodes())
+		next := (m.node + 1) % len(m.w.set.Controllers)
 		switch status {
 		case http.StatusOK:
 			var a protocol.ReportAnswer
@@ -302,7 +302,7 @@
 		case http.StatusMisdirectedRequest:
 			var red protocol.Redirect
 			if json.Unmarshal(body, &red) == nil && red.Node != "" && red.Node != node {
-				if at := slices.Index(m.w.nodes(), red.Node); at >= 0 {
+				if at := slices.Index(m.w.set.Controllers, red.Node); at >= 0 {
 					next, wait = at, redirected
 				}
 			}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -300,24 +300,14 @@
 	return nil
 }
 
-// Machines are the names of all machines that run and their zones.
-func (w *World) Machines() map[string]string {
-	zones := map[string]string{}
+// ZoneOf is the zone of a machine, "" if there is none of that name.
+func (w *World) ZoneOf(id string) (zone string) {
 	w.loop.do(func() {
-		for id, m := range w.machines {
-			if m.up && !m.dead {
-				zones[id] = m.kind.Zone
-			}
+		if m := w.machines[id]; m != nil {
+			zone = m.kind.Zone
 		}
 	})
-	return zones
-}
-
-// frontsOf lists the controllers that have a door, in their order.
-func (w *World) nodes() []string { return w.set.Controllers }
-
-func (w *World) fetchTime(m *machine, gb float64) time.Duration {
-	return protocol.Seconds(gb / cmp.Or(m.typ.FetchRate, 1))
+	return zone
 }
 
 // spread is a factor that lies between two values, by chance.
--- a/internal/config/forms.go
+++ b/internal/forms/forms.go
@@ -1,4 +1,6 @@
-package config
+// Package forms reads S-expressions (in EDN, the registry's nearest kin) with the lines for
+// their faults: lists that begin with a symbol, and entries of a name and values.
+package forms
 
 import (
 	"bytes"
@@ -7,17 +9,15 @@
 	"olympos.io/encoding/edn"
 )
 
-// How the operators' S-expressions are read, with the lines for their faults.
-
-// formItem is one item of a list, and the line at which it begins.
-type formItem struct {
-	raw  edn.RawMessage
-	line int
+// Item is one item of a list, and the line at which it begins.
+type Item struct {
+	Raw  edn.RawMessage
+	Line int
 }
 
-// items reads a list that begins with a head, at the line given; ok is false if it is
+// Items reads a list that begins with a head, at the line given; ok is false if it is
 // another one.
-func items(raw []byte, head edn.Symbol, line int) (out []formItem, ok bool) {
+func Items(raw []byte, head edn.Symbol, line int) (out []Item, ok bool) {
 	var form []edn.RawMessage
 	var first edn.Symbol
 	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &first) != nil || first != head {
@@ -28,20 +28,20 @@
 		if at := bytes.Index(raw[from:], item); at >= 0 {
 			from += at // items come in order: their places tell their lines
 		}
-		out = append(out, formItem{item, line + bytes.Count(raw[:from], []byte("\n"))})
+		out = append(out, Item{item, line + bytes.Count(raw[:from], []byte("\n"))})
 		from += len(item)
 	}
 	return out, true
 }
 
-// entry is a name and its values.
-type entry struct {
-	name   string
-	values []edn.RawMessage
+// Entry is a name and its values.
+type Entry struct {
+	Name   string
+	Values []edn.RawMessage
 }
 
-// named reads (KIND "name" (entry value ...) ...), in which no entry is there twice.
-func named(raw []byte, kind edn.Symbol) (name string, entries []entry, err error) {
+// Named reads (KIND "name" (entry value ...) ...), in which no entry is there twice.
+func Named(raw []byte, kind edn.Symbol) (name string, entries []Entry, err error) {
 	var form []edn.RawMessage
 	var head edn.Symbol
 	if edn.Unmarshal(raw, &form) != nil || len(form) < 2 || edn.Unmarshal(form[0], &head) != nil || head != kind ||
@@ -63,13 +63,13 @@
 			return "", nil, fmt.Errorf("%s %q: %s is there twice", kind, name, what)
 		}
 		seen[what] = true
-		entries = append(entries, entry{string(what), of[1:]})
+		entries = append(entries, Entry{string(what), of[1:]})
 	}
 	return name, entries, nil
 }
 
-// number reads a whole or decimal number.
-func number(raw []byte) (v float64, ok bool) {
+// Number reads a whole or decimal number.
+func Number(raw []byte) (v float64, ok bool) {
 	if edn.Unmarshal(raw, &v) == nil {
 		return v, true
 	}
--- a/internal/history/rules.go
+++ b/internal/history/rules.go
@@ -324,8 +324,7 @@
 }
 
 func (c *Checker) charge(s *protocol.JobSpec, sign float64) {
-	n := s.Need()
-	n = protocol.Room{Cores: n.Cores * sign, Accels: n.Accels * sign, RAM: n.RAM * sign}
+	n := s.Need().Scale(sign)
 	for _, a := range accountsOf(s) {
 		c.use[a] = c.use[a].Add(n)
 	}
--- /dev/null
+++ b/internal/lab/experiment.go
@@ -0,0 +1,548 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"olympos.io/encoding/edn"
+
+	"daledyke/internal/config"
+	"daledyke/internal/forms"
+	"daledyke/internal/protocol"
+)
+
+// Experiment is what is tried: a deployment, its load, what fails, and what is compared.
+type Experiment struct {
+	Name string
+	// Real: on loopback in real time, with processes; else in virtual time.
+	Real        bool
+	Controllers int
+	Machines    int
+	Length      time.Duration
+	// Rest is for how long, after Length, no new work comes and nothing more fails.
+	Rest     time.Duration
+	Seeds    []uint64
+	Classes  []Class
+	Faults   []Fault
+	Versions []Version
+	// Vary are the values of a setting that are gone through, one after the other.
+	Vary []Variable
+	// Scale multiplies the numbers of jobs.
+	Scale float64
+}
+
+// Version is a built program that is compared; the first is what the others are compared
+// with. Experiments in virtual time have only this one, with no path.
+type Version struct{ Name, Path string }
+
+// Variable is a setting that varies: controllers, machines, scale, or size, which
+// multiplies both machines and scale.
+type Variable struct {
+	Name   string
+	Values []float64
+}
+
+// Class is a kind of work.
+type Class struct {
+	Name     string
+	Team     string
+	Shape    protocol.Shape
+	Priority protocol.Priority
+	Arrivals Arrivals
+	Tasks    Draw
+	// Run is a task's run time in seconds on a machine of nominal speed.
+	Run Draw
+	// Error is the sigma of the factor by which owners err about run times.
+	Error              float64
+	Cores, Accels, RAM float64
+	Image              string
+	ImageGB            float64
+	SaveEvery, Save    time.Duration
+	Spot               bool
+	OneZone, Scatter   bool
+	// Due is a job's deadline in run times, 0 for none.
+	Due float64
+	// Cancelled, Chained and Mistaken are the shares of jobs that their users cancel, that
+	// need the one before, and that are submitted with a mistake.
+	Cancelled, Chained, Mistaken float64
+}
+
+// Arrivals say when jobs of a class come.
+type Arrivals struct {
+	// Kind is one of start (Count jobs in the first seconds), poisson (one every Gap on
+	// average), burst (Count at once, at At) and swing (as poisson, but more and less often by
+	// Depth over a Period).
+	Kind            string
+	Count           int
+	Gap, At, Period time.Duration
+	Depth           float64
+}
+
+// Draw is a number or a distribution: const (A), uniform (from A to B), lognormal (of
+// median A and sigma B), exponential (of mean A) or pareto (of least A and index B).
+type Draw struct {
+	Kind string
+	A, B float64
+}
+
+// Fault is something that fails at a time, for as long as it says.
+type Fault struct {
+	At   time.Duration
+	Verb string
+	Args []string
+}
+
+func (f Fault) String() string { return f.Verb + " " + strings.Join(f.Args, " ") }
+
+// Load reads an experiment from a file. An error tells the line.
+func Load(file string) (*Experiment, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	e, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return e, nil
+}
+
+// Parse reads an experiment.
+func Parse(raw []byte) (*Experiment, error) {
+	e := &Experiment{Controllers: 3, Machines: 40, Length: 10 * time.Minute, Rest: 3 * time.Minute, Seeds: []uint64{1}, Scale: 1}
+	var whole []edn.RawMessage
+	if err := edn.Unmarshal(raw, &whole); err != nil {
+		return nil, fmt.Errorf("not one list: %w", err)
+	}
+	list, ok := forms.Items(raw, "experiment", 1)
+	if !ok || len(list) == 0 || edn.Unmarshal(list[0].Raw, &e.Name) != nil || !plainName(e.Name) {
+		return nil, errors.New(`line 1: it must begin with (experiment "name", of letters, digits and dashes`)
+	}
+	seen := map[string]bool{}
+	for _, item := range list[1:] {
+		if err := e.set(item, seen); err != nil {
+			return nil, fmt.Errorf("line %d: %w", item.Line, err)
+		}
+	}
+	return e, e.check()
+}
+
+func plainName(s string) bool {
+	return s != "" && len(s) < 80 && strings.Trim(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-.") == ""
+}
+
+// words reads a list into a symbol and its values as text.
+func words(raw []byte) (head string, rest []string, err error) {
+	var form []edn.RawMessage
+	var symbol edn.Symbol
+	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &symbol) != nil {
+		return "", nil, fmt.Errorf("not a list that begins with a name: %.60s", raw)
+	}
+	for _, f := range form[1:] {
+		rest = append(rest, text(f))
+	}
+	return string(symbol), rest, nil
+}
+
+// text is a value as text: a string's, or as it is written.
+func text(raw []byte) string {
+	var s string
+	if edn.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	return strings.TrimSpace(string(raw))
+}
+
+func duration(s string) (time.Duration, error) {
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 || d > 48*time.Hour {
+		return 0, fmt.Errorf("%q is no time from 0s to 48h", s)
+	}
+	return d, nil
+}
+
+func decimal(s string, least, most float64) (float64, error) {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= least && v <= most) {
+		return 0, fmt.Errorf("%q is no number from %v to %v", s, least, most)
+	}
+	return v, nil
+}
+
+func whole(s string, least, most int) (int, error) {
+	v, err := strconv.Atoi(s)
+	if err != nil || v < least || v > most {
+		return 0, fmt.Errorf("%q is no whole number from %d to %d", s, least, most)
+	}
+	return v, nil
+}
+
+// one is the only value of an entry.
+func one(values []string) (string, error) {
+	if len(values) != 1 {
+		return "", fmt.Errorf("one value is needed, not %d", len(values))
+	}
+	return values[0], nil
+}
+
+// set takes one entry of an experiment.
+func (e *Experiment) set(item forms.Item, seen map[string]bool) (err error) {
+	head, values, err := words(item.Raw)
+	if err != nil {
+		return err
+	}
+	if seen[head] && head != "class" && head != "at" && head != "version" && head != "vary" {
+		return fmt.Errorf("%s is there twice", head)
+	}
+	seen[head] = true
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s: %w", head, err)
+		}
+	}()
+	value := ""
+	switch head {
+	case "clock", "controllers", "machines", "length", "rest", "scale":
+		if value, err = one(values); err != nil {
+			return err
+		}
+	}
+	switch head {
+	case "clock":
+		if value != "virtual" && value != "real" {
+			return fmt.Errorf("it is virtual or real, not %q", value)
+		}
+		e.Real = value == "real"
+	case "controllers":
+		e.Controllers, err = whole(value, 1, 15)
+	case "machines":
+		e.Machines, err = whole(value, 1, 20000)
+	case "length":
+		e.Length, err = duration(value)
+	case "rest":
+		e.Rest, err = duration(value)
+	case "scale":
+		e.Scale, err = decimal(value, 0.001, 1000)
+	case "seeds":
+		e.Seeds = nil
+		for _, v := range values {
+			n, err := strconv.ParseUint(v, 10, 64)
+			if err != nil || slices.Contains(e.Seeds, n) {
+				return fmt.Errorf("%q is no seed, or there twice", v)
+			}
+			e.Seeds = append(e.Seeds, n)
+		}
+		if len(e.Seeds) == 0 || len(e.Seeds) > 1000 {
+			return errors.New("1 to 1000 seeds are needed")
+		}
+	case "version":
+		if len(values) != 2 || !plainName(values[0]) {
+			return errors.New("a name and a path are needed")
+		}
+		e.Versions = append(e.Versions, Version{values[0], values[1]})
+	case "vary":
+		if len(values) < 2 {
+			return errors.New("a setting and its values are needed")
+		}
+		v := Variable{Name: values[0]}
+		if !slices.Contains([]string{"controllers", "machines", "scale", "size"}, v.Name) {
+			return fmt.Errorf("controllers, machines, scale and size can vary, not %s", v.Name)
+		}
+		for _, s := range values[1:] {
+			n, err := decimal(s, 0.001, 20000)
+			if err != nil {
+				return err
+			}
+			v.Values = append(v.Values, n)
+		}
+		e.Vary = append(e.Vary, v)
+	case "at":
+		var form []edn.RawMessage
+		if edn.Unmarshal(item.Raw, &form) != nil || len(form) != 3 {
+			return errors.New("a time and one fault are needed")
+		}
+		var f Fault
+		if f.At, err = duration(text(form[1])); err != nil {
+			return err
+		}
+		if f.Verb, f.Args, err = words(form[2]); err != nil {
+			return err
+		}
+		e.Faults = append(e.Faults, f)
+	case "class":
+		c, err := parseClass(item.Raw)
+		if err != nil {
+			return err
+		}
+		e.Classes = append(e.Classes, c)
+	default:
+		return errors.New("there is no such entry")
+	}
+	return err
+}
+
+func parseClass(raw []byte) (c Class, err error) {
+	c = Class{Team: "desk", Shape: protocol.Array, Priority: "normal", Tasks: Draw{Kind: "const", A: 1}, Run: Draw{Kind: "const", A: 30},
+		Cores: 4, RAM: 8, Image: "tools", ImageGB: 2}
+	name, entries, err := forms.Named(raw, "class")
+	if err != nil {
+		return c, err
+	}
+	c.Name = name
+	for _, entry := range entries {
+		var values []string
+		for _, v := range entry.Values {
+			values = append(values, text(v))
+		}
+		if err := c.set(entry.Name, values, entry.Values); err != nil {
+			return c, fmt.Errorf("%q: %s: %w", name, entry.Name, err)
+		}
+	}
+	if c.Arrivals.Kind == "" {
+		return c, fmt.Errorf("%q: arrivals are missing", name)
+	}
+	return c, nil
+}
+
+func (c *Class) set(name string, values []string, raw []edn.RawMessage) (err error) {
+	value := values[0]
+	if len(values) != 1 && name != "image" && name != "saves" {
+		return fmt.Errorf("one value is needed, not %d", len(values))
+	}
+	share := func(into *float64) { *into, err = decimal(value, 0, 1) }
+	yes := func(into *bool) {
+		if *into = value == "true"; value != "true" && value != "false" {
+			err = fmt.Errorf("true or false, not %q", value)
+		}
+	}
+	switch name {
+	case "team":
+		c.Team = value
+	case "shape":
+		shapes := map[string]protocol.Shape{"array": protocol.Array, "gang": protocol.Gang, "service": protocol.Service}
+		if c.Shape = shapes[value]; c.Shape == "" {
+			err = fmt.Errorf("array, gang or service, not %q", value)
+		}
+	case "priority":
+		c.Priority = protocol.Priority(value)
+		if !slices.Contains([]string{"idle", "normal", "high", "critical"}, value) {
+			err = fmt.Errorf("idle, normal, high or critical, not %q", value)
+		}
+	case "arrivals":
+		c.Arrivals, err = parseArrivals(raw[0])
+	case "tasks":
+		c.Tasks, err = parseDraw(raw[0])
+	case "run":
+		c.Run, err = parseDraw(raw[0])
+	case "error":
+		c.Error, err = decimal(value, 0, 3)
+	case "cores":
+		c.Cores, err = decimal(value, 0, 1000)
+	case "accels":
+		c.Accels, err = decimal(value, 0, 100)
+	case "ram":
+		c.RAM, err = decimal(value, 0, 10000)
+	case "image":
+		if len(values) != 2 {
+			return errors.New("a name and its GB are needed")
+		}
+		c.Image = value
+		c.ImageGB, err = decimal(values[1], 0, 1000)
+	case "saves":
+		if len(values) != 2 {
+			return errors.New("how often and for how long are needed")
+		}
+		if c.SaveEvery, err = duration(values[0]); err == nil {
+			c.Save, err = duration(values[1])
+		}
+	case "spot":
+		yes(&c.Spot)
+	case "one-zone":
+		yes(&c.OneZone)
+	case "scatter":
+		yes(&c.Scatter)
+	case "due":
+		c.Due, err = decimal(value, 1, 1000)
+	case "cancelled":
+		share(&c.Cancelled)
+	case "chained":
+		share(&c.Chained)
+	case "mistaken":
+		share(&c.Mistaken)
+	default:
+		err = errors.New("there is no such entry")
+	}
+	return err
+}
+
+func parseArrivals(raw []byte) (a Arrivals, err error) {
+	head, values, err := words(raw)
+	if err != nil {
+		return a, err
+	}
+	a.Kind = head
+	need := map[string]int{"start": 1, "poisson": 1, "burst": 2, "swing": 3}[head]
+	if need == 0 || len(values) != need {
+		return a, fmt.Errorf("(start COUNT), (poisson GAP), (burst AT COUNT) or (swing GAP PERIOD DEPTH), not %s", raw)
+	}
+	switch head {
+	case "start":
+		a.Count, err = whole(values[0], 1, 100000)
+	case "burst":
+		if a.At, err = duration(values[0]); err == nil {
+			a.Count, err = whole(values[1], 1, 100000)
+		}
+	default:
+		if a.Gap, err = duration(values[0]); err == nil && a.Gap < time.Millisecond {
+			err = fmt.Errorf("%v is too small a gap", a.Gap)
+		}
+		if err == nil && head == "swing" {
+			if a.Period, err = duration(values[1]); err == nil {
+				a.Depth, err = decimal(values[2], 0, 1)
+			}
+		}
+	}
+	return a, err
+}
+
+func parseDraw(raw []byte) (d Draw, err error) {
+	if v, ok := forms.Number(raw); ok {
+		return Draw{Kind: "const", A: v}, nil
+	}
+	head, values, err := words(raw)
+	if err != nil {
+		return d, err
+	}
+	need := map[string]int{"uniform": 2, "lognormal": 2, "exponential": 1, "pareto": 2}[head]
+	if need == 0 || len(values) != need {
+		return d, fmt.Errorf("a number, (uniform A B), (lognormal MEDIAN SIGMA), (exponential MEAN) or (pareto LEAST INDEX), not %s", raw)
+	}
+	d.Kind = head
+	if d.A, err = decimal(values[0], 0, 1e6); err == nil && need == 2 {
+		d.B, err = decimal(values[1], 0, 1e6)
+	}
+	if err == nil && (head == "uniform" && d.B < d.A || head == "pareto" && (d.A <= 0 || d.B <= 0)) {
+		err = fmt.Errorf("%s has no such values", head)
+	}
+	return d, err
+}
+
+// check tells what does not go together.
+func (e *Experiment) check() error {
+	switch {
+	case len(e.Classes) == 0:
+		return errors.New("no class of work is there")
+	case e.Length < 10*time.Second:
+		return errors.New("length must be at least 10s")
+	case len(e.Versions) > 0 && !e.Real:
+		return errors.New("versions are compared in real time: (clock real)")
+	}
+	d := Example(e.Controllers, e.Machines)
+	names := map[string]bool{}
+	for _, c := range e.Classes {
+		if names[c.Name] {
+			return fmt.Errorf("class %q is there twice", c.Name)
+		}
+		names[c.Name] = true
+		if !slices.ContainsFunc(d.Teams, func(t config.Team) bool { return t.Name == c.Team }) {
+			return fmt.Errorf("class %q: there is no team %q", c.Name, c.Team)
+		}
+		if !slices.ContainsFunc(d.Types, func(t protocol.MachineType) bool {
+			return t.Room().Fits(protocol.Room{Cores: c.Cores, Accels: c.Accels, RAM: c.RAM})
+		}) {
+			return fmt.Errorf("class %q: a task fits no machine", c.Name)
+		}
+	}
+	for _, f := range e.Faults {
+		if err := f.check(e, &d); err != nil {
+			return fmt.Errorf("at %v: %s: %w", f.At, f.Verb, err)
+		}
+	}
+	return nil
+}
+
+// String writes an experiment as Parse reads it.
+func (e *Experiment) String() string {
+	var b strings.Builder
+	p := func(format string, args ...any) { fmt.Fprintf(&b, "\n  "+format, args...) }
+	fmt.Fprintf(&b, "(experiment %q", e.Name)
+	clock := "virtual"
+	if e.Real {
+		clock = "real"
+	}
+	p("(clock %s) (controllers %d) (machines %d) (length %q) (rest %q) (scale %v)", clock, e.Controllers, e.Machines, e.Length, e.Rest, e.Scale)
+	p("(seeds%s)", joined(e.Seeds))
+	for _, v := range e.Versions {
+		p("(version %q %q)", v.Name, v.Path)
+	}
+	for _, v := range e.Vary {
+		p("(vary %s%s)", v.Name, joined(v.Values))
+	}
+	for _, c := range e.Classes {
+		p("%s", c)
+	}
+	for _, f := range e.Faults {
+		args := ""
+		for _, a := range f.Args {
+			args += fmt.Sprintf(" %q", a)
+		}
+		p("(at %q (%s%s))", f.At, f.Verb, args)
+	}
+	b.WriteString(")\n")
+	return b.String()
+}
+
+func joined[T any](values []T) (s string) {
+	for _, v := range values {
+		s += fmt.Sprint(" ", v)
+	}
+	return s
+}
+
+func (c Class) String() string {
+	shape := map[protocol.Shape]string{protocol.Array: "array", protocol.Gang: "gang", protocol.Service: "service"}[c.Shape]
+	s := fmt.Sprintf("(class %q (team %q) (shape %s) (priority %s) (arrivals %s) (tasks %s) (run %s) (error %v)\n    (cores %v) (accels %v) (ram %v) (image %q %v)",
+		c.Name, c.Team, shape, c.Priority, c.Arrivals, c.Tasks, c.Run, c.Error, c.Cores, c.Accels, c.RAM, c.Image, c.ImageGB)
+	if c.SaveEvery > 0 {
+		s += fmt.Sprintf(" (saves %q %q)", c.SaveEvery, c.Save)
+	}
+	for _, flag := range []struct {
+		name string
+		set  bool
+	}{{"spot", c.Spot}, {"one-zone", c.OneZone}, {"scatter", c.Scatter}} {
+		if flag.set {
+			s += " (" + flag.name + " true)"
+		}
+	}
+	if c.Due > 0 {
+		s += fmt.Sprintf(" (due %v)", c.Due)
+	}
+	return s + fmt.Sprintf(" (cancelled %v) (chained %v) (mistaken %v))", c.Cancelled, c.Chained, c.Mistaken)
+}
+
+func (a Arrivals) String() string {
+	switch a.Kind {
+	case "start":
+		return fmt.Sprintf("(start %d)", a.Count)
+	case "burst":
+		return fmt.Sprintf("(burst %q %d)", a.At, a.Count)
+	case "swing":
+		return fmt.Sprintf("(swing %q %q %v)", a.Gap, a.Period, a.Depth)
+	}
+	return fmt.Sprintf("(%s %q)", a.Kind, a.Gap)
+}
+
+func (d Draw) String() string {
+	switch d.Kind {
+	case "const":
+		return fmt.Sprint(d.A)
+	case "exponential":
+		return fmt.Sprintf("(exponential %v)", d.A)
+	}
+	return fmt.Sprintf("(%s %v %v)", d.Kind, d.A, d.B)
+}
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,288 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"daledyke/internal/emulator"
+	"daledyke/internal/history"
+)
+
+// What can fail, and with which arguments. A TIME is how long it lasts.
+var faultArgs = map[string]string{
+	"state-outage":  "TIME",            // the state service is away for all
+	"state-refuses": "TIME NODE",       // one controller gets 503
+	"state-slow":    "TIME BY",         // answers take so long
+	"state-late":    "TIME BY",         // transactions are applied so much later, unanswered
+	"state-lags":    "TIME NODE BY",    // one controller hears of changes late
+	"state-writes":  "TIME SHARE",      // its rate of changes falls to a share
+	"cloud-outage":  "TIME",            // the cloud is away
+	"capacity":      "TIME SHARE",      // there are so many of the machines
+	"boots":         "TIME FACTOR",     // machines rented meanwhile boot so much slower; 0: at once
+	"crash":         "TIME NODE",       // killed, and started again after TIME; all: all of them
+	"hangs":         "TIME NODE",       // stopped, and let go on (real time)
+	"cut":           "TIME NODE WHAT",  // from workers, siblings or all (virtual time)
+	"cut-zone":      "TIME ZONE",       // what is in it from all else (virtual time)
+	"machines":      "TROUBLE N [FOR]", // N of them die, hang FOR, sicken, slow, leave or are taken
+	"spot-wave":     "SHARE",           // so many spot machines leave at once
+}
+
+var troubles = map[string]emulator.Trouble{"die": emulator.Dies, "hang": emulator.Hangs, "sicken": emulator.Sickens, "slow": emulator.Slows,
+	"leave": emulator.Leaves, "taken": emulator.Taken}
+
+// check tells what is senseless about a fault.
+func (f Fault) check(e *Experiment, d *Deployment) error {
+	form, known := faultArgs[f.Verb]
+	if !known {
+		return errors.New("there is no such fault")
+	}
+	need := strings.Fields(form)
+	least := len(need)
+	if strings.HasPrefix(need[least-1], "[") {
+		least--
+	}
+	if len(f.Args) < least || len(f.Args) > len(need) {
+		return fmt.Errorf("it takes %s", form)
+	}
+	for n, arg := range f.Args {
+		var err error
+		switch strings.Trim(need[n], "[]") {
+		case "TIME", "BY", "FOR":
+			_, err = duration(arg)
+		case "SHARE":
+			_, err = decimal(arg, 0, 1)
+		case "FACTOR":
+			_, err = decimal(arg, 0, 100)
+		case "N":
+			_, err = whole(arg, 1, 20000)
+		case "NODE":
+			if !slices.Contains(d.Controllers, arg) && !(arg == "all" && f.Verb == "crash") {
+				err = fmt.Errorf("there is no controller %s: they are %s", arg, strings.Join(d.Controllers, ", "))
+			}
+		case "ZONE":
+			if !slices.Contains(d.Zones, arg) {
+				err = fmt.Errorf("there is no zone %s: they are %s", arg, strings.Join(d.Zones, ", "))
+			}
+		case "WHAT":
+			if arg != "workers" && arg != "siblings" && arg != "all" {
+				err = fmt.Errorf("workers, siblings or all, not %s", arg)
+			}
+		case "TROUBLE":
+			if troubles[arg] == "" {
+				err = fmt.Errorf("machines don't do that: %s", arg)
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if e.Real && strings.HasPrefix(f.Verb, "cut") {
+		return errors.New("connections are cut in virtual time alone")
+	}
+	if !e.Real && f.Verb == "hangs" {
+		return errors.New("controllers hang in real time alone")
+	}
+	return nil
+}
+
+// breaker carries faults out. Faults of the same kind may overlap: what they set counts
+// how many are under way, so that the first to end does not end the others.
+type breaker struct {
+	d     *Deployment
+	world *emulator.World
+	net   *emulator.Pipes // nil in real time
+	hosts hosts
+	depth map[string]int
+	cuts  map[string]func(from, to string) bool
+	note  func(history.Event)
+	fail  func(error)
+}
+
+// begin has a fault happen; after runs something later on the same goroutine.
+func (b *breaker) begin(f Fault, after func(time.Duration, func())) {
+	b.note(history.Event{Kind: history.FaultBegins, Cause: f.String()})
+	over := func() { b.note(history.Event{Kind: history.FaultEnds, Cause: f.String()}) }
+	lasts, _ := time.ParseDuration(f.Args[0])
+	// during sets something for as long as any fault of this name lasts.
+	during := func(name string, set func(on bool)) {
+		if b.depth[name]++; b.depth[name] == 1 {
+			set(true)
+		}
+		after(lasts, func() {
+			if b.depth[name]--; b.depth[name] == 0 {
+				set(false)
+			}
+			over()
+		})
+	}
+	number := func(n int) float64 { v, _ := strconv.ParseFloat(f.Args[n], 64); return v }
+	long := func(n int) time.Duration { v, _ := time.ParseDuration(f.Args[n]); return v }
+	state := b.world.State
+	on := func(yes bool, v time.Duration) time.Duration {
+		if yes {
+			return v
+		}
+		return 0
+	}
+	switch f.Verb {
+	case "state-outage":
+		during(f.Verb, state.Outage)
+	case "state-refuses":
+		during(f.Verb+f.Args[1], func(yes bool) { state.Refuse(f.Args[1], yes) })
+	case "state-slow":
+		during(f.Verb, func(yes bool) { state.Slow(on(yes, long(1))) })
+	case "state-late":
+		during(f.Verb, func(yes bool) { state.Late(on(yes, long(1))) })
+	case "state-lags":
+		during(f.Verb+f.Args[1], func(yes bool) { state.Lag(f.Args[1], on(yes, long(2))) })
+	case "state-writes":
+		during(f.Verb, func(yes bool) {
+			l := b.d.State
+			if yes {
+				l.WriteRPS = max(1, l.WriteRPS*number(1))
+			}
+			state.Limit(l)
+		})
+	case "cloud-outage":
+		during(f.Verb, b.world.CloudOutage)
+	case "capacity":
+		during(f.Verb, func(yes bool) {
+			if n := float64(b.d.Machines); yes {
+				b.world.Capacity(int(n * number(1)))
+			} else {
+				b.world.Capacity(int(n))
+			}
+		})
+	case "boots":
+		during(f.Verb, func(yes bool) {
+			factor := 1.0
+			if yes {
+				factor = number(1)
+			}
+			b.world.Boots(factor)
+		})
+	case "crash":
+		names := []string{f.Args[1]}
+		if f.Args[1] == "all" {
+			names = b.d.Controllers
+		}
+		for _, name := range names {
+			during("crash "+name, func(yes bool) { b.crash(name, yes) })
+		}
+	case "hangs":
+		during(f.Verb+f.Args[1], func(yes bool) {
+			if err := b.hosts.hang(f.Args[1], yes); err != nil && yes {
+				b.fail(err)
+			}
+		})
+	case "cut":
+		during(f.String(), func(yes bool) { b.cut(f.String(), yes, cutNode(f.Args[1], f.Args[2])) })
+	case "cut-zone":
+		zones := b.zones()
+		during(f.String(), func(yes bool) { b.cut(f.String(), yes, cutZone(f.Args[1], zones)) })
+	case "machines":
+		n, _ := strconv.Atoi(f.Args[1])
+		ids := b.world.StrikeSome(n, troubles[f.Args[0]], func(string, bool) bool { return true })
+		if len(f.Args) < 3 || f.Args[0] != "hang" {
+			over()
+			return
+		}
+		after(long(2), func() {
+			for _, id := range ids {
+				b.world.Strike(id, emulator.Resumes) // it may be gone meanwhile
+			}
+			over()
+		})
+	case "spot-wave":
+		spot := 0
+		b.world.StrikeSome(1<<20, "", func(_ string, s bool) bool {
+			if s {
+				spot++
+			}
+			return false
+		})
+		b.world.StrikeSome(int(number(0)*float64(spot)+0.5), emulator.Leaves, func(_ string, s bool) bool { return s })
+		over()
+	}
+}
+
+func (b *breaker) crash(name string, yes bool) {
+	kind, do := history.NodeUp, b.hosts.start
+	if yes {
+		kind, do = history.NodeDown, b.hosts.kill
+	}
+	if err := do(name); err != nil {
+		b.fail(err)
+	}
+	b.note(history.Event{Kind: kind, Node: name})
+}
+
+// zones tells the zone of every host by its name.
+func (b *breaker) zones() func(host string) string {
+	return func(host string) string {
+		if zone := b.d.zone(host); zone != "" {
+			return zone
+		}
+		return b.world.ZoneOf(host)
+	}
+}
+
+// cut sets or clears one cut among those that may hold.
+func (b *breaker) cut(name string, yes bool, which func(from, to string) bool) {
+	delete(b.cuts, name)
+	if yes {
+		b.cuts[name] = which
+	}
+	all := make([]func(from, to string) bool, 0, len(b.cuts))
+	for _, c := range b.cuts {
+		all = append(all, c)
+	}
+	b.net.Sever(func(from, to string) bool {
+		return slices.ContainsFunc(all, func(c func(from, to string) bool) bool { return c(from, to) })
+	})
+}
+
+// host is the host that an address on pipes belongs to, and the role it is reached in.
+func host(addr string) (role, name string) {
+	addr = strings.TrimSuffix(addr, ":1")
+	for _, role := range []string{"front", "inner", "worker", "state"} {
+		if name, ok := strings.CutPrefix(addr, role+"-"); ok {
+			return role, name
+		}
+	}
+	return addr, ""
+}
+
+// cutNode cuts a controller from its workers, its siblings, or all but the users.
+func cutNode(node, what string) func(from, to string) bool {
+	return func(from, to string) bool {
+		role, name := host(to)
+		isWorker := role == "worker" || strings.HasPrefix(from, "host-")
+		switch {
+		case from != node && name != node || role == "state" && from != node:
+			return false
+		case what == "workers":
+			return isWorker
+		case what == "siblings":
+			return role == "inner"
+		}
+		return from != usersHost
+	}
+}
+
+// cutZone cuts what is in a zone from all that is not: the services and the users belong
+// to none.
+func cutZone(zone string, zoneOf func(host string) string) func(from, to string) bool {
+	return func(from, to string) bool {
+		_, name := host(to)
+		there := ""
+		if role, _ := host(to); role != "state" && name != "" {
+			there = zoneOf(name)
+		}
+		return (zoneOf(from) == zone) != (there == zone)
+	}
+}
--- /dev/null
+++ b/internal/lab/hunt.go
@@ -0,0 +1,234 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"daledyke/internal/history"
+	"daledyke/internal/protocol"
+)
+
+// HuntOptions say what is hunted for.
+type HuntOptions struct {
+	Seed   uint64
+	Runs   int
+	Length time.Duration
+	// Say tells people how it goes.
+	Say func(format string, args ...any)
+}
+
+// Random is an experiment drawn by chance: a small deployment, some work, and faults that
+// may overlap.
+func Random(seed uint64, length time.Duration) *Experiment {
+	rng := source(seed, "hunt")
+	e := &Experiment{Name: fmt.Sprintf("hunt-%d", seed), Controllers: 3 + rng.IntN(3), Machines: 8 + rng.IntN(40), Length: length, Rest: 4 * time.Minute,
+		Seeds: []uint64{seed}, Scale: 1}
+	pick := func(kinds ...string) string { return kinds[rng.IntN(len(kinds))] }
+	e.Classes = []Class{
+		{Name: "proof", Team: pick("desk", "plates"), Shape: protocol.Service, Priority: "critical", Arrivals: Arrivals{Kind: "start", Count: 2 + rng.IntN(6)},
+			Tasks: Draw{Kind: "uniform", A: 1, B: 5}, Run: Draw{Kind: "const", A: 1}, Cores: 4, RAM: 8, Image: "proof", ImageGB: 2, Scatter: rng.IntN(2) == 0, Cancelled: 0.1},
+		{Name: "render", Team: pick("desk", "archive"), Shape: protocol.Array, Priority: protocol.Priority(pick("normal", "high")),
+			Arrivals: Arrivals{Kind: "poisson", Gap: time.Duration(4+rng.IntN(20)) * time.Second}, Tasks: Draw{Kind: "uniform", A: 1, B: 8},
+			Run: Draw{Kind: "lognormal", A: 25, B: 0.7}, Error: 0.4, Cores: 4, RAM: 12, Image: "render", ImageGB: 4, Spot: rng.IntN(2) == 0,
+			Cancelled: 0.1, Chained: 0.15, Mistaken: 0.03},
+		{Name: "learn", Team: "plates", Shape: protocol.Gang, Priority: "normal", Arrivals: Arrivals{Kind: "poisson", Gap: time.Duration(20+rng.IntN(50)) * time.Second},
+			Tasks: Draw{Kind: "uniform", A: 2, B: 6}, Run: Draw{Kind: "lognormal", A: 60, B: 0.5}, Error: 0.4, Cores: 8, RAM: 32, Image: "learn", ImageGB: 6,
+			SaveEvery: 20 * time.Second, Save: 3 * time.Second, Spot: true, OneZone: rng.IntN(2) == 0, Cancelled: 0.1},
+	}
+	d := Example(e.Controllers, e.Machines)
+	for range 1 + rng.IntN(6) {
+		e.Faults = append(e.Faults, randomFault(rng, &d, length))
+	}
+	slices.SortFunc(e.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return e
+}
+
+func randomFault(rng *rand.Rand, d *Deployment, length time.Duration) Fault {
+	span := func(most time.Duration) string {
+		return (time.Second + time.Duration(rng.Int64N(int64(most)))).Round(100 * time.Millisecond).String()
+	}
+	node := d.Controllers[rng.IntN(len(d.Controllers))]
+	f := Fault{At: time.Duration(rng.Int64N(int64(length * 9 / 10))).Round(100 * time.Millisecond)}
+	kinds := []func(){
+		func() { f.Verb, f.Args = "state-outage", []string{span(2 * d.Lease)} },
+		func() { f.Verb, f.Args = "state-refuses", []string{span(3 * d.Lease), node} },
+		func() { f.Verb, f.Args = "state-slow", []string{span(time.Minute), span(2 * time.Second)} },
+		func() { f.Verb, f.Args = "state-late", []string{span(30 * time.Second), span(time.Minute)} },
+		func() { f.Verb, f.Args = "state-lags", []string{span(time.Minute), node, span(5 * time.Second)} },
+		func() {
+			f.Verb, f.Args = "state-writes", []string{span(2 * time.Minute), fmt.Sprintf("%.2f", 0.1+0.4*rng.Float64())}
+		},
+		func() { f.Verb, f.Args = "cloud-outage", []string{span(2 * time.Minute)} },
+		func() {
+			f.Verb, f.Args = "capacity", []string{span(2 * time.Minute), fmt.Sprintf("%.2f", rng.Float64())}
+		},
+		func() { f.Verb, f.Args = "crash", []string{span(time.Minute), node} },
+		func() { f.Verb, f.Args = "crash", []string{span(20 * time.Second), node} },
+		func() { f.Verb, f.Args = "crash", []string{span(30 * time.Second), "all"} },
+		func() {
+			f.Verb, f.Args = "cut", []string{span(2 * time.Minute), node, []string{"workers", "siblings", "all"}[rng.IntN(3)]}
+		},
+		func() { f.Verb, f.Args = "cut-zone", []string{span(2 * time.Minute), d.Zones[rng.IntN(len(d.Zones))]} },
+		func() {
+			f.Verb, f.Args = "machines", []string{[]string{"die", "sicken", "slow", "leave", "taken"}[rng.IntN(5)], fmt.Sprint(1 + rng.IntN(4))}
+		},
+		func() {
+			f.Verb, f.Args = "machines", []string{"hang", fmt.Sprint(1 + rng.IntN(4)), span(2 * d.Lease)}
+		},
+		func() { f.Verb, f.Args = "spot-wave", []string{fmt.Sprintf("%.2f", 0.2+0.8*rng.Float64())} },
+	}
+	kinds[rng.IntN(len(kinds))]()
+	return f
+}
+
+// Smaller are the experiments next smaller than one, the ones that take most away first.
+func Smaller(e *Experiment) (all []*Experiment) {
+	try := func(change func(*Experiment)) {
+		c := *e
+		c.Faults, c.Classes = slices.Clone(e.Faults), slices.Clone(e.Classes)
+		change(&c)
+		if c.check() == nil {
+			all = append(all, &c)
+		}
+	}
+	if n := len(e.Faults); n > 2 {
+		try(func(c *Experiment) { c.Faults = c.Faults[:n/2] })
+		try(func(c *Experiment) { c.Faults = c.Faults[n/2:] })
+	}
+	for i := range e.Faults {
+		try(func(c *Experiment) { c.Faults = slices.Delete(c.Faults, i, i+1) })
+	}
+	if len(e.Classes) > 1 {
+		for i := range e.Classes {
+			try(func(c *Experiment) { c.Classes = slices.Delete(c.Classes, i, i+1) })
+		}
+	}
+	if e.Length >= time.Minute {
+		try(func(c *Experiment) {
+			c.Length = (c.Length / 2).Round(time.Second)
+			c.Faults = slices.DeleteFunc(c.Faults, func(f Fault) bool { return f.At >= c.Length })
+		})
+	}
+	if e.Scale > 0.05 {
+		try(func(c *Experiment) { c.Scale /= 2 })
+	}
+	if e.Machines > 3 {
+		try(func(c *Experiment) { c.Machines = c.Machines * 2 / 3 })
+	}
+	for i, c := range e.Classes {
+		if c.Cancelled+c.Chained+c.Mistaken > 0 {
+			try(func(x *Experiment) {
+				x.Classes[i].Cancelled, x.Classes[i].Chained, x.Classes[i].Mistaken = 0, 0, 0
+			})
+		}
+	}
+	return all
+}
+
+// Shrink makes an experiment smaller for as long as it still breaks, with so many tries
+// at most. breaks is asked for one experiment after the other.
+func Shrink(e *Experiment, tries int, breaks func(*Experiment) (bool, error)) (*Experiment, error) {
+	for again := true; again; {
+		again = false
+		for _, smaller := range Smaller(e) {
+			if tries--; tries < 0 {
+				return e, nil
+			}
+			still, err := breaks(smaller)
+			if err != nil {
+				return e, err
+			}
+			if still {
+				e, again = smaller, true
+				break
+			}
+		}
+	}
+	return e, nil
+}
+
+// shrinkTries bounds how often an experiment that breaks is played to make it smaller.
+const shrinkTries = 60
+
+// Found is an experiment that breaks a rule.
+type Found struct {
+	Experiment *Experiment
+	Broken     []history.Violation
+	File       string
+}
+
+// Hunt plays random experiments, and makes each that breaks a rule smaller. What is found
+// is saved as files in the runner's directory.
+func Hunt(ctx context.Context, r *Runner, o HuntOptions) (found []Found, err error) {
+	dir := r.Dir
+	for n := range o.Runs {
+		seed := o.Seed*1_000_003 + uint64(n)
+		e := Random(seed, o.Length)
+		broken, err := r.breaks(ctx, e, filepath.Join(dir, e.Name))
+		if err != nil {
+			return found, err
+		}
+		if len(broken) == 0 {
+			o.Say("%s: sound (%d controllers, %d machines; %s)", e.Name, e.Controllers, e.Machines, faultList(e))
+			if err := os.RemoveAll(filepath.Join(dir, e.Name)); err != nil {
+				return found, err
+			}
+			continue
+		}
+		o.Say("%s: BROKEN: %v (%s)", e.Name, broken[0], faultList(e))
+		rule, tried := broken[0].Rule, 0
+		last := broken
+		small, err := Shrink(e, shrinkTries, func(c *Experiment) (bool, error) {
+			tried++
+			at := filepath.Join(dir, fmt.Sprintf("%s-try%d", e.Name, tried))
+			defer os.RemoveAll(at)
+			now, err := r.breaks(ctx, c, at)
+			still := slices.ContainsFunc(now, func(v history.Violation) bool { return v.Rule == rule })
+			if still {
+				last = now
+			}
+			return still, err
+		})
+		f := Found{Experiment: small, Broken: last, File: filepath.Join(dir, e.Name+".edn")}
+		text := fmt.Sprintf("; %s\n; made smaller in %d tries\n%s", f.Broken[0], tried, small)
+		if werr := os.WriteFile(f.File, []byte(text), 0o600); werr != nil {
+			return found, werr
+		}
+		found = append(found, f)
+		o.Say("saved as %s: %d classes; %s", f.File, len(small.Classes), faultList(small))
+		if err != nil {
+			return found, err
+		}
+	}
+	o.Say("%d experiments, %d of them broke a rule", o.Runs, len(found))
+	return found, nil
+}
+
+func faultList(e *Experiment) string {
+	var all []string
+	for _, f := range e.Faults {
+		all = append(all, fmt.Sprintf("%v %s", f.At, f))
+	}
+	return strings.Join(all, ", ")
+}
+
+// breaks plays an experiment and gives the rules that it broke.
+func (r *Runner) breaks(ctx context.Context, e *Experiment, dir string) ([]history.Violation, error) {
+	one := *r
+	one.Dir, one.Progress = dir, nil
+	res, err := one.Run(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	var all []history.Violation
+	for _, s := range res.Runs {
+		all = append(all, s.Broken...)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,364 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daledyke/internal/history"
+)
+
+// TestMain keeps the logs out of the tests' output, and plays runs for them: as the
+// program does, in a process of its own.
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	if dir := os.Getenv(playDir); dir != "" {
+		if os.Getenv(playDir+"_FAILS") != "" {
+			fmt.Fprintln(os.Stderr, "panic: as it was told")
+			os.Exit(2)
+		}
+		virtual, err := Virtual(dir)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		PlayHere(dir, virtual)
+	}
+	os.Exit(m.Run())
+}
+
+// playDir, set for a process of this test, is the run that it plays.
+const playDir = "DALEDYKE_TEST_PLAY"
+
+// here is a command line that has a process of this test play the run named last.
+var here = []string{"/bin/sh", "-c", playDir + `="$1" exec "$0"`, os.Args[0]}
+
+const small = `(experiment "small"
+  (controllers 3) (machines 12) (length "2m") (rest "2m") (seeds 1 2)
+  (class "proof" (shape service) (priority critical) (arrivals (start 2)) (tasks 2) (image "proof" 2) (scatter true))
+  (class "render" (team "archive") (arrivals (poisson "8s")) (tasks (uniform 1 4)) (run (lognormal 20 0.5)) (error 0.3) (spot true) (cancelled 0.1) (chained 0.2))
+  (class "learn" (team "plates") (shape gang) (arrivals (burst "20s" 2)) (tasks 3) (run 40) (cores 8) (ram 32) (image "learn" 6) (saves "10s" "2s"))
+  (at "30s" (state-outage "10s"))
+  (at "33s" (crash "8s" "press-1"))
+  (at "1m" (cut-zone "20s" "south"))
+  (at "1m5s" (machines hang 2 "15s"))
+  (at "80s" (spot-wave 0.5)))`
+
+// An experiment with faults inside each other is played, kept, and made a page of; its
+// events are whole and keep the rules when they are checked again.
+func TestAnExperimentIsPlayed(t *testing.T) {
+	e, err := Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Join(t.TempDir(), "result")
+	r := &Runner{Dir: dir, Play: here}
+	last := 0.0
+	r.Progress = func(share float64) { last = share }
+	res, err := r.Run(t.Context(), e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if last != 1 || len(res.Runs) != 2 {
+		t.Errorf("%d runs, %v of them done", len(res.Runs), last)
+	}
+	for _, s := range res.Runs {
+		if len(s.Broken) > 0 || s.Classes["learn"].Done != 2 || s.Classes["proof"].Begun != 2 || s.Classes["render"].Accepted != s.Classes["render"].Jobs || s.Money <= 0 {
+			t.Errorf("%s: %v %+v %+v %+v", s.Run, s.Broken, s, *s.Classes["learn"], *s.Classes["render"])
+		}
+		c := history.NewChecker(history.Deployment{CancelWithin: 45 * time.Second})
+		m := NewMeter()
+		kinds := map[history.Kind]int{}
+		err := history.Read(filepath.Join(dir, "runs", s.Run, eventsFile), func(e history.Event) error {
+			c.Note(e)
+			m.Note(e)
+			kinds[e.Kind]++
+			return nil
+		})
+		again, merr := m.Summary()
+		if err = errors.Join(err, merr); err != nil || len(c.Violations()) > 0 || again.Starts != s.Starts || again.Used != s.Used {
+			t.Errorf("read again: %v, %v; %d starts of %d", err, c.Violations(), again.Starts, s.Starts)
+		}
+		if kinds[history.FaultBegins] != 5 || kinds[history.FaultEnds] != 5 || kinds[history.NodeUp] != 4 || kinds[history.Sampled] < 40 {
+			t.Errorf("events by kind: %v", kinds)
+		}
+	}
+	page := filepath.Join(dir, "report.html")
+	if err := Report(dir, page); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(page)
+	if err != nil || strings.Count(string(raw), "<svg") != 6 || !strings.Contains(string(raw), "learn: wait, 90%, s") {
+		t.Errorf("a page of %d bytes, %v", len(raw), err)
+	}
+	if _, err := r.Run(t.Context(), e); !errors.Is(err, ErrNotEmpty) {
+		t.Errorf("into the same directory: %v", err)
+	}
+	// What was cut short is no result.
+	events := filepath.Join(dir, "runs", res.Runs[0].Run, eventsFile)
+	whole, err := os.ReadFile(events)
+	if err == nil {
+		err = os.WriteFile(events, whole[:len(whole)/2], 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Report(dir, page); err == nil || !strings.Contains(err.Error(), eventsFile) {
+		t.Errorf("of events cut short: %v", err)
+	}
+	if err := os.Remove(filepath.Join(dir, resultFile)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadResult(dir); err == nil || !strings.Contains(err.Error(), "no whole result") {
+		t.Errorf("without its index: %v", err)
+	}
+}
+
+// A run whose process fails leaves no result, and its last words are told.
+func TestARunThatFails(t *testing.T) {
+	e, err := Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Join(t.TempDir(), "result")
+	t.Setenv(playDir+"_FAILS", "yes")
+	_, err = (&Runner{Dir: dir, Play: here}).Run(t.Context(), e)
+	if err == nil || !strings.Contains(err.Error(), "as it was told") {
+		t.Errorf("%v", err)
+	}
+	if _, err := ReadResult(dir); err == nil {
+		t.Error("there is a result")
+	}
+}
+
+// The same seed gives the same jobs, whatever other classes there are.
+func TestOrdersRepeat(t *testing.T) {
+	e, err := Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	of := func(e *Experiment, class string) (s string) {
+		for _, o := range e.orders(7) {
+			if o.spec.Class == class {
+				s += fmt.Sprint(o.at, o.runs, o.spec.Tasks, o.spec.EstimateS, o.cancelAt, ";")
+			}
+		}
+		return s
+	}
+	first := of(e, "render")
+	e.Classes = e.Classes[1:]
+	if again := of(e, "render"); again != first || first == "" {
+		t.Error("the jobs of a class depend on other classes")
+	}
+	counts := map[string]int{}
+	for _, c := range []string{"(poisson \"1s\")", "(swing \"1s\" \"10m\" 0.9)"} {
+		a, err := parseArrivals([]byte(c))
+		if err != nil {
+			t.Fatal(err)
+		}
+		times := a.times(time.Hour, 1, source(1, "x"))
+		counts[a.Kind] = len(times)
+		if n := len(times); n < 3400 || n > 3800 {
+			t.Errorf("%s: %d in an hour", c, n)
+		}
+		early := 0
+		for _, at := range times {
+			if at%(10*time.Minute) < 5*time.Minute {
+				early++
+			}
+		}
+		if share := float64(early) / float64(len(times)); a.Kind == "swing" && (share < 0.72 || share > 0.85) { // 1/2 + 0.9/pi
+			t.Errorf("%v of a swing's jobs come in its first half", share)
+		}
+	}
+}
+
+// Experiments are written as they are read, and what is wrong with one is told with its
+// line.
+func TestExperimentFiles(t *testing.T) {
+	for seed := range uint64(40) {
+		e := Random(seed, 5*time.Minute)
+		again, err := Parse([]byte(e.String()))
+		if err != nil || again.String() != e.String() {
+			t.Fatalf("seed %d: %v\n%s\n%v", seed, err, e, again)
+		}
+	}
+	ready, err := filepath.Glob("../../deploy/lab/*.edn")
+	if err != nil || len(ready) < 3 {
+		t.Errorf("ready experiments: %v, %v", ready, err)
+	}
+	for _, file := range ready {
+		if _, err := Load(file); err != nil {
+			t.Error(err)
+		}
+	}
+	class := "\n(class \"render\" (arrivals (start 1)))"
+	for text, want := range map[string]string{
+		"": "not one list", "(experiment": "not one list", "(experiment \"a b\")": "line 1",
+		"(experiment \"x\")":                                                                   "no class of work",
+		"(experiment \"x\"\n(clock fast)" + class + ")":                                        "line 2: clock: it is virtual or real",
+		"(experiment \"x\"\n\n(length 5)" + class + ")":                                        "line 3: length: \"5\" is no time",
+		"(experiment \"x\"\n(seeds 1 1)" + class + ")":                                         "line 2: seeds",
+		"(experiment \"x\"\n(length \"5m\")\n(length \"6m\")" + class + ")":                    "line 3: length is there twice",
+		"(experiment \"x\"\n(colour 3)" + class + ")":                                          "line 2: colour: there is no such entry",
+		"(experiment \"x\"\n(version \"a\" \"b\")" + class + ")":                               "versions are compared in real time",
+		"(experiment \"x\"\n(vary colour 1)" + class + ")":                                     "line 2: vary",
+		"(experiment \"x\"\n(class \"a\"))":                                                    "arrivals are missing",
+		"(experiment \"x\"\n(class \"a\" (arrivals (start -1))))":                              "line 2: class: \"a\": arrivals: \"-1\"",
+		"(experiment \"x\"\n(class \"a\" (arrivals (start 1)) (cores 999)))":                   "fits no machine",
+		"(experiment \"x\"\n(class \"a\" (arrivals (start 1)) (team \"b\")))":                  "no team \"b\"",
+		"(experiment \"x\"\n(class \"a\" (arrivals (start 1)) (run (normal 1))))":              "line 2: class: \"a\": run: a number",
+		"(experiment \"x\"" + class + "\n(at \"1m\" (flood \"1m\")))":                          "flood: there is no such fault",
+		"(experiment \"x\"" + class + "\n(at \"1m\" (crash \"1m\" \"press-7\")))":              "no controller press-7",
+		"(experiment \"x\"" + class + "\n(at \"1m\" (state-outage)))":                          "it takes TIME",
+		"(experiment \"x\"" + class + "\n(at \"1m\" (hangs \"1m\" \"press-0\")))":              "real time alone",
+		"(experiment \"x\" (clock real)" + class + "\n(at \"1m\" (cut-zone \"1m\" \"west\")))": "virtual time alone",
+		"(experiment \"x\"" + class + "\n(at soon (state-outage \"1m\")))":                     "line 3: at: \"soon\" is no time",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, not %q", text, err, want)
+		}
+	}
+}
+
+// FuzzParse: whatever is read is written as it is read.
+func FuzzParse(f *testing.F) {
+	f.Add(small)
+	f.Add(Random(3, time.Minute).String())
+	f.Fuzz(func(t *testing.T, text string) {
+		e, err := Parse([]byte(text))
+		if err != nil {
+			return
+		}
+		again, err := Parse([]byte(e.String()))
+		if err != nil || again.String() != e.String() {
+			t.Fatalf("%v\n%s\n%v", err, e, again)
+		}
+	})
+}
+
+// What breaks is made smaller as far as it goes: of an experiment with much in it that
+// breaks for one fault and one class, only these are left.
+func TestShrink(t *testing.T) {
+	e := Random(11, 8*time.Minute)
+	e.Faults = append(e.Faults, Fault{At: 100 * time.Second, Verb: "cloud-outage", Args: []string{"7s"}})
+	asked := 0
+	got, err := Shrink(e, 200, func(c *Experiment) (bool, error) {
+		asked++
+		there := false
+		for _, f := range c.Faults {
+			there = there || f.Verb == "cloud-outage" && f.Args[0] == "7s"
+		}
+		learns := false
+		for _, k := range c.Classes {
+			learns = learns || k.Name == "learn"
+		}
+		return there && learns, c.check()
+	})
+	if err != nil || len(got.Faults) != 1 || len(got.Classes) != 1 || got.Classes[0].Name != "learn" || got.Length > 4*time.Minute || got.Machines > 3 || got.Scale > 0.1 || asked > 200 {
+		t.Errorf("%v after %d tries: %v", err, asked, got)
+	}
+	asked = 0
+	if _, err := Shrink(e, 5, func(*Experiment) (bool, error) { asked++; return true, nil }); err != nil || asked > 5 {
+		t.Errorf("%d tries, %v", asked, err)
+	}
+}
+
+// A hunt sees a rule that breaks, and saves the smallest experiment that does, which
+// breaks it again: here runs are told broken wherever a controller crashes.
+func TestHunt(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "hunt")
+	fake := filepath.Join(t.TempDir(), "fake.sh")
+	script := `grep -q '(crash' "$1/run.json" && B='[{"at":1,"rule":"ran_twice","what":"x"}]' || B='[]'
+echo '{"run":"x","broken":'"$B"'}' > "$1/summary.json"; echo 0.5`
+	if err := os.WriteFile(fake, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	var said []string
+	found, err := Hunt(t.Context(), &Runner{Dir: dir, Play: []string{"/bin/sh", fake}}, HuntOptions{Seed: 1, Runs: 6, Length: 4 * time.Minute,
+		Say: func(format string, args ...any) { said = append(said, fmt.Sprintf(format, args...)) }})
+	if err != nil || len(found) == 0 || len(found) == 6 {
+		t.Fatalf("%d found, %v: %v", len(found), err, said)
+	}
+	for _, f := range found {
+		e, err := Load(f.File)
+		if err != nil || len(e.Faults) != 1 || e.Faults[0].Verb != "crash" || len(e.Classes) != 1 {
+			t.Errorf("%s: %v %v", f.File, err, e)
+		}
+	}
+}
+
+// Intervals are those of Student's t, and a version is compared seed by seed.
+func TestComparison(t *testing.T) {
+	if e := estimate([]float64{4, 6, 8, math.NaN()}); e.Mean != 6 || math.Abs(e.Half-4.968) > 0.01 || e.N != 3 {
+		t.Errorf("%+v", e)
+	}
+	res := &Result{}
+	for seed := range uint64(4) {
+		for version, money := range map[string]float64{"a": 100 * float64(seed), "b": 100*float64(seed) + 5 + float64(seed)/10} {
+			res.Runs = append(res.Runs, Summary{Version: version, Seed: seed, Money: money})
+		}
+	}
+	byVersion := func(v string) (out []Summary) {
+		for _, s := range res.Runs {
+			if s.Version == v {
+				out = append(out, s)
+			}
+		}
+		return out
+	}
+	res.Runs = append(byVersion("a"), byVersion("b")...)
+	groups := res.groups()
+	for _, m := range res.measures() {
+		if m.Name != "money" {
+			continue
+		}
+		value, difference := groups[1].of(m)
+		if value.Differs() || difference == nil || !difference.Differs() || math.Abs(difference.Mean-5.15) > 1e-9 {
+			t.Errorf("%v, %v: the seeds differ more than the versions", value, difference)
+		}
+	}
+}
+
+// Faults of one kind that overlap end when the last of them does.
+func TestFaultsOverlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, err := Parse([]byte(`(experiment "overlap" (controllers 1) (machines 2) (length "40s") (rest "20s")
+			(class "render" (arrivals (burst "12s" 1)))
+			(at "10s" (cloud-outage "10s")) (at "15s" (cloud-outage "10s")) (at "20s" (crash "8s" all)) (at "22s" (crash "10s" "press-0")))`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var nodes []string
+		ended := time.Duration(0)
+		_, err = play(context.Background(), e, "", 1, t.TempDir(), func(ev history.Event) {
+			switch ev.Kind {
+			case history.NodeUp, history.NodeDown:
+				nodes = append(nodes, fmt.Sprint(ev.At.Round(time.Second), ev.Kind))
+			case history.Rented:
+				if ended == 0 {
+					ended = ev.At
+				}
+			}
+		}, func(float64) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := strings.Join(nodes, " "); got != "0snode-up 20snode-down 32snode-up" {
+			t.Errorf("controllers: %s", got)
+		}
+		raw, _ := json.Marshal(ended)
+		if ended < 25*time.Second {
+			t.Errorf("rented at %s, in an outage of the cloud", raw)
+		}
+	})
+}
