--- a/cmd/daledyke/up.go
+++ b/cmd/daledyke/up.go
@@ -93,21 +93,15 @@
 	}
 	ended := make(chan string, o.controllers)
 	d := lab.Example(o.controllers, o.machines)
+	d.Hasten(10)
 	u, err := lab.BringUp(ctx, d, lab.UpOptions{Program: program, Settings: o.settings, Dir: o.dir, Keep: keep, Door: o.door,
 		Ended: func(name string, err error) { ended <- fmt.Sprintf("%s ended: %v; its log is %s.log", name, err, name) }})
 	if err != nil {
 		return err
 	}
 	defer u.Close()
-	ready, cancel := context.WithTimeout(ctx, upReady)
-	defer cancel()
-	if err := u.Ready(ready); err != nil {
-		select {
-		case what := <-ended:
-			return fmt.Errorf("%s\n%s", what, lastLines(o.dir, what))
-		default:
-			return err
-		}
+	if err := awaitReady(ctx, u, ended, o.dir); err != nil {
+		return err
 	}
 	out := cmd.OutOrStdout()
 	first := d.Controllers[0]
@@ -132,6 +126,20 @@
 	}
 }
 
+// awaitReady waits until all controllers take requests, or one of them has ended.
+func awaitReady(ctx context.Context, u *lab.Up, ended <-chan string, dir string) error {
+	ctx, cancel := context.WithTimeout(ctx, upReady)
+	defer cancel()
+	ready := make(chan error, 1)
+	go func() { ready <- u.Ready(ctx) }()
+	select {
+	case err := <-ready:
+		return err
+	case what := <-ended:
+		return fmt.Errorf("%s\n%s", what, lastLines(dir, what))
+	}
+}
+
 // sampleJob is a job to try: three tasks of 20 s.
 const sampleJob = `{"id":"wk-1","laneClass":"render","crew":"desk","shape":"array","urgency":"normal","passes":3,"cores":4,"accelerators":0,"ramGb":8,"build":"tools","pullGb":1,"oneZone":false,"scatter":false,"standby":false,"expectedS":20,"snapshotS":0,"flushS":0}`
 
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -64,6 +64,15 @@
 	return d
 }
 
+// Hasten has machines boot and fetch so many times faster: nobody who tries the program
+// wants to wait for a machine that is none.
+func (d *Deployment) Hasten(by float64) {
+	for i := range d.Types {
+		d.Types[i].BootS /= by
+		d.Types[i].FetchRate *= by
+	}
+}
+
 // Setup is the world around the deployment's controllers. A world that varies strays
 // from its nominal values as far as the protocol lets it.
 func (d *Deployment) Setup(seed uint64, varies bool) emulator.Setup {
