Experiments with a deployment of their own; a panic of settings that are no UTF-8

Need: an experiment file names its deployment. Cause: fuzzing the reader of experiments found that a list whose bytes are no UTF-8 could panic in the reader of S-expressions, which operators' settings use too: the item that it gives back is longer than the bytes it was read from.

Change: types, teams, aims, times and limits in the file; several arrivals, choices, images and types a class. An item that is not found as written no longer moves the place.

--- a/cmd/daledyke/up_test.go
+++ b/cmd/daledyke/up_test.go
@@ -109,6 +109,7 @@
 // The README's first command, as a newcomer tries it: a job and a script run, status
 // tells of them. Killed and started again, it goes on where it was.
 func TestUp(t *testing.T) {
+	t.Parallel()
 	dir := filepath.Join(t.TempDir(), "up")
 	d := startUp(t, "--dir", dir, "--pbs")
 	short := strings.Replace(sampleJob, `"expectedS":20`, `"expectedS":2`, 1)
@@ -149,6 +150,7 @@
 
 // What can't be brought up is told at once.
 func TestUpRefusals(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	if err := os.WriteFile(filepath.Join(dir, "uploads.jsonl"), []byte("{}\nno json\n"), 0o600); err != nil {
 		t.Fatal(err)
@@ -171,6 +173,7 @@
 // An experiment in real time: controllers are processes, one is killed, one hangs, and the
 // program is compared with itself.
 func TestLabInRealTime(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	file := filepath.Join(dir, "real.edn")
 	text := fmt.Sprintf(`(experiment "real" (clock real) (controllers 3) (machines 8) (length "16s") (rest "9s") (seeds 1)
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -97,7 +97,11 @@
 		return http.StatusOK, protocol.MachineNames{Machines: ids}
 	}
 	var ids []string
-	for range min(q.Count, w.capacity-w.live) {
+	left := w.capacity - w.live
+	if most, bound := w.set.Most[q.Type]; bound {
+		left = min(left, most-w.lives[q.Type])
+	}
+	for range min(q.Count, left) {
 		ids = append(ids, w.newMachine(q, t).id)
 	}
 	if ids == nil {
@@ -165,6 +169,7 @@
 	w.pay()
 	m.charged = sign > 0
 	w.live += sign
+	w.lives[m.typ.Name] += sign
 	w.minutely += float64(sign) * w.price(m)
 	if sign < 0 {
 		w.money += w.price(m) * max(0, leastCharge-time.Since(m.born)).Hours()
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -46,8 +46,10 @@
 	Types       []protocol.MachineType
 	// Teams' limits bound what their tasks may use.
 	Teams []config.Team
-	// Capacity is how many machines there are at once.
+	// Capacity is how many machines there are at once, and Most how many of a type; a type
+	// that is not in it has no bound of its own.
 	Capacity int
+	Most     map[string]int
 	// CloudRPS bounds the cloud's requests a second, 0 not at all.
 	CloudRPS float64
 	State    Limits
@@ -75,8 +77,9 @@
 	machines map[string]*machine
 	order    []*machine // by name, gone ones among them while they are listed
 	booked   map[string][]string
-	made     int // machines so far
-	live     int // machines that are charged
+	made     int            // machines so far
+	live     int            // machines that are charged
+	lives    map[string]int // of them, by type
 	capacity int
 	down     bool
 	bucket   *rate.Limiter
@@ -97,7 +100,7 @@
 // cloud and state-CONTROLLER.
 func New(ctx context.Context, n Network, set Setup) (*World, error) {
 	w := &World{net: n, set: set, rng: rand.New(rand.NewPCG(set.Seed, 0x1dea)), types: map[string]*protocol.MachineType{}, works: map[string]*work{},
-		machines: map[string]*machine{}, booked: map[string][]string{}, capacity: set.Capacity, prices: map[string]float64{}, paidTo: time.Now(), boots: 1,
+		machines: map[string]*machine{}, booked: map[string][]string{}, capacity: set.Capacity, prices: map[string]float64{}, lives: map[string]int{}, paidTo: time.Now(), boots: 1,
 		fronts: map[string]string{}, bucket: rate.NewLimiter(rate.Inf, 0)}
 	if set.CloudRPS > 0 {
 		w.bucket = rate.NewLimiter(rate.Limit(set.CloudRPS), max(1, int(2*set.CloudRPS)))
--- a/internal/forms/forms.go
+++ b/internal/forms/forms.go
@@ -25,11 +25,16 @@
 	}
 	from := 0
 	for _, item := range form[1:] {
-		if at := bytes.Index(raw[from:], item); at >= 0 {
-			from += at // items come in order: their places tell their lines
+		// Items come in order: their places tell their lines. One that is not there as it was
+		// written (the reader mends bytes that are no UTF-8, and it may get longer) is where the
+		// one before it was.
+		at, length := bytes.Index(raw[from:], item), len(item)
+		if at < 0 {
+			at, length = 0, 0
 		}
+		from += at
 		out = append(out, Item{item, line + bytes.Count(raw[:from], []byte("\n"))})
-		from += len(item)
+		from += length
 	}
 	return out, true
 }
--- a/internal/lab/deployment.go
+++ b/internal/lab/deployment.go
@@ -25,8 +25,9 @@
 	Types       []protocol.MachineType
 	Teams       []config.Team
 	Objectives  []config.Objective
-	// Machines is how many there can be at once.
+	// Machines is how many there can be at once, and Most how many of some types.
 	Machines int
+	Most     map[string]int
 	// The workers' times.
 	ReportEvery, Lease, GangWait, GangPeer, CancelWithin time.Duration
 	State                                                emulator.Limits
@@ -76,7 +77,7 @@
 // Setup is the world around the deployment's controllers. A world that varies strays
 // from its nominal values as far as the protocol lets it.
 func (d *Deployment) Setup(seed uint64, varies bool) emulator.Setup {
-	s := emulator.Setup{Controllers: d.Controllers, Types: d.Types, Teams: d.Teams, Capacity: d.Machines, CloudRPS: d.CloudRPS, State: d.State,
+	s := emulator.Setup{Controllers: d.Controllers, Types: d.Types, Teams: d.Teams, Capacity: d.Machines, Most: d.Most, CloudRPS: d.CloudRPS, State: d.State,
 		ReportEvery: d.ReportEvery, Lease: d.Lease, GangWait: d.GangWait, GangPeer: d.GangPeer, CancelWithin: d.CancelWithin, Seed: seed}
 	if varies {
 		s.Variation = emulator.Variation{Boots: true, NeverUp: 0.01, Speeds: true, Reports: true, Prices: true, ListLag: d.ListLag}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"olympos.io/encoding/edn"
 
@@ -34,6 +35,8 @@
 	Vary []Variable
 	// Scale multiplies the numbers of jobs.
 	Scale float64
+	// Own is what the deployment has instead of the example's.
+	Own Own
 }
 
 // Version is a built program that is compared; the first is what the others are compared
@@ -53,7 +56,7 @@
 	Team     string
 	Shape    protocol.Shape
 	Priority protocol.Priority
-	Arrivals Arrivals
+	Arrivals []Arrivals
 	Tasks    Draw
 	// Run is a task's run time in seconds on a machine of nominal speed.
 	Run Draw
@@ -62,9 +65,13 @@
 	Cores, Accels, RAM float64
 	Image              string
 	ImageGB            float64
-	SaveEvery, Save    time.Duration
-	Spot               bool
-	OneZone, Scatter   bool
+	// Images is how many images of that size there are; a job has one of them.
+	Images int
+	// Types are the machine types that its tasks may be on, nil for any.
+	Types            []string
+	SaveEvery, Save  time.Duration
+	Spot             bool
+	OneZone, Scatter bool
 	// Due is a job's deadline in run times, 0 for none.
 	Due float64
 	// Cancelled, Chained and Mistaken are the shares of jobs that their users cancel, that
@@ -84,10 +91,12 @@
 }
 
 // Draw is a number or a distribution: const (A), uniform (from A to B), lognormal (of
-// median A and sigma B), exponential (of mean A) or pareto (of least A and index B).
+// median A and sigma B), exponential (of mean A), pareto (of least A and index B) or
+// choice (of values, each with its weight).
 type Draw struct {
-	Kind string
-	A, B float64
+	Kind   string
+	A, B   float64
+	Values []float64 // of a choice: value, weight, value, weight, ...
 }
 
 // Fault is something that fails at a time, for as long as it says.
@@ -143,10 +152,20 @@
 	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &symbol) != nil {
 		return "", nil, fmt.Errorf("not a list that begins with a name: %.60s", raw)
 	}
-	for _, f := range form[1:] {
-		rest = append(rest, text(f))
+	rest, err = texts(form[1:])
+	return string(symbol), rest, err
+}
+
+// texts are values as text, all of it printable.
+func texts(raw []edn.RawMessage) (values []string, err error) {
+	for _, r := range raw {
+		v := text(r)
+		if strings.ContainsFunc(v, func(c rune) bool { return !unicode.IsPrint(c) && c != '\n' && c != '\t' }) {
+			return nil, fmt.Errorf("%q can't be printed", v)
+		}
+		values = append(values, v)
 	}
-	return string(symbol), rest, nil
+	return values, nil
 }
 
 // text is a value as text: a string's, or as it is written.
@@ -196,7 +215,7 @@
 	if err != nil {
 		return err
 	}
-	if seen[head] && head != "class" && head != "at" && head != "version" && head != "vary" {
+	if seen[head] && head != "class" && head != "at" && head != "version" && head != "vary" && head != "type" && head != "team" && head != "aim" {
 		return fmt.Errorf("%s is there twice", head)
 	}
 	seen[head] = true
@@ -281,7 +300,7 @@
 		}
 		e.Classes = append(e.Classes, c)
 	default:
-		return errors.New("there is no such entry")
+		return e.Own.set(head, values, item.Raw)
 	}
 	return err
 }
@@ -293,17 +312,19 @@
 	if err != nil {
 		return c, err
 	}
-	c.Name = name
+	if c.Name = name; !plainName(name) {
+		return c, fmt.Errorf("%q: its name must be of letters, digits, dots and dashes", name)
+	}
 	for _, entry := range entries {
-		var values []string
-		for _, v := range entry.Values {
-			values = append(values, text(v))
+		values, err := texts(entry.Values)
+		if err != nil {
+			return c, fmt.Errorf("%q: %s: %w", name, entry.Name, err)
 		}
 		if err := c.set(entry.Name, values, entry.Values); err != nil {
 			return c, fmt.Errorf("%q: %s: %w", name, entry.Name, err)
 		}
 	}
-	if c.Arrivals.Kind == "" {
+	if c.Arrivals == nil {
 		return c, fmt.Errorf("%q: arrivals are missing", name)
 	}
 	return c, nil
@@ -311,7 +332,7 @@
 
 func (c *Class) set(name string, values []string, raw []edn.RawMessage) (err error) {
 	value := values[0]
-	if len(values) != 1 && name != "image" && name != "saves" {
+	if len(values) != 1 && name != "image" && name != "saves" && name != "arrivals" && name != "types" {
 		return fmt.Errorf("one value is needed, not %d", len(values))
 	}
 	share := func(into *float64) { *into, err = decimal(value, 0, 1) }
@@ -334,7 +355,13 @@
 			err = fmt.Errorf("idle, normal, high or critical, not %q", value)
 		}
 	case "arrivals":
-		c.Arrivals, err = parseArrivals(raw[0])
+		for _, r := range raw {
+			a, err := parseArrivals(r)
+			if err != nil {
+				return err
+			}
+			c.Arrivals = append(c.Arrivals, a)
+		}
 	case "tasks":
 		c.Tasks, err = parseDraw(raw[0])
 	case "run":
@@ -353,6 +380,10 @@
 		}
 		c.Image = value
 		c.ImageGB, err = decimal(values[1], 0, 1000)
+	case "images":
+		c.Images, err = whole(value, 1, 10000)
+	case "types":
+		c.Types = values
 	case "saves":
 		if len(values) != 2 {
 			return errors.New("how often and for how long are needed")
@@ -418,9 +449,25 @@
 	if err != nil {
 		return d, err
 	}
+	if head == "choice" && len(values) >= 2 && len(values)%2 == 0 {
+		d.Kind = head
+		sum := 0.0
+		for n, value := range values {
+			v, err := decimal(value, 0, 1e6)
+			if err != nil {
+				return d, err
+			}
+			d.Values = append(d.Values, v)
+			sum += v * float64(n%2)
+		}
+		if sum <= 0 {
+			return d, errors.New("its weights come to nothing")
+		}
+		return d, nil
+	}
 	need := map[string]int{"uniform": 2, "lognormal": 2, "exponential": 1, "pareto": 2}[head]
 	if need == 0 || len(values) != need {
-		return d, fmt.Errorf("a number, (uniform A B), (lognormal MEDIAN SIGMA), (exponential MEAN) or (pareto LEAST INDEX), not %s", raw)
+		return d, fmt.Errorf("a number, (uniform A B), (lognormal MEDIAN SIGMA), (exponential MEAN), (pareto LEAST INDEX) or (choice VALUE WEIGHT ...), not %s", raw)
 	}
 	d.Kind = head
 	if d.A, err = decimal(values[0], 0, 1e6); err == nil && need == 2 {
@@ -442,7 +489,10 @@
 	case len(e.Versions) > 0 && !e.Real:
 		return errors.New("versions are compared in real time: (clock real)")
 	}
-	d := Example(e.Controllers, e.Machines)
+	d := e.deployment()
+	if err := e.Own.check(&d); err != nil {
+		return err
+	}
 	names := map[string]bool{}
 	for _, c := range e.Classes {
 		if names[c.Name] {
@@ -452,8 +502,13 @@
 		if !slices.ContainsFunc(d.Teams, func(t config.Team) bool { return t.Name == c.Team }) {
 			return fmt.Errorf("class %q: there is no team %q", c.Name, c.Team)
 		}
+		for _, name := range c.Types {
+			if !slices.ContainsFunc(d.Types, func(t protocol.MachineType) bool { return t.Name == name }) {
+				return fmt.Errorf("class %q: there is no type %q", c.Name, name)
+			}
+		}
 		if !slices.ContainsFunc(d.Types, func(t protocol.MachineType) bool {
-			return t.Room().Fits(protocol.Room{Cores: c.Cores, Accels: c.Accels, RAM: c.RAM})
+			return (c.Types == nil || slices.Contains(c.Types, t.Name)) && t.Room().Fits(protocol.Room{Cores: c.Cores, Accels: c.Accels, RAM: c.RAM})
 		}) {
 			return fmt.Errorf("class %q: a task fits no machine", c.Name)
 		}
@@ -483,6 +538,9 @@
 	for _, v := range e.Vary {
 		p("(vary %s%s)", v.Name, joined(v.Values))
 	}
+	for _, line := range e.Own.lines() {
+		p("%s", line)
+	}
 	for _, c := range e.Classes {
 		p("%s", c)
 	}
@@ -506,8 +564,14 @@
 
 func (c Class) String() string {
 	shape := map[protocol.Shape]string{protocol.Array: "array", protocol.Gang: "gang", protocol.Service: "service"}[c.Shape]
-	s := fmt.Sprintf("(class %q (team %q) (shape %s) (priority %s) (arrivals %s) (tasks %s) (run %s) (error %v)\n    (cores %v) (accels %v) (ram %v) (image %q %v)",
-		c.Name, c.Team, shape, c.Priority, c.Arrivals, c.Tasks, c.Run, c.Error, c.Cores, c.Accels, c.RAM, c.Image, c.ImageGB)
+	s := fmt.Sprintf("(class %q (team %q) (shape %s) (priority %s) (arrivals%s) (tasks %s) (run %s) (error %v)\n    (cores %v) (accels %v) (ram %v) (image %q %v)",
+		c.Name, c.Team, shape, c.Priority, joined(c.Arrivals), c.Tasks, c.Run, c.Error, c.Cores, c.Accels, c.RAM, c.Image, c.ImageGB)
+	if c.Images > 0 {
+		s += fmt.Sprintf(" (images %d)", c.Images)
+	}
+	if c.Types != nil {
+		s += " (types" + quoted(c.Types) + ")"
+	}
 	if c.SaveEvery > 0 {
 		s += fmt.Sprintf(" (saves %q %q)", c.SaveEvery, c.Save)
 	}
@@ -543,6 +607,8 @@
 		return fmt.Sprint(d.A)
 	case "exponential":
 		return fmt.Sprintf("(exponential %v)", d.A)
+	case "choice":
+		return "(choice" + joined(d.Values) + ")"
 	}
 	return fmt.Sprintf("(%s %v %v)", d.Kind, d.A, d.B)
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -53,6 +53,11 @@
   (at "1m5s" (machines hang 2 "15s"))
   (at "80s" (spot-wave 0.5)))`
 
+const ownDeployment = `(experiment "own" (zones "u" "v") (lease "30s") (report "3s") (state 100 50 4 9) (cloud 5 "2s") (node 0.5 200 900)
+  (type "little" (cores 8) (ram 32) (fetch 1) (price 1 0.3) (boot 20)) (type "big" (cores 64) (ram 256) (fetch 0.5) (price 7 2) (boot 40) (most 3) (zones "v"))
+  (team "us" (cpus 10 64)) (aim wait "render" "20s" 0.9)
+  (class "render" (team "us") (arrivals (start 3) (poisson "9s")) (tasks (choice 1 3 4 1)) (images 5) (types "big" "little")))`
+
 // An experiment with faults inside each other is played, kept, and made a page of; its
 // events are whole and keep the rules when they are checked again.
 func TestAnExperimentIsPlayed(t *testing.T) {
@@ -192,6 +197,16 @@
 			t.Fatalf("seed %d: %v\n%s\n%v", seed, err, e, again)
 		}
 	}
+	again, err := Parse([]byte(ownDeployment))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if second, err := Parse([]byte(again.String())); err != nil || second.String() != again.String() {
+		t.Errorf("%v\n%s\n%v", err, again, second)
+	}
+	if d := again.deployment(); d.Lease != 30*time.Second || len(d.Types) != 2 || d.Types[0].Zones[1] != "v" || d.Most["big"] != 3 || d.State.TxnOps != 9 || d.Teams[0].CoresMax != 64 {
+		t.Errorf("%+v", d)
+	}
 	ready, err := filepath.Glob("../../deploy/lab/*.edn")
 	if err != nil || len(ready) < 3 {
 		t.Errorf("ready experiments: %v, %v", ready, err)
@@ -217,6 +232,10 @@
 		"(experiment \"x\"\n(class \"a\" (arrivals (start 1)) (cores 999)))":                   "fits no machine",
 		"(experiment \"x\"\n(class \"a\" (arrivals (start 1)) (team \"b\")))":                  "no team \"b\"",
 		"(experiment \"x\"\n(class \"a\" (arrivals (start 1)) (run (normal 1))))":              "line 2: class: \"a\": run: a number",
+		"(experiment \"x\"\n(lease \"1s\")" + class + ")":                                      "lease: 1s must be at least twice",
+		"(experiment \"x\"\n(type \"a\" (cores 4)))":                                           "line 2: type: type \"a\": it needs cores, ram and fetch",
+		"(experiment \"x\"\n(type \"a\" (wheels 4)))":                                          "line 2: type: type \"a\": wheels",
+		"(experiment \"x\"\n(team \"a\" (cpus 4)))":                                            "line 2: team: team \"a\": cpus",
 		"(experiment \"x\"" + class + "\n(at \"1m\" (flood \"1m\")))":                          "flood: there is no such fault",
 		"(experiment \"x\"" + class + "\n(at \"1m\" (crash \"1m\" \"press-7\")))":              "no controller press-7",
 		"(experiment \"x\"" + class + "\n(at \"1m\" (state-outage)))":                          "it takes TIME",
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -44,6 +44,12 @@
 		return distuv.LogNormal{Mu: math.Log(max(d.A, 1e-9)), Sigma: d.B, Src: rng}.Rand()
 	case "exponential":
 		return distuv.Exponential{Rate: 1 / max(d.A, 1e-9), Src: rng}.Rand()
+	case "choice":
+		var weights []float64
+		for n := 1; n < len(d.Values); n += 2 {
+			weights = append(weights, d.Values[n])
+		}
+		return d.Values[2*int(distuv.NewCategorical(weights, rng).Rand())]
 	case "pareto":
 		return distuv.Pareto{Xm: d.A, Alpha: d.B, Src: rng}.Rand()
 	}
@@ -88,8 +94,10 @@
 func (e *Experiment) orders(seed uint64) (all []order) {
 	for _, c := range e.Classes {
 		rng := source(seed, c.Name)
-		for _, at := range c.Arrivals.times(e.Length, e.Scale, rng) {
-			all = append(all, c.order(at, rng))
+		for _, a := range c.Arrivals {
+			for _, at := range a.times(e.Length, e.Scale, rng) {
+				all = append(all, c.order(at, rng))
+			}
 		}
 	}
 	slices.SortStableFunc(all, func(a, b order) int { return int(a.at - b.at) })
@@ -119,8 +127,11 @@
 	tasks := int(min(protocol.MaxTasks, max(1, math.Round(c.Tasks.draw(rng)))))
 	run := max(1, c.Run.draw(rng))
 	s := &protocol.JobSpec{Class: c.Name, Team: c.Team, Shape: c.Shape, Priority: c.Priority, Tasks: tasks, Cores: c.Cores, Accels: c.Accels, RAM: c.RAM,
-		Image: c.Image, ImageGB: c.ImageGB, OneZone: c.OneZone, Scatter: c.Scatter, Spot: c.Spot,
+		Image: c.Image, ImageGB: c.ImageGB, OneZone: c.OneZone, Scatter: c.Scatter, Spot: c.Spot, Types: c.Types,
 		CheckpointS: c.SaveEvery.Seconds(), SaveS: c.Save.Seconds()}
+	if c.Images > 1 {
+		s.Image += fmt.Sprint("-", rng.IntN(c.Images))
+	}
 	o := order{at: at, spec: s, mistake: rng.Float64() < c.Mistaken}
 	if rng.Float64() < c.Cancelled {
 		o.cancelAt = time.Duration(rng.Float64() * 2 * run * float64(time.Second))
--- /dev/null
+++ b/internal/lab/own.go
@@ -0,0 +1,276 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"olympos.io/encoding/edn"
+
+	"daledyke/internal/config"
+	"daledyke/internal/emulator"
+	"daledyke/internal/forms"
+	"daledyke/internal/protocol"
+)
+
+// Own is what an experiment's deployment has instead of the example's. What is absent is
+// the example's.
+type Own struct {
+	Zones []string
+	Types []protocol.MachineType
+	// Most is how many machines there are of a type.
+	Most  map[string]int
+	Teams []config.Team
+	Aims  []config.Objective
+	// Report, Lease, GangWait, GangPeer and Cancel are the workers' times.
+	Report, Lease, GangWait, GangPeer, Cancel time.Duration
+	State                                     *emulator.Limits
+	CloudRPS                                  float64
+	ListLag                                   time.Duration
+	ClockOff                                  time.Duration
+	// Cores, MemMB and Files are each controller's.
+	Cores, MemMB, Files float64
+}
+
+// set takes one entry of an experiment that is about the deployment.
+func (o *Own) set(head string, values []string, raw []byte) (err error) {
+	times := map[string]*time.Duration{"report": &o.Report, "lease": &o.Lease, "gang-wait": &o.GangWait, "gang-peer": &o.GangPeer,
+		"cancel-within": &o.Cancel, "clock-off": &o.ClockOff}
+	if into := times[head]; into != nil {
+		value, err := one(values)
+		if err == nil {
+			*into, err = duration(value)
+		}
+		if err == nil && *into <= 0 {
+			err = errors.New("it must be more than nothing")
+		}
+		return err
+	}
+	numbers := func(n int, least float64) (v []float64) {
+		if len(values) != n {
+			err = fmt.Errorf("%d values are needed, not %d", n, len(values))
+			return make([]float64, n)
+		}
+		for _, s := range values {
+			x, bad := decimal(s, least, 1e9)
+			err = errors.Join(err, bad)
+			v = append(v, x)
+		}
+		return v
+	}
+	switch head {
+	case "zones":
+		if o.Zones = values; len(values) == 0 || slices.Contains(values, "") {
+			err = errors.New("names are needed")
+		}
+	case "state": // requests and changes a second, KB of a value, changes of a transaction
+		v := numbers(4, 1)
+		o.State = &emulator.Limits{RPS: v[0], WriteRPS: v[1], ValueKB: v[2], TxnOps: int(v[3])}
+	case "cloud": // requests a second, and by how much the list is late
+		if len(values) != 2 {
+			return errors.New("requests a second and the list's lag are needed")
+		}
+		if o.CloudRPS, err = decimal(values[0], 0.1, 1e6); err == nil {
+			o.ListLag, err = duration(values[1])
+		}
+	case "node": // cores, MB of memory, files
+		v := numbers(3, 0.01)
+		o.Cores, o.MemMB, o.Files = v[0], v[1], v[2]
+	case "aim": // wait|finished CLASS WITHIN SHARE
+		if len(values) != 4 || values[0] != "wait" && values[0] != "finished" {
+			return errors.New("wait or finished, a class, a time and a share are needed")
+		}
+		a := config.Objective{Kind: values[0], Class: values[1]}
+		within, err := duration(values[2])
+		if err != nil {
+			return err
+		}
+		a.WithinS = within.Seconds()
+		if a.Share, err = decimal(values[3], 0, 1); err == nil {
+			o.Aims = append(o.Aims, a)
+		}
+		return err
+	case "team":
+		return o.setTeam(raw)
+	case "type":
+		return o.setType(raw)
+	default:
+		return errors.New("there is no such entry")
+	}
+	return err
+}
+
+// amounts are the entries of a named form, each with numbers.
+func amounts(raw []byte, kind edn.Symbol, other func(name string, values []string) bool, allowed map[string][]*float64) (name string, err error) {
+	name, entries, err := forms.Named(raw, kind)
+	if err != nil {
+		return "", err
+	}
+	for _, e := range entries {
+		values, err := texts(e.Values)
+		if err != nil || !plainName(name) {
+			return "", fmt.Errorf("%s %q: %s: names and values must be plain: %v", kind, name, e.Name, err)
+		}
+		if other(e.Name, values) {
+			continue
+		}
+		into, known := allowed[e.Name]
+		if !known || len(values) != len(into) {
+			return "", fmt.Errorf("%s %q: %s: no such entry, or not with %d values", kind, name, e.Name, len(values))
+		}
+		for n, s := range values {
+			if *into[n], err = decimal(s, 0, 1e7); err != nil {
+				return "", fmt.Errorf("%s %q: %s: %w", kind, name, e.Name, err)
+			}
+		}
+	}
+	return name, nil
+}
+
+// setTeam reads (team "x" (cpus GUARANTEE LIMIT) (gpus GUARANTEE LIMIT)).
+func (o *Own) setTeam(raw []byte) (err error) {
+	var t config.Team
+	t.Name, err = amounts(raw, "team", func(string, []string) bool { return false },
+		map[string][]*float64{"cpus": {&t.Cores, &t.CoresMax}, "gpus": {&t.Accels, &t.AccelsMax}})
+	if err == nil {
+		o.Teams = append(o.Teams, t)
+	}
+	return err
+}
+
+// setType reads (type "x" (cores N) (accels N) (ram GB) (cache GB) (fetch GB/s) (price P
+// SPOT) (boot S) (most N) (zones "a" ...)).
+func (o *Own) setType(raw []byte) (err error) {
+	var t protocol.MachineType
+	most := -1.0
+	t.Name, err = amounts(raw, "type", func(name string, values []string) bool {
+		if name == "zones" {
+			t.Zones = values
+		}
+		return name == "zones"
+	}, map[string][]*float64{"cores": {&t.Cores}, "accels": {&t.Accels}, "ram": {&t.RAM}, "cache": {&t.CacheGB}, "fetch": {&t.FetchRate},
+		"price": {&t.Price, &t.SpotPrice}, "boot": {&t.BootS}, "most": {&most}})
+	if err != nil {
+		return err
+	}
+	if t.Cores <= 0 || t.RAM <= 0 || t.FetchRate <= 0 {
+		return fmt.Errorf("type %q: it needs cores, ram and fetch", t.Name)
+	}
+	o.Types = append(o.Types, t)
+	if most >= 0 {
+		if o.Most == nil {
+			o.Most = map[string]int{}
+		}
+		o.Most[t.Name] = int(most)
+	}
+	return nil
+}
+
+// check tells what of a deployment does not go together.
+func (o *Own) check(d *Deployment) error {
+	for _, t := range d.Types {
+		for _, z := range t.Zones {
+			if !slices.Contains(d.Zones, z) {
+				return fmt.Errorf("type %q: there is no zone %q", t.Name, z)
+			}
+		}
+	}
+	if d.Lease < 2*d.ReportEvery {
+		return fmt.Errorf("lease: %v must be at least twice the time between reports, %v", d.Lease, d.ReportEvery)
+	}
+	return nil
+}
+
+// deployment is the example's, with what is the experiment's own.
+func (e *Experiment) deployment() Deployment {
+	d, o := Example(e.Controllers, e.Machines), &e.Own
+	if o.Zones != nil {
+		for i := range d.Types {
+			d.Types[i].Zones = o.Zones
+		}
+		d.Zones = o.Zones
+	}
+	if o.Types != nil {
+		d.Types, d.Most = slices.Clone(o.Types), o.Most
+		for i := range d.Types {
+			if d.Types[i].Zones == nil {
+				d.Types[i].Zones = d.Zones
+			}
+		}
+	}
+	if o.Teams != nil {
+		d.Teams = o.Teams
+	}
+	if o.Aims != nil {
+		d.Objectives = o.Aims
+	}
+	for into, v := range map[*time.Duration]time.Duration{&d.ReportEvery: o.Report, &d.Lease: o.Lease, &d.GangWait: o.GangWait, &d.GangPeer: o.GangPeer,
+		&d.CancelWithin: o.Cancel, &d.ClockOff: o.ClockOff} {
+		if v > 0 {
+			*into = v
+		}
+	}
+	if o.State != nil {
+		d.State = *o.State
+	}
+	if o.CloudRPS > 0 {
+		d.CloudRPS, d.ListLag = o.CloudRPS, o.ListLag
+	}
+	if o.Cores > 0 {
+		d.Cores, d.MemMB, d.Files = o.Cores, o.MemMB, int(o.Files)
+	}
+	return d
+}
+
+// lines write it as set reads it.
+func (o *Own) lines() (all []string) {
+	p := func(format string, args ...any) { all = append(all, fmt.Sprintf(format, args...)) }
+	if o.Zones != nil {
+		p("(zones%s)", quoted(o.Zones))
+	}
+	for _, name := range []struct {
+		name string
+		d    time.Duration
+	}{{"report", o.Report}, {"lease", o.Lease}, {"gang-wait", o.GangWait}, {"gang-peer", o.GangPeer}, {"cancel-within", o.Cancel}, {"clock-off", o.ClockOff}} {
+		if name.d > 0 {
+			p("(%s %q)", name.name, name.d)
+		}
+	}
+	if s := o.State; s != nil {
+		p("(state %v %v %v %d)", s.RPS, s.WriteRPS, s.ValueKB, s.TxnOps)
+	}
+	if o.CloudRPS > 0 {
+		p("(cloud %v %q)", o.CloudRPS, o.ListLag)
+	}
+	if o.Cores > 0 {
+		p("(node %v %v %v)", o.Cores, o.MemMB, o.Files)
+	}
+	for _, t := range o.Types {
+		s := fmt.Sprintf("(type %q (cores %v) (accels %v) (ram %v) (cache %v) (fetch %v) (price %v %v) (boot %v)", t.Name, t.Cores, t.Accels, t.RAM,
+			t.CacheGB, t.FetchRate, t.Price, t.SpotPrice, t.BootS)
+		if most, bound := o.Most[t.Name]; bound {
+			s += fmt.Sprintf(" (most %d)", most)
+		}
+		if t.Zones != nil {
+			s += " (zones" + quoted(t.Zones) + ")"
+		}
+		p("%s)", s)
+	}
+	for _, t := range o.Teams {
+		p("(team %q (cpus %v %v) (gpus %v %v))", t.Name, t.Cores, t.CoresMax, t.Accels, t.AccelsMax)
+	}
+	for _, a := range o.Aims {
+		p("(aim %s %q %q %v)", a.Kind, a.Class, protocol.Seconds(a.WithinS), a.Share)
+	}
+	return all
+}
+
+func quoted(values []string) string {
+	var b strings.Builder
+	for _, v := range values {
+		fmt.Fprintf(&b, " %q", v)
+	}
+	return b.String()
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -156,7 +156,7 @@
 	defer cancel()
 	meter := NewMeter()
 	over := false
-	d := Example(e.Controllers, e.Machines)
+	d := e.deployment()
 	set := d.Setup(seed, true)
 	set.Record = func(ev history.Event) {
 		if !over { // on the world's goroutine
