--- a/internal/emulator/balancer.go
+++ b/internal/emulator/balancer.go
@@ -96,7 +96,7 @@
 		for _, c := range reset {
 			c.Close()
 		}
-		if !pause(b.loop.ctx, probeEvery) {
+		if !Pause(b.loop.ctx, probeEvery) {
 			return
 		}
 	}
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -263,7 +263,7 @@
 		t := time.NewTimer(wait)
 		select {
 		case <-poked:
-			if !pause(m.ctx, leastGap) {
+			if !Pause(m.ctx, leastGap) {
 				return
 			}
 		case <-t.C:
--- a/internal/emulator/state.go
+++ b/internal/emulator/state.go
@@ -271,14 +271,14 @@
 			return
 		}
 	}
-	if delay > 0 && !pause(r.Context(), delay) {
+	if delay > 0 && !Pause(r.Context(), delay) {
 		return
 	}
 	answer(w, status, body)
 }
 
-// pause waits, unless the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
+// Pause waits, unless the context ends first.
+func Pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -366,7 +366,7 @@
 				}
 			})
 		})
-		pause(r.Context(), time.Minute)
+		Pause(r.Context(), time.Minute)
 		panic(http.ErrAbortHandler)
 	}
 	s.serve(w, r, func() (int, any) {
@@ -486,7 +486,7 @@
 					return
 				}
 			}
-			if lag <= 0 || pause(r.Context(), lag) {
+			if lag <= 0 || Pause(r.Context(), lag) {
 				answer(w, http.StatusOK, found)
 			}
 			return
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -220,23 +220,12 @@
 		}
 		u.world.Note(history.Event{Kind: kind, Job: u.spec.ID, Code: code, Status: status})
 		if code >= 200 && code < 300 || code == 400 || code == 422 || code == 404 && kind == history.CancelTold ||
-			time.Since(began)+again > retryFor || !sleep(ctx, again) {
+			time.Since(began)+again > retryFor || !emulator.Pause(ctx, again) {
 			return code, status
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // live is the life of a user, until the job is over or the experiment is.
 func (u *user) live(ctx context.Context) {
 	body, err := json.Marshal(u.spec)
@@ -252,7 +241,7 @@
 	if u.mistake && u.cancelAt == 0 {
 		u.cancelAt = mistakenTill
 	}
-	for sleep(ctx, pollEvery) {
+	for emulator.Pause(ctx, pollEvery) {
 		if u.cancelAt > 0 && time.Since(began) >= u.cancelAt {
 			u.cancelAt = 0
 			u.world.Note(history.Event{Kind: history.CancelAsked, Job: u.spec.ID})
@@ -266,7 +255,7 @@
 		u.world.Note(history.Event{Kind: history.Polled, Job: u.spec.ID, Code: code, Status: status})
 		if status == protocol.Done || status == protocol.Cancelled {
 			// It may ask again at any later time.
-			if !sleep(ctx, time.Duration(u.rng.Float64()*float64(2*time.Minute))) {
+			if !emulator.Pause(ctx, time.Duration(u.rng.Float64()*float64(2*time.Minute))) {
 				return
 			}
 			code, status, _ = u.ask(ctx, http.MethodGet, "/v1/jobs/"+u.spec.ID, nil, pollWait)
