Requests to the cloud that are carried out late; the load balancer's test

Need: machines that appear though nobody expects them any more, and the answers of a crowd of jobs that comes while the state service vanishes.

Change: the emulated cloud can hold rentals and returns up (cloud-late); the balancer is tested against the protocol's words; 64 jobs come 0.2 s before the state service goes away, with two controllers killed and machines late: each has one final answer and is done.

--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -45,17 +45,17 @@
 	r.POST("/rentals", func(rw http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		var q protocol.RentRequest
 		err := read(r, &q)
-		w.cloudDoor(func(*http.Request) (int, any) {
+		w.maybeLate(rw, r, p, func(*http.Request) (int, any) {
 			if err != nil {
 				return http.StatusBadRequest, problem(err.Error())
 			}
 			return w.rent(q)
-		})(rw, r, p)
+		})
 	})
 	r.POST("/rentals/return", func(rw http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		var q protocol.MachineNames
 		err := read(r, &q)
-		w.cloudDoor(func(*http.Request) (int, any) {
+		w.maybeLate(rw, r, p, func(*http.Request) (int, any) {
 			if err != nil || len(q.Machines) > protocol.MaxReturn {
 				return http.StatusBadRequest, problem("malformed")
 			}
@@ -65,11 +65,31 @@
 				}
 			}
 			return http.StatusOK, struct{}{}
-		})(rw, r, p)
+		})
 	})
 	return r
 }
 
+// maybeLate has f answer as cloudDoor does; or, if requests are held up, has it done much
+// later, while its sender hears nothing: machines appear that nobody expects any more.
+func (w *World) maybeLate(rw http.ResponseWriter, r *http.Request, p httprouter.Params, f func(*http.Request) (int, any)) {
+	var late time.Duration
+	w.loop.do(func() {
+		if late = w.cloudLate; late > 0 {
+			w.loop.after(late, func() {
+				if !w.down {
+					f(r)
+				}
+			})
+		}
+	})
+	if late > 0 {
+		Pause(r.Context(), time.Minute)
+		panic(http.ErrAbortHandler)
+	}
+	w.cloudDoor(f)(rw, r, p)
+}
+
 // cloudDoor has f answer on the loop, within the cloud's rate and out of outages.
 func (w *World) cloudDoor(f func(*http.Request) (int, any)) httprouter.Handle {
 	return func(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
--- a/internal/emulator/machine_test.go
+++ b/internal/emulator/machine_test.go
@@ -161,6 +161,16 @@
 		if strconv.Itoa(status) != args[0] {
 			return fmt.Errorf("answer %d %s", status, raw)
 		}
+	case "cloud-late": // cloud-late TIME: rentals and returns are held up for so long
+		by, err := time.ParseDuration(args[0])
+		s.CloudLate(by)
+		return err
+	case "rent-unanswered": // rent-unanswered BOOKING COUNT: its sender gives up after 3 s
+		n, _ := strconv.Atoi(args[1])
+		status, _ := request(context.Background(), s.http, http.MethodPost, "http://cloud:1/rentals", protocol.RentRequest{Booking: args[0], Type: "small", Zone: "a", Count: n}, 3*time.Second)
+		if status != 0 {
+			return fmt.Errorf("answer %d", status)
+		}
 	case "return":
 		s.ask(http.MethodPost, "cloud:1/rentals/return", protocol.MachineNames{Machines: args})
 	case "listed": // listed MACHINE STATUS, or none
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -82,12 +82,14 @@
 	lives    map[string]int // of them, by type
 	capacity int
 	down     bool
-	bucket   *rate.Limiter
-	prices   map[string]float64 // factors of spot prices, by type
-	money    float64            // spent on machines that are gone
-	minutely float64            // on those that are charged, an hour
-	paidTo   time.Time
-	boots    float64 // factor on boot times
+	// cloudLate is how much later rentals and returns are carried out, unanswered.
+	cloudLate time.Duration
+	bucket    *rate.Limiter
+	prices    map[string]float64 // factors of spot prices, by type
+	money     float64            // spent on machines that are gone
+	minutely  float64            // on those that are charged, an hour
+	paidTo    time.Time
+	boots     float64 // factor on boot times
 	// Room in use and there.
 	used, whole protocol.Room
 	running     int
@@ -221,6 +223,10 @@
 // CloudOutage takes the cloud away, or gives it back.
 func (w *World) CloudOutage(down bool) { w.loop.do(func() { w.down = down }) }
 
+// CloudLate has rentals and returns carried out so much later, without an answer to their
+// sender; 0 ends it.
+func (w *World) CloudLate(by time.Duration) { w.loop.do(func() { w.cloudLate = by }) }
+
 // Made is how many machines were rented so far.
 func (w *World) Made() (n int) {
 	w.loop.do(func() { n = w.made })
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -21,6 +21,7 @@
 	"state-lags":    "TIME NODE BY",    // one controller hears of changes late
 	"state-writes":  "TIME SHARE",      // its rate of changes falls to a share
 	"cloud-outage":  "TIME",            // the cloud is away
+	"cloud-late":    "TIME BY",         // rentals and returns are carried out so much later, unanswered
 	"capacity":      "TIME SHARE",      // there are so many of the machines
 	"boots":         "TIME FACTOR",     // machines rented meanwhile boot so much slower; 0: at once
 	"crash":         "TIME NODE",       // killed, and started again after TIME; all: all of them
@@ -149,6 +150,8 @@
 		})
 	case "cloud-outage":
 		during(f.Verb, b.world.CloudOutage)
+	case "cloud-late":
+		during(f.Verb, func(yes bool) { b.world.CloudLate(on(yes, long(1))) })
 	case "capacity":
 		during(f.Verb, func(yes bool) {
 			if n := float64(b.d.Machines); yes {
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -65,6 +65,7 @@
 			f.Verb, f.Args = "state-writes", []string{span(2 * time.Minute), fmt.Sprintf("%.2f", 0.1+0.4*rng.Float64())}
 		},
 		func() { f.Verb, f.Args = "cloud-outage", []string{span(2 * time.Minute)} },
+		func() { f.Verb, f.Args = "cloud-late", []string{span(30 * time.Second), span(time.Minute)} },
 		func() {
 			f.Verb, f.Args = "capacity", []string{span(2 * time.Minute), fmt.Sprintf("%.2f", rng.Float64())}
 		},
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -128,6 +128,47 @@
 	}
 }
 
+// The state service vanishes while a crowd of jobs is taken and placed, and returns; half
+// of the controllers are killed meanwhile, and machines come late and unexpected. Every job
+// gets one final answer, and is done once.
+func TestStateServiceVanishesDuringPlacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, err := Parse([]byte(`(experiment "vanishes" (controllers 4) (machines 30) (length "90s") (rest "4m")
+			(class "render" (arrivals (burst "20s" 60)) (tasks (uniform 1 3)) (run (uniform 5 20)) (cores 2))
+			(class "learn" (team "plates") (shape gang) (arrivals (burst "20s" 4)) (tasks 4) (run 20) (cores 8) (image "learn" 6))
+			(at "20200ms" (state-outage "18s")) (at "21s" (crash "10s" "press-0")) (at "22s" (crash "20s" "press-3"))
+			(at "10s" (cloud-late "25s" "40s")) (at "30s" (boots "1m" 3)))`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		final := map[string]map[int]bool{}
+		sum, err := play(context.Background(), e, "", 5, t.TempDir(), func(ev history.Event) {
+			if ev.Kind == history.Answered && (ev.Code < 300 && ev.Code > 0 || ev.Code == 400 || ev.Code == 422) {
+				if final[ev.Job] == nil {
+					final[ev.Job] = map[int]bool{}
+				}
+				final[ev.Job][ev.Code/100] = true
+			}
+		}, func(float64) {})
+		if err != nil || len(sum.Broken) > 0 {
+			t.Fatal(err, sum.Broken)
+		}
+		for job, codes := range final {
+			if len(codes) != 1 {
+				t.Errorf("%s is answered %v", job, codes)
+			}
+		}
+		for name, c := range sum.Classes {
+			if c.Accepted != c.Jobs || c.Done != c.Jobs {
+				t.Errorf("%s: %d jobs, %d accepted, %d done", name, c.Jobs, c.Accepted, c.Done)
+			}
+		}
+		if len(final) != 64 {
+			t.Errorf("%d jobs have a final answer", len(final))
+		}
+	})
+}
+
 // A run whose process fails leaves no result, and its last words are told.
 func TestARunThatFails(t *testing.T) {
 	e, err := Parse([]byte(small))
@@ -293,24 +334,24 @@
 }
 
 // A hunt sees a rule that breaks, and saves the smallest experiment that does, which
-// breaks it again: here runs are told broken wherever a controller crashes.
+// breaks it again: here runs are told broken wherever many spot machines leave.
 func TestHunt(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "hunt")
 	fake := filepath.Join(t.TempDir(), "fake.sh")
-	script := `grep -q '(crash' "$1/run.json" && B='[{"at":1,"rule":"ran_twice","what":"x"}]' || B='[]'
+	script := `grep -q '(spot-wave' "$1/run.json" && B='[{"at":1,"rule":"ran_twice","what":"x"}]' || B='[]'
 echo '{"run":"x","broken":'"$B"'}' > "$1/summary.json"; echo 0.5`
 	if err := os.WriteFile(fake, []byte(script), 0o700); err != nil {
 		t.Fatal(err)
 	}
 	var said []string
-	found, err := Hunt(t.Context(), &Runner{Dir: dir, Play: []string{"/bin/sh", fake}}, HuntOptions{Seed: 1, Runs: 6, Length: 4 * time.Minute,
+	found, err := Hunt(t.Context(), &Runner{Dir: dir, Play: []string{"/bin/sh", fake}}, HuntOptions{Seed: 1, Runs: 10, Length: 4 * time.Minute,
 		Say: func(format string, args ...any) { said = append(said, fmt.Sprintf(format, args...)) }})
-	if err != nil || len(found) == 0 || len(found) == 6 {
+	if err != nil || len(found) == 0 || len(found) == 10 {
 		t.Fatalf("%d found, %v: %v", len(found), err, said)
 	}
 	for _, f := range found {
 		e, err := Load(f.File)
-		if err != nil || len(e.Faults) != 1 || e.Faults[0].Verb != "crash" || len(e.Classes) != 1 {
+		if err != nil || len(e.Faults) != 1 || e.Faults[0].Verb != "spot-wave" || len(e.Classes) != 1 {
 			t.Errorf("%s: %v %v", f.File, err, e)
 		}
 	}
