--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -32,7 +32,9 @@
 // source is a generator of distributions for one purpose, which other purposes don't
 // disturb: with one more class, the others' jobs stay as they were.
 func source(seed uint64, purpose string) *rand.Rand {
-	return rand.New(rand.NewPCG(seed, uint64(protocol.RingToken(purpose))))
+	// The generator's state is hashed from both: seeds that follow each other, as hunts use
+	// them, drew much the same faults otherwise.
+	return rand.New(rand.NewPCG(uint64(protocol.RingToken(fmt.Sprint(purpose, " ", seed))), uint64(protocol.RingToken(purpose))))
 }
 
 // draw takes a number from a distribution.
