--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -166,11 +166,20 @@
 	var best Choice
 	bestPrice := orElse
 	need := p.Spec.Need()
+	var can, chosen []Victim // used again for each machine: there may be thousands
 	for _, m := range machines {
-		if t := p.Types[m.Type]; !t.Room().Fits(need) || !p.allowed(m) {
+		room := m.Free.Sub(m.Promised)
+		if room.Fits(need) || !p.allowed(m) {
+			continue // nothing has to go, or nothing would help
+		}
+		if t := p.Types[m.Type]; !t.Room().Fits(need) {
 			continue
 		}
-		var can []Victim
+		total := p.Cost(m)
+		if total >= bestPrice {
+			continue // what has to go costs something, too
+		}
+		can = can[:0]
 		for _, i := range m.Instances {
 			if e, ok := price(i); ok {
 				can = append(can, e)
@@ -179,20 +188,19 @@
 		slices.SortFunc(can, func(a, b Victim) int {
 			return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
 		})
-		room := m.Free.Sub(m.Promised)
-		var evict []string
-		total := p.Cost(m)
-		for _, e := range can {
-			if room.Fits(need) {
-				break
-			}
-			room = room.Add(e.Need)
-			evict = append(evict, e.Name)
-			total += e.Price
+		n := 0
+		for n < len(can) && !room.Fits(need) && total < bestPrice {
+			room = room.Add(can[n].Need)
+			total += can[n].Price
+			n++
 		}
-		if len(evict) > 0 && room.Fits(need) && total < bestPrice {
-			best, bestPrice = Choice{m, evict}, total
+		if room.Fits(need) && total < bestPrice {
+			best.Machine, bestPrice = m, total
+			chosen = append(chosen[:0], can[:n]...)
 		}
 	}
+	for _, e := range chosen {
+		best.Evict = append(best.Evict, e.Name)
+	}
 	return best, best.Machine != nil
 }
