--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -252,6 +252,7 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
 	p.Y.Min, p.Legend.Top = 0, true
+	p.Legend.ThumbnailWidth, p.Legend.Padding, p.Legend.XOffs = vg.Points(14), vg.Points(3), -vg.Points(4)
 	top := 1.0
 	for _, l := range lines {
 		for _, at := range l.points {
@@ -280,7 +281,7 @@
 		p.Legend.Add(l.name, drawn)
 	}
 	c := vgsvg.New(9*vg.Inch, 2.6*vg.Inch)
-	p.Draw(draw2d.New(c))
+	p.Draw(draw2d.Crop(draw2d.New(c), 0, -vg.Points(24), 0, 0))
 	var b bytes.Buffer
 	if _, err := c.WriteTo(&b); err != nil {
 		return "", err
