Answers to feeds are not written once their controller has ended

In production a controller ends with its process.

Change: what an actor gives is copied only once it has run (askFor), here and in isGone.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -15,8 +15,8 @@
 
 // What an owner knows of the fleet and of what it lacks.
 
-func (o *Owner) isGone(ctx context.Context, id string) (gone bool) {
-	o.ask(ctx, func() { gone = o.gone[id] })
+func (o *Owner) isGone(ctx context.Context, id string) bool {
+	gone, _ := askFor(ctx, &o.actor, func() bool { return o.gone[id] })
 	return gone
 }
 
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -195,7 +195,12 @@
 				return h.ctx.Err()
 			}
 		}
-		h.ask(h.ctx, func() { *r = h.summary(a) })
+		// Not into r itself: a controller that ends may do it after r is on its way.
+		reply, ok := askFor(h.ctx, &h.actor, func() board.News { return h.summary(a) })
+		if !ok {
+			return h.ctx.Err()
+		}
+		*r = reply
 		return nil
 	}
 }
