Reread: one way to serve and to host a controller, one request, less state

The program, the lab and the traces each started a controller's two doors and actors by hand; the emulator and the lab's users each made requests that the transport makes; two commands each found a controller's address.

Change: Controller.Serve, Pipes.Host, transport.Call and Once, askAt and Room.Scale serve all of them. The emulator's cloud answers by one function, its buckets are made by one; fields that nothing read are gone, the meter keeps its newest sample instead of all. up reads the settings once instead of at each script, and keeps a job's description once, however often it is sent. A crash of all controllers ends once in the events.

--- a/cmd/daledyke/lab.go
+++ b/cmd/daledyke/lab.go
@@ -134,8 +134,8 @@
 		Short: "Plays random experiments with random faults until a rule breaks, and makes the smallest that does",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			for1, err := time.ParseDuration(length)
-			if err != nil || for1 < 30*time.Second {
+			each, err := time.ParseDuration(length)
+			if err != nil || each < 30*time.Second {
 				return fmt.Errorf("--length: %q is no time of at least 30s", length)
 			}
 			if out == "" {
@@ -147,7 +147,7 @@
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			found, err := lab.Hunt(ctx, runner, lab.HuntOptions{Seed: seed, Runs: runs, Length: for1, Say: func(format string, args ...any) {
+			found, err := lab.Hunt(ctx, runner, lab.HuntOptions{Seed: seed, Runs: runs, Length: each, Say: func(format string, args ...any) {
 				fmt.Fprintf(cmd.OutOrStdout(), format+"\n", args...)
 			}})
 			if err != nil && !errors.Is(err, context.Canceled) {
--- a/cmd/daledyke/main.go
+++ b/cmd/daledyke/main.go
@@ -111,10 +111,9 @@
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	limits := &c.Deployment.Limits
 	// Memory is there, processor is not: collect seldom while far from the limit.
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(limits.MemMB * 0.6 * (1 << 20)))
+	debug.SetMemoryLimit(int64(c.Deployment.Limits.MemMB * 0.6 * (1 << 20)))
 	front, err := net.Listen("tcp", c.Front)
 	if err != nil {
 		return err
@@ -123,11 +122,21 @@
 	if err != nil {
 		return err
 	}
-	k := coordination.NewController(ctx, c, transport.NetDialer())
-	failed := make(chan error, 2)
-	go func() { failed <- transport.ServeFront(front, k, limits.FDLimit*3/4) }()
-	go func() { failed <- transport.ServeRPC(internal, k.Receivers()) }()
-	go k.Run(ctx)
-	slog.Info("controller started", "name", c.Name, "zone", c.Zone)
-	return <-failed
+	return coordination.NewController(ctx, c, transport.NetDialer()).Serve(ctx, front, internal, c.Connections())
+}
+
+// askAt is the address at which a command asks a controller: the one it was given, or the
+// one that the settings name.
+func askAt(command, address, platform, operator string, of func(*config.Config) string) (string, error) {
+	if address != "" {
+		return address, nil
+	}
+	if platform == "" {
+		return "", fmt.Errorf("%s needs --config FILE or --address HOST:PORT", command)
+	}
+	c, err := config.Load(platform, operator)
+	if err != nil {
+		return "", err
+	}
+	return of(c), nil
 }
--- a/cmd/daledyke/quota.go
+++ b/cmd/daledyke/quota.go
@@ -37,16 +37,9 @@
 	flags.StringVar(&address, "address", "", "the controller's internal address, `HOST:PORT`")
 	flags.BoolVar(&raw, "json", false, "as JSON, for programs")
 	call := func(cmd *cobra.Command, method string, args, reply any) error {
-		at := address
-		if at == "" {
-			if *platform == "" {
-				return errors.New("quota needs --config FILE or --address HOST:PORT")
-			}
-			c, err := config.Load(*platform, *operator)
-			if err != nil {
-				return err
-			}
-			at = c.Internal
+		at, err := askAt("quota", address, *platform, *operator, func(c *config.Config) string { return c.Internal })
+		if err != nil {
+			return err
 		}
 		ctx, cancel := context.WithTimeout(cmd.Context(), 25*time.Second)
 		defer cancel()
--- a/cmd/daledyke/status.go
+++ b/cmd/daledyke/status.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -28,17 +27,11 @@
 		Short: "Shows what a running controller knows, or how a job stands and why it waits",
 		Args:  cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if address == "" {
-				if *platform == "" {
-					return errors.New("status needs --config FILE or --address HOST:PORT")
-				}
-				c, err := config.Load(*platform, *operator)
-				if err != nil {
-					return err
-				}
-				address = c.Front
+			at, err := askAt("status", address, *platform, *operator, func(c *config.Config) string { return c.Front })
+			if err != nil {
+				return err
 			}
-			o := transport.NewOperators(transport.NetDialer(), address)
+			o := transport.NewOperators(transport.NetDialer(), at)
 			out := cmd.OutOrStdout()
 			if len(args) == 1 {
 				v, err := o.Job(cmd.Context(), args[0])
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -164,6 +164,10 @@
 	}
 }
 
+// Connections is how many the front door may have open: the rest of the files is for the
+// others that a controller speaks to.
+func (c *Config) Connections() int { return c.Deployment.Limits.FDLimit * 3 / 4 }
+
 // Team finds a team by its name, nil if there is none.
 func (c *Config) Team(name string) *Team { return c.teams[name] }
 
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -100,6 +101,18 @@
 	return map[string]any{rpcName: HolderRPC{k.holder}, lendName: QuotaRPC{k}}
 }
 
+// Serve runs the controller until ctx ends, and serves users and workers at its front
+// door, over so many connections at most, and its siblings at the inner one. It returns once
+// one of the two can't be served any more.
+func (k *Controller) Serve(ctx context.Context, front, inner net.Listener, connections int) error {
+	failed := make(chan error, 2)
+	go func() { failed <- transport.ServeFront(front, k, connections) }()
+	go func() { failed <- transport.ServeRPC(inner, k.Receivers()) }()
+	go k.Run(ctx)
+	slog.Info("controller started", "name", k.cfg.Name, "zone", k.cfg.Zone)
+	return <-failed
+}
+
 // Run runs all actors until ctx ends.
 func (k *Controller) Run(ctx context.Context) {
 	go k.holder.Run()
@@ -386,7 +399,7 @@
 	if s.Shape != protocol.Array {
 		n = float64(s.Tasks)
 	}
-	if !team.Admits(protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n}) {
+	if !team.Admits(s.Need().Scale(n)) {
 		return errors.New("the job needs more than its crew may use")
 	}
 	if err := judgeAccount(k.quotaTree(), s, n); err != nil {
@@ -420,7 +433,7 @@
 	case account.Team() != s.Team:
 		return fmt.Errorf("account %q is not one of crew %s", s.Account, s.Team)
 	}
-	if binds, never := t.Never(account.Name, protocol.Room{Cores: s.Cores * n, Accels: s.Accels * n, RAM: s.RAM * n}); never {
+	if binds, never := t.Never(account.Name, s.Need().Scale(n)); never {
 		return fmt.Errorf("the job needs more than account %q may use", binds)
 	}
 	return nil
--- a/internal/coordination/scripts_test.go
+++ b/internal/coordination/scripts_test.go
@@ -48,13 +48,9 @@
 		time.Sleep(3 * time.Second)
 		const script = "#!/bin/bash\n#PBS -N frames\n#PBS -J 10-30:10\n#PBS -l ncpus=2\n#PBS -v WHO='it is me'\n./x $PBS_ARRAY_INDEX\n"
 		id := w.know("key-1", "", script)
-		for _, name := range w.names {
-			w.crash(name)
-		}
+		w.crash(w.names...)
 		time.AfterFunc(7*time.Second, func() {
-			for _, name := range w.names {
-				w.start(name)
-			}
+			w.start(w.names...)
 		})
 		for range 2 { // the client never heard the answer, and sends it again
 			taken, err := w.qsub("key-1", "", script)
@@ -121,13 +117,9 @@
 			return n
 		}
 		time.Sleep(20 * time.Second)
-		for _, name := range w.names {
-			w.crash(name)
-		}
+		w.crash(w.names...)
 		time.Sleep(4 * time.Second)
-		for _, name := range w.names {
-			w.start(name)
-		}
+		w.start(w.names...)
 		time.Sleep(60 * time.Second)
 		if v, err := users.View(t.Context(), id); err != nil || v.Reason != protocol.ReasonHeld || started() != 0 {
 			t.Errorf("%+v, %v, %d starts", v, err, started())
@@ -208,13 +200,9 @@
 		if v, err := users.View(t.Context(), id); err != nil || v.Reason != protocol.ReasonTime || v.StartsInS == nil || *v.StartsInS < 15 || *v.StartsInS > 25 {
 			t.Errorf("%+v, %v", v, err)
 		}
-		for _, name := range w.names {
-			w.crash(name)
-		}
+		w.crash(w.names...)
 		time.Sleep(25 * time.Second)
-		for _, name := range w.names {
-			w.start(name)
-		}
+		w.start(w.names...)
 		time.Sleep(50 * time.Second)
 		if err := w.expect(id, []string{"done"}); err != nil {
 			t.Error(err)
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -288,13 +288,9 @@
 		}
 		return err
 	case "crash":
-		for _, n := range args {
-			w.crash(n)
-		}
+		w.crash(args...)
 	case "start":
-		for _, n := range args {
-			w.start(n)
-		}
+		w.start(args...)
 	case "state-outage":
 		w.em.State.Outage(onOff(args))
 	case "state-refuses":
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -18,7 +18,6 @@
 	"daledyke/internal/emulator"
 	"daledyke/internal/history"
 	"daledyke/internal/protocol"
-	"daledyke/internal/transport"
 )
 
 // world is a whole deployment in memory: the controllers among what the emulator plays.
@@ -65,9 +64,7 @@
 	}
 	w.em.State.Pages(40) // small pages, so that paging is tested too
 	w.em.Fronts(fronts)
-	for _, n := range w.names {
-		w.start(n)
-	}
+	w.start(w.names...)
 	return w
 }
 
@@ -153,27 +150,28 @@
 }
 
 // start starts a controller as main does.
-func (w *world) start(name string) {
-	ctx, cancel := context.WithCancel(context.Background())
+func (w *world) start(names ...string) {
+	for _, name := range names {
+		w.startOne(name)
+	}
+}
+
+func (w *world) startOne(name string) {
 	c := w.settings(name)
-	k := NewController(ctx, c, w.net.Dialer(name))
-	front, err1 := w.net.Listen("front-" + name)
-	inner, err2 := w.net.Listen("inner-" + name)
-	if err := errors.Join(err1, err2); err != nil {
+	kill, err := w.net.Host(name, func(ctx context.Context, front, inner net.Listener) {
+		NewController(ctx, c, w.net.Dialer(name)).Serve(ctx, front, inner, 100)
+	})
+	if err != nil {
 		w.t.Fatal(err)
 	}
-	go transport.ServeFront(front, k, 100)
-	go transport.ServeRPC(inner, k.Receivers())
-	go k.Run(ctx)
-	w.nodes[name] = func() {
-		front.Close()
-		inner.Close()
-		cancel()
-		w.net.Break(func(from, to string) bool { return from == name || strings.HasSuffix(to, "-"+name+":1") })
-	}
+	w.nodes[name] = kill
 }
 
-func (w *world) crash(name string) { w.nodes[name]() }
+func (w *world) crash(names ...string) {
+	for _, name := range names {
+		w.nodes[name]()
+	}
+}
 
 // end ends the world; the rules must have held in it.
 func (w *world) end() {
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -27,35 +27,37 @@
 // cloudHandler serves the cloud's interface.
 func (w *World) cloudHandler() http.Handler {
 	r := httprouter.New()
-	r.GET("/catalog", w.cloudDoor(func(*http.Request) (int, any) {
-		c := protocol.Catalog{Types: slices.Clone(w.set.Types)}
-		for i := range c.Types {
-			c.Types[i].SpotPrice *= w.prices[c.Types[i].Name]
-		}
-		return http.StatusOK, c
-	}))
-	r.GET("/rentals", w.cloudDoor(func(r *http.Request) (int, any) {
+	r.GET("/catalog", func(rw http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		w.cloudAnswer(rw, func() (int, any) {
+			c := protocol.Catalog{Types: slices.Clone(w.set.Types)}
+			for i := range c.Types {
+				c.Types[i].SpotPrice *= w.prices[c.Types[i].Name]
+			}
+			return http.StatusOK, c
+		})
+	})
+	r.GET("/rentals", func(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		q := r.URL.Query()
 		most, err := strconv.Atoi(q.Get("limit"))
 		if err != nil || most <= 0 {
 			most = mostListed
 		}
-		return http.StatusOK, w.list(q.Get("from"), min(most, mostListed))
-	}))
-	r.POST("/rentals", func(rw http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		w.cloudAnswer(rw, func() (int, any) { return http.StatusOK, w.list(q.Get("from"), min(most, mostListed)) })
+	})
+	r.POST("/rentals", func(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var q protocol.RentRequest
 		err := read(r, &q)
-		w.maybeLate(rw, r, p, func(*http.Request) (int, any) {
+		w.maybeLate(rw, r, func() (int, any) {
 			if err != nil {
 				return http.StatusBadRequest, problem(err.Error())
 			}
 			return w.rent(q)
 		})
 	})
-	r.POST("/rentals/return", func(rw http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	r.POST("/rentals/return", func(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var q protocol.MachineNames
 		err := read(r, &q)
-		w.maybeLate(rw, r, p, func(*http.Request) (int, any) {
+		w.maybeLate(rw, r, func() (int, any) {
 			if err != nil || len(q.Machines) > protocol.MaxReturn {
 				return http.StatusBadRequest, problem("malformed")
 			}
@@ -70,15 +72,15 @@
 	return r
 }
 
-// maybeLate has f answer as cloudDoor does; or, if requests are held up, has it done much
+// maybeLate has f answer as cloudAnswer does; or, if requests are held up, has it done much
 // later, while its sender hears nothing: machines appear that nobody expects any more.
-func (w *World) maybeLate(rw http.ResponseWriter, r *http.Request, p httprouter.Params, f func(*http.Request) (int, any)) {
+func (w *World) maybeLate(rw http.ResponseWriter, r *http.Request, f func() (int, any)) {
 	var late time.Duration
 	w.loop.do(func() {
 		if late = w.cloudLate; late > 0 {
 			w.loop.after(late, func() {
 				if !w.down {
-					f(r)
+					f()
 				}
 			})
 		}
@@ -87,24 +89,22 @@
 		Pause(r.Context(), time.Minute)
 		panic(http.ErrAbortHandler)
 	}
-	w.cloudDoor(f)(rw, r, p)
+	w.cloudAnswer(rw, f)
 }
 
-// cloudDoor has f answer on the loop, within the cloud's rate and out of outages.
-func (w *World) cloudDoor(f func(*http.Request) (int, any)) httprouter.Handle {
-	return func(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		status, body := http.StatusServiceUnavailable, any(problem("trouble"))
-		w.loop.do(func() {
-			switch {
-			case w.down:
-			case !w.bucket.Allow():
-				status, body = http.StatusTooManyRequests, nil
-			default:
-				status, body = f(r)
-			}
-		})
-		answer(rw, status, body)
-	}
+// cloudAnswer has f answer on the loop, within the cloud's rate and out of outages.
+func (w *World) cloudAnswer(rw http.ResponseWriter, f func() (int, any)) {
+	status, body := http.StatusServiceUnavailable, any(problem("trouble"))
+	w.loop.do(func() {
+		switch {
+		case w.down:
+		case !w.bucket.Allow():
+			status, body = http.StatusTooManyRequests, nil
+		default:
+			status, body = f()
+		}
+	})
+	answer(rw, status, body)
 }
 
 // rent carries a rental out; one that was carried out before is only answered again.
@@ -180,7 +180,7 @@
 // pay adds up what the machines cost until now.
 func (w *World) pay() {
 	now := time.Now()
-	w.money += w.minutely * now.Sub(w.paidTo).Hours()
+	w.money += w.hourly * now.Sub(w.paidTo).Hours()
 	w.paidTo = now
 }
 
@@ -190,12 +190,12 @@
 	m.charged = sign > 0
 	w.live += sign
 	w.lives[m.typ.Name] += sign
-	w.minutely += float64(sign) * w.price(m)
+	w.hourly += float64(sign) * w.price(m)
 	if sign < 0 {
 		w.money += w.price(m) * max(0, leastCharge-time.Since(m.born)).Hours()
 	}
 	if w.live == 0 {
-		w.minutely = 0 // of roundings
+		w.hourly = 0 // of roundings
 	}
 }
 
@@ -206,10 +206,10 @@
 		name := w.set.Types[i].Name
 		w.prices[name] = math.Max(0.67, math.Min(1.33, w.prices[name]*w.spread(0.93, 1.07)))
 	}
-	w.minutely = 0
+	w.hourly = 0
 	for _, m := range w.order {
 		if m.charged {
-			w.minutely += w.price(m)
+			w.hourly += w.price(m)
 		}
 	}
 	w.loop.after(30*time.Second, w.movePrices)
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -1,10 +1,8 @@
 package emulator
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -13,6 +11,7 @@
 
 	"daledyke/internal/history"
 	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
 )
 
 // machine is a rented machine with its worker.
@@ -96,7 +95,7 @@
 	m.report()
 }
 
-// leave takes the machine's room and tasks away.
+// stop takes the machine's room and tasks away.
 func (m *machine) stop() {
 	if m.dead {
 		return
@@ -317,28 +316,16 @@
 func request(ctx context.Context, c *http.Client, method, url string, body any, timeout time.Duration) (status int, raw []byte) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	out, err := json.Marshal(body)
+	status, raw, err := transport.Call(ctx, c, method, url, body)
 	if err != nil {
 		return 0, nil
 	}
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(out))
-	if err != nil {
-		return 0, nil
-	}
-	resp, err := c.Do(req)
-	if err != nil {
-		return 0, nil
-	}
-	defer resp.Body.Close()
-	if raw, err = io.ReadAll(resp.Body); err != nil {
-		return 0, nil
-	}
-	return resp.StatusCode, raw
+	return status, raw
 }
 
 // onLoop does f on the loop once the machine does not hang: what came meanwhile is
 // carried out late. A machine that is gone answers nothing.
-func (m *machine) onLoop(r *http.Request, f func()) {
+func (m *machine) onLoop(f func()) {
 	for {
 		var resumed chan struct{}
 		gone := !m.w.loop.do(func() {
@@ -360,9 +347,9 @@
 	}
 }
 
-func (m *machine) inspect(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+func (m *machine) inspect(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	var rep protocol.Report
-	m.onLoop(r, func() { rep = m.snapshot() })
+	m.onLoop(func() { rep = m.snapshot() })
 	answer(w, http.StatusOK, rep)
 }
 
@@ -374,7 +361,7 @@
 	}
 	var rep protocol.Report
 	status := http.StatusOK
-	m.onLoop(r, func() {
+	m.onLoop(func() {
 		if o.Token < m.token || o.Session != m.session {
 			status = http.StatusConflict
 		} else {
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"time"
 
 	"daledyke/internal/transport"
@@ -167,12 +168,30 @@
 	}
 }
 
+// Host runs a controller on the network: run is given the listeners of its doors,
+// front-NAME and inner-NAME. kill ends run's context, closes the doors and breaks all its
+// connections, as the end of its process would.
+func (n *Pipes) Host(name string, run func(ctx context.Context, front, inner net.Listener)) (kill func(), err error) {
+	front, err1 := n.Listen("front-" + name)
+	inner, err2 := n.Listen("inner-" + name)
+	if err := errors.Join(err1, err2); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(n.ctx)
+	go run(ctx, front, inner)
+	return func() {
+		front.Close()
+		inner.Close()
+		cancel()
+		n.Break(func(from, to string) bool { return from == name || strings.HasSuffix(to, "-"+name+":1") })
+	}, nil
+}
+
 // Sever sets which connections are cut, by the host that opens them and the address,
 // and breaks those that are open.
 func (n *Pipes) Sever(cut func(from, to string) bool) {
-	n.Break(cut)
 	n.do(func() { n.cut = cut })
-	n.Break(cut) // those that were just being opened
+	n.Break(cut)
 }
 
 // Break ends the open connections that are chosen.
--- a/internal/emulator/state.go
+++ b/internal/emulator/state.go
@@ -32,7 +32,6 @@
 	slow    time.Duration
 	late    time.Duration
 	page    int
-	expiry  *timer
 	counts  StateCounts
 	// unsaved are changes that go with the next commit, which closes next; current
 	// is closed by the commit under way. Each is nil if there is none.
@@ -72,13 +71,15 @@
 }
 
 func (s *State) limit(l Limits) {
-	bucket := func(perSecond float64) *rate.Limiter {
-		if perSecond <= 0 {
-			return rate.NewLimiter(rate.Inf, 0)
-		}
-		return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+	s.limits, s.reads, s.writes = l, bucket(l.RPS, 1), bucket(l.WriteRPS, 1)
+}
+
+// bucket bounds a rate, with bursts of so many seconds' worth; 0 does not.
+func bucket(perSecond, burstS float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
 	}
-	s.limits, s.reads, s.writes = l, bucket(l.RPS), bucket(l.WriteRPS)
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(burstS*perSecond)))
 }
 
 // Limit sets the limits that hold from now on.
@@ -148,7 +149,7 @@
 			s.end(id)
 		}
 	}
-	s.expiry = s.loop.after(expiryEvery, s.expire)
+	s.loop.after(expiryEvery, s.expire)
 }
 
 // end ends a lease, on the loop.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -87,7 +87,7 @@
 	bucket    *rate.Limiter
 	prices    map[string]float64 // factors of spot prices, by type
 	money     float64            // spent on machines that are gone
-	minutely  float64            // on those that are charged, an hour
+	hourly    float64            // what those that are charged cost an hour
 	paidTo    time.Time
 	boots     float64 // factor on boot times
 	// Room in use and there.
@@ -103,10 +103,7 @@
 func New(ctx context.Context, n Network, set Setup) (*World, error) {
 	w := &World{net: n, set: set, rng: rand.New(rand.NewPCG(set.Seed, 0x1dea)), types: map[string]*protocol.MachineType{}, works: map[string]*work{},
 		machines: map[string]*machine{}, booked: map[string][]string{}, capacity: set.Capacity, prices: map[string]float64{}, lives: map[string]int{}, paidTo: time.Now(), boots: 1,
-		fronts: map[string]string{}, bucket: rate.NewLimiter(rate.Inf, 0)}
-	if set.CloudRPS > 0 {
-		w.bucket = rate.NewLimiter(rate.Limit(set.CloudRPS), max(1, int(2*set.CloudRPS)))
-	}
+		fronts: map[string]string{}, bucket: bucket(set.CloudRPS, 2)}
 	limits := map[string]protocol.Room{}
 	for _, t := range set.Teams {
 		limits[t.Name] = protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}
--- a/internal/history/rules.go
+++ b/internal/history/rules.go
@@ -217,7 +217,7 @@
 		}
 		j.told = protocol.Done
 	case protocol.Cancelled:
-		if !c.mayBeCancelled(j, 0) {
+		if !c.mayBeCancelled(j, map[*job]bool{}) {
 			c.breaks(WentBack, "%s is called cancelled, and its user did not cancel it", e.Job)
 		}
 		if j.told == "" {
@@ -227,16 +227,15 @@
 	}
 }
 
-// maxChain bounds how far a chain is followed.
-const maxChain = 1000
-
-// mayBeCancelled: a job is cancelled by its user, or with one that it needs.
-func (c *Checker) mayBeCancelled(j *job, depth int) bool {
-	if j.asked || depth > maxChain {
+// mayBeCancelled: a job is cancelled by its user, or with one that it needs. seen are those
+// that were looked at.
+func (c *Checker) mayBeCancelled(j *job, seen map[*job]bool) bool {
+	if j.asked || seen[j] {
 		return j.asked
 	}
+	seen[j] = true
 	for _, id := range j.spec.Needs {
-		if n := c.jobs[id]; n != nil && c.mayBeCancelled(n, depth+1) {
+		if n := c.jobs[id]; n != nil && c.mayBeCancelled(n, seen) {
 			return true
 		}
 	}
--- a/internal/lab/door.go
+++ b/internal/lab/door.go
@@ -16,7 +16,6 @@
 	"path/filepath"
 	"time"
 
-	"daledyke/internal/config"
 	"daledyke/internal/emulator"
 	"daledyke/internal/pbs"
 	"daledyke/internal/protocol"
@@ -27,7 +26,7 @@
 // for the workers. What it keeps survives a restart.
 type door struct {
 	world   *emulator.World
-	queues  func() (*config.Config, error)
+	queues  pbs.Queues
 	uploads chan upload
 	proxy   *httputil.ReverseProxy
 }
@@ -41,18 +40,20 @@
 const uploadsFile = "uploads.jsonl"
 
 // newDoor opens a door whose uploads are kept in a directory, until ctx ends.
-func newDoor(ctx context.Context, w *emulator.World, b *emulator.Balancer, dir string, settings func() (*config.Config, error)) (*door, error) {
+func newDoor(ctx context.Context, w *emulator.World, b *emulator.Balancer, dir string, queues pbs.Queues) (*door, error) {
 	name := filepath.Join(dir, uploadsFile)
 	specs, whole, err := readUploads(name)
 	if err != nil {
 		return nil, err
 	}
+	known := map[string]bool{}
 	for _, s := range specs {
 		w.Upload(s, estimated(s), false)
+		known[s.ID] = true
 	}
 	f, err := os.OpenFile(name, os.O_CREATE|os.O_WRONLY, 0o600)
 	if err == nil {
-		err = errors.Join(f.Truncate(whole)) // a line that a kill cut short was answered to nobody
+		err = f.Truncate(whole) // a line that a kill cut short was answered to nobody
 	}
 	if err == nil {
 		_, err = f.Seek(whole, io.SeekStart)
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("uploads: %w", err)
 	}
-	d := &door{world: w, queues: settings, uploads: make(chan upload)}
+	d := &door{world: w, queues: queues, uploads: make(chan upload)}
 	d.proxy = &httputil.ReverseProxy{
 		Rewrite: func(r *httputil.ProxyRequest) {
 			r.Out.URL.Scheme, r.Out.URL.Host = "http", "daledyke"
@@ -77,7 +78,12 @@
 		for {
 			select {
 			case u := <-d.uploads:
-				u.kept <- keepUpload(f, u.spec)
+				var err error
+				if !known[u.spec.ID] { // users send a job again until it is answered
+					err = keepUpload(f, u.spec)
+					known[u.spec.ID] = err == nil
+				}
+				u.kept <- err
 			case <-ctx.Done():
 				return
 			}
@@ -170,15 +176,11 @@
 		}
 		return s
 	}
-	c, err := d.queues()
-	if err != nil {
-		return nil
-	}
 	command, err := pbs.CommandLine(r.URL.Query().Get("options"))
 	if err != nil {
 		return nil
 	}
-	j, err := pbs.Translate(string(body), command, c.Queues, pbs.IDOf(r.Header.Get("Idempotency-Key")), time.Now().UTC())
+	j, err := pbs.Translate(string(body), command, d.queues, pbs.IDOf(r.Header.Get("Idempotency-Key")), time.Now().UTC())
 	if err != nil {
 		return nil
 	}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -124,8 +124,8 @@
 // Parse reads an experiment.
 func Parse(raw []byte) (*Experiment, error) {
 	e := &Experiment{Controllers: 3, Machines: 40, Length: 10 * time.Minute, Rest: 3 * time.Minute, Seeds: []uint64{1}, Scale: 1}
-	var whole []edn.RawMessage
-	if err := edn.Unmarshal(raw, &whole); err != nil {
+	var form []edn.RawMessage
+	if err := edn.Unmarshal(raw, &form); err != nil {
 		return nil, fmt.Errorf("not one list: %w", err)
 	}
 	list, ok := forms.Items(raw, "experiment", 1)
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"daledyke/internal/emulator"
@@ -106,7 +107,8 @@
 // begin has a fault happen; after runs something later on the same goroutine.
 func (b *breaker) begin(f Fault, after func(time.Duration, func())) {
 	b.note(history.Event{Kind: history.FaultBegins, Cause: f.String()})
-	over := func() { b.note(history.Event{Kind: history.FaultEnds, Cause: f.String()}) }
+	// A crash of all ends with the first that is started, at the same moment as the others.
+	over := sync.OnceFunc(func() { b.note(history.Event{Kind: history.FaultEnds, Cause: f.String()}) })
 	lasts, _ := time.ParseDuration(f.Args[0])
 	// during sets something for as long as any fault of this name lasts.
 	during := func(name string, set func(on bool)) {
--- a/internal/lab/hosts.go
+++ b/internal/lab/hosts.go
@@ -9,8 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -43,23 +41,10 @@
 	if err != nil {
 		return err
 	}
-	front, err1 := h.net.Listen("front-" + name)
-	inner, err2 := h.net.Listen("inner-" + name)
-	if err := errors.Join(err1, err2); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	k := coordination.NewController(ctx, c, h.net.Dialer(name))
-	go transport.ServeFront(front, k, c.Deployment.Limits.FDLimit*3/4)
-	go transport.ServeRPC(inner, k.Receivers())
-	go k.Run(ctx)
-	h.ends[name] = func() {
-		front.Close()
-		inner.Close()
-		cancel()
-		h.net.Break(func(from, to string) bool { return from == name || strings.HasSuffix(to, "-"+name+":1") })
-	}
-	return nil
+	h.ends[name], err = h.net.Host(name, func(ctx context.Context, front, inner net.Listener) {
+		coordination.NewController(ctx, c, h.net.Dialer(name)).Serve(ctx, front, inner, c.Connections())
+	})
+	return err
 }
 
 func (h *inside) kill(name string) error {
@@ -155,17 +140,9 @@
 }
 
 func (h *processes) stop() {
-	var all sync.WaitGroup
-	for name, p := range h.running {
-		delete(h.running, name)
-		close(p.killed)
-		all.Go(func() {
-			p.cmd.Process.Signal(syscall.SIGCONT)
-			p.cmd.Process.Kill()
-			<-p.over
-		})
+	for name := range h.running {
+		h.kill(name)
 	}
-	all.Wait()
 }
 
 // freePorts gives addresses on loopback that nothing listens at now.
@@ -260,6 +237,10 @@
 	if up.Files, err = d.WriteSettings(o.Dir, up.Addresses); err != nil {
 		return up, err
 	}
+	c, err := config.Load(up.Files[d.Controllers[0]], o.Settings)
+	if err != nil {
+		return up, err
+	}
 	up.World.Fronts(up.Addresses.Front)
 	up.hosts = &processes{program: o.Program, files: up.Files, own: o.Settings, logs: o.Dir, running: map[string]*process{}, ended: o.Ended}
 	for _, name := range d.Controllers {
@@ -273,7 +254,7 @@
 		return up, fmt.Errorf("the front door: %w", err)
 	}
 	up.Door = door.Addr().String()
-	h, err := newDoor(ctx, up.World, up.balancer, o.Dir, func() (*config.Config, error) { return config.Load(up.Files[d.Controllers[0]], o.Settings) })
+	h, err := newDoor(ctx, up.World, up.balancer, o.Dir, c.Queues)
 	if err != nil {
 		door.Close()
 		return up, err
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -1,11 +1,9 @@
 package lab
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -18,6 +16,7 @@
 	"daledyke/internal/emulator"
 	"daledyke/internal/history"
 	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
 )
 
 // order is one job that is to be submitted.
@@ -189,16 +188,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	again = time.Duration((1 + 0.5*u.rng.Float64()) * float64(time.Second))
-	req, err := http.NewRequestWithContext(ctx, method, "http://daledyke"+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, "", again
-	}
-	resp, err := u.http.Do(req)
-	if err != nil {
-		return 0, "", again
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
+	code, asked, raw, err := transport.Once(ctx, u.http, method, "http://daledyke"+path, nil, body)
 	if err != nil {
 		return 0, "", again
 	}
@@ -206,10 +196,7 @@
 	if json.Unmarshal(raw, &st) == nil {
 		status = st.Status
 	}
-	if after, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
-		again = max(again, min(time.Duration(after)*time.Second, mostRetry))
-	}
-	return resp.StatusCode, status, again
+	return code, status, max(again, min(asked, mostRetry))
 }
 
 // insist repeats a request until its answer is final, for as long as users do.
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -70,9 +70,10 @@
 	classes map[string]*ClassSummary
 	times   map[string]*times
 	s       Summary
-	samples []history.Sample
+	samples int
+	newest  history.Sample
 	used    float64
-	busy    float64 // time with machines
+	busy    int // samples with machines
 	last    time.Duration
 }
 
@@ -126,7 +127,7 @@
 	case history.Rented:
 		m.s.Rented++
 	case history.Sampled:
-		m.sample(e.At, *e.Sample)
+		m.sample(*e.Sample)
 	}
 }
 
@@ -174,12 +175,13 @@
 	}
 }
 
-func (m *Meter) sample(at time.Duration, s history.Sample) {
-	if len(m.samples) > 0 && s.Cores > 0 {
+func (m *Meter) sample(s history.Sample) {
+	if m.samples > 0 && s.Cores > 0 {
 		m.used += s.CoresUsed / s.Cores
 		m.busy++
 	}
-	m.samples = append(m.samples, s)
+	m.samples++
+	m.newest = s
 	m.s.Machines += float64(s.Machines)
 }
 
@@ -195,14 +197,13 @@
 		}
 	}
 	if m.busy > 0 {
-		s.Used = m.used / m.busy
+		s.Used = m.used / float64(m.busy)
 	}
-	if n := len(m.samples); n > 0 {
-		end := m.samples[n-1]
-		s.Machines /= float64(n)
-		s.Money = end.Money
-		s.StateRequests = float64(end.StateRequests) / max(1, m.last.Seconds())
-		s.StateChanges = float64(end.StateChanges) / max(1, m.last.Seconds())
+	if m.samples > 0 {
+		s.Machines /= float64(m.samples)
+		s.Money = m.newest.Money
+		s.StateRequests = float64(m.newest.StateRequests) / max(1, m.last.Seconds())
+		s.StateChanges = float64(m.newest.StateChanges) / max(1, m.last.Seconds())
 	}
 	s.Classes = m.classes
 	for name, c := range m.classes {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -64,8 +64,9 @@
 // maxAnswer bounds what is read of any answer.
 const maxAnswer = 16 << 20
 
-// call makes one request. A nil error means that an answer came whole.
-func call(ctx context.Context, c *http.Client, method, url string, body any) (int, []byte, error) {
+// Call makes one request, with body as JSON if it is not nil. A nil error means that an
+// answer came whole.
+func Call(ctx context.Context, c *http.Client, method, url string, body any) (int, []byte, error) {
 	var rd io.Reader
 	if body != nil {
 		raw, err := json.Marshal(body)
--- a/internal/transport/cloud.go
+++ b/internal/transport/cloud.go
@@ -44,7 +44,7 @@
 }
 
 func (c *Cloud) request(ctx context.Context, method, path string, body any) ([]byte, error) {
-	code, raw, err := call(ctx, c.http, method, c.base+path, body)
+	code, raw, err := Call(ctx, c.http, method, c.base+path, body)
 	if err != nil || code == http.StatusOK {
 		return raw, err
 	}
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -185,7 +185,7 @@
 func (o *Operators) get(ctx context.Context, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
-	code, raw, err := call(ctx, o.http, http.MethodGet, o.base+path, nil)
+	code, raw, err := Call(ctx, o.http, http.MethodGet, o.base+path, nil)
 	switch {
 	case err != nil:
 		return fmt.Errorf("no answer from %s", strings.TrimPrefix(o.base, "http://"))
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -42,7 +42,7 @@
 		s.Counts.NoBudget.Add(1)
 		return 0, nil, err
 	}
-	code, raw, err := call(ctx, s.http, method, s.base+path, body)
+	code, raw, err := Call(ctx, s.http, method, s.base+path, body)
 	if err == nil && (code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests) {
 		err = fmt.Errorf("%w: state service answers %d", ErrRefused, code)
 	}
--- a/internal/transport/users.go
+++ b/internal/transport/users.go
@@ -82,12 +82,20 @@
 func (u *Users) once(ctx context.Context, method, url string, header http.Header, body []byte) (status int, asked time.Duration, raw []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, oneTry)
 	defer cancel()
+	return Once(ctx, u.http, method, url, header, body)
+}
+
+// Once makes one request as users do; asked is how long the answer asks them to wait
+// before they come again, 0 if it doesn't.
+func Once(ctx context.Context, c *http.Client, method, url string, header http.Header, body []byte) (status int, asked time.Duration, raw []byte, err error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, 0, nil, err
 	}
-	req.Header = header.Clone()
-	resp, err := u.http.Do(req)
+	if header != nil {
+		req.Header = header.Clone()
+	}
+	resp, err := c.Do(req)
 	if err != nil {
 		return 0, 0, nil, err
 	}
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -26,7 +26,7 @@
 	if o.Commands == nil {
 		o.Commands = []protocol.Command{}
 	}
-	code, raw, err := call(ctx, w.http, http.MethodPost, "http://"+addr+"/do", o)
+	code, raw, err := Call(ctx, w.http, http.MethodPost, "http://"+addr+"/do", o)
 	if err != nil {
 		return nil, false, err
 	}
@@ -44,6 +44,6 @@
 func (w *Workers) Reachable(ctx context.Context, addr string) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
-	code, _, err := call(ctx, w.http, http.MethodGet, "http://"+addr+"/inspect", nil)
+	code, _, err := Call(ctx, w.http, http.MethodGet, "http://"+addr+"/inspect", nil)
 	return err == nil && code == http.StatusOK
 }
