Large jobs are placed in blocks, each with an owner of its own

Need: equal ranges count jobs and not work: one job of 100,000 tasks kept one owner busy. Change: an array beyond 256 tasks is divided into blocks of consecutive tasks, whose places lie at equal distances round the ring from the job's own, so that equal ranges hold equally many. A block's owner places its tasks, forgets and stops them; the first block's, the job's own, records results and ends it. The second door goes by the task's owner. Windows say whether jobs are divided: once every controller of the deployment was seen at once to know of blocks (generation 4). Jobs bound to one zone or spread, gangs, services and jobs of limited teams stay whole.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -1,6 +1,7 @@
 package bookkeeping
 
 import (
+	"math"
 	"math/bits"
 	"time"
 
@@ -59,7 +60,10 @@
 	// version that this controller has seen.
 	Created, Version uint64
 	Results          []Chunk
-	Token            int64
+	// Token is its place on the ring, Blocks into how many blocks of consecutive tasks it is
+	// divided, each with a place of its own.
+	Token  int64
+	Blocks int
 	// Archived: the record stands with those of jobs that are over.
 	Archived bool
 	// parts and sum tell where else the description stands.
@@ -97,6 +101,65 @@
 	return n
 }
 
+// DoneIn counts the recorded results of the tasks from one up to, not with, another.
+func (j *Job) DoneIn(from, to int) (n int) {
+	for i := from; i < to; {
+		c, at := i/ChunkTasks, i%ChunkTasks
+		if c >= len(j.Results) {
+			break
+		}
+		if at%8 == 0 && i+8 <= to && at/8 < len(j.Results[c].Bits) {
+			n += bits.OnesCount8(j.Results[c].Bits[at/8])
+			i += 8
+			continue
+		}
+		if j.TaskDone(i) {
+			n++
+		}
+		i++
+	}
+	return n
+}
+
+// BlockTasks is the most tasks that one owner places of a job. It is no setting, since
+// all controllers have to agree on it.
+const BlockTasks = 256
+
+// BlocksOf is into how many blocks a job is divided: one, unless its tasks are independent
+// of each other also in where they may be.
+func BlocksOf(s *protocol.JobSpec) int {
+	if s.Shape != protocol.Array || s.OneZone || s.Scatter {
+		return 1
+	}
+	return max(1, (s.Tasks+BlockTasks-1)/BlockTasks)
+}
+
+func (j *Job) blockSize() int { return (j.Spec.Tasks + j.Blocks - 1) / max(1, j.Blocks) }
+
+// BlockOf is the block that a task is in.
+func (j *Job) BlockOf(index int) int {
+	if j.Blocks <= 1 {
+		return 0
+	}
+	return index / j.blockSize()
+}
+
+// Block are the tasks of a block: from the first up to, not with, the second.
+func (j *Job) Block(block int) (from, to int) {
+	if j.Blocks <= 1 {
+		return 0, j.Spec.Tasks
+	}
+	n := j.blockSize()
+	return min(block*n, j.Spec.Tasks), min((block+1)*n, j.Spec.Tasks)
+}
+
+// BlockToken is a block's place on the ring. From the job's own place on they lie at equal
+// distances all around it, so that equal ranges hold equally many, give or take one; places
+// drawn for each would differ by a fifth and more.
+func (j *Job) BlockToken(block int) int64 {
+	return int64(uint64(j.Token) + uint64(block)*(math.MaxUint64/uint64(max(1, j.Blocks))))
+}
+
 // withChunk gives the job with a newer chunk; an older one changes nothing.
 func (j *Job) withChunk(i int, c Chunk) *Job {
 	if i < len(j.Results) && j.Results[i].Version >= c.Version {
--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -79,8 +79,12 @@
 }
 
 // Generation is what this version understands of records: 2 with chains of
-// jobs, which a process of the first would run at once, 3 with jobs that are held.
-const Generation = 3
+// jobs, which a process of the first would run at once, 3 with jobs that are held, 4
+// (GenerationBlocks) with large jobs that several owners place.
+const (
+	Generation       = GenerationBlocks
+	GenerationBlocks = 4
+)
 
 // Leader names the controller that leads.
 type Leader struct {
@@ -144,8 +148,12 @@
 	// Owners hold equal ranges of the ring, in this order.
 	Owners []string `json:"owners"`
 	// Deal names the wanted holder of each slot.
-	Deal    []string `json:"deal"`
-	Version uint64   `json:"-"`
+	Deal []string `json:"deal"`
+	// Divided: blocks of large jobs have owners of their own (Job.Blocks). A version
+	// before blocks doesn't know of it: it is set once every controller of the
+	// deployment was seen to.
+	Divided bool   `json:"blocks,omitempty"`
+	Version uint64 `json:"-"`
 }
 
 // Owner is the controller in whose range a token lies, "" if there is none.
@@ -156,6 +164,23 @@
 	return w.Owners[protocol.RingShare(token, len(w.Owners))]
 }
 
+// OwnerOf is the controller that places a task of a job, "" if there is none.
+func (w *Window) OwnerOf(j *Job, index int) string { return w.OwnerOfBlock(j, j.BlockOf(index)) }
+
+// OwnerOfBlock is the controller that places a block of a job's tasks. That of the first
+// block is the job's own owner, who also records its results and ends it.
+func (w *Window) OwnerOfBlock(j *Job, block int) string {
+	if w == nil || !w.Divided || j.Blocks <= 1 {
+		return w.Owner(j.Token)
+	}
+	return w.Owner(j.BlockToken(block))
+}
+
+// SameOwners tells whether every task has the same owner in both windows.
+func (w *Window) SameOwners(o *Window) bool {
+	return slices.Equal(w.Owners, o.Owners) && w.Divided == o.Divided
+}
+
 // Machine is a rented machine in the registry. It is there before the first
 // task is started on the machine, and goes once the machine is known to be
 // gone for good.
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -199,6 +199,40 @@
 	}
 }
 
+// The second door goes by blocks: whoever owns a job has no business with the blocks that
+// are another's, and a window that divides jobs anew voids what was asked under the one
+// before, though all ranges stay as they are.
+func TestSecondDoorKnowsBlocks(t *testing.T) {
+	h := &Holder{actor: newActor(context.Background()), changed: make(chan struct{}), cfg: &config.Config{}, session: &Session{}, fences: map[string]protocol.Token{},
+		jobs: map[string]*bookkeeping.Job{}, byID: map[string]*worker{}, slots: map[int]*heldSlot{}}
+	s := &protocol.JobSpec{ID: "wk-1", Shape: protocol.Array, Tasks: 3 * bookkeeping.BlockTasks}
+	j := &bookkeeping.Job{Spec: s, State: protocol.Pending, Token: protocol.RingToken(s.ID), Blocks: bookkeeping.BlocksOf(s)}
+	slot := &heldSlot{}
+	h.jobs[s.ID], h.slots[0], h.byID["host-1"] = j, slot, &worker{id: "host-1", slot: slot, entries: map[string]*entry{}}
+	ask := func(caller string, index int) string {
+		return h.start(&AskArgs{Caller: caller}, Start{Task: protocol.TaskName(s.ID, index), Machine: "host-1"}, time.Now())
+	}
+	h.obey(&bookkeeping.Window{Number: 5, Owners: controllers})
+	own := h.window.Owner(j.Token)
+	if why := ask(own, s.Tasks-1); why == "not the owner" {
+		t.Error("undivided, the job's owner places all of it")
+	}
+	h.obey(&bookkeeping.Window{Number: 6, Owners: controllers, Divided: true})
+	if h.ownersSince != 6 {
+		t.Errorf("owners since %d", h.ownersSince)
+	}
+	for index := 0; index < s.Tasks; index += bookkeeping.BlockTasks {
+		for _, caller := range controllers {
+			if refused := ask(caller, index) == "not the owner"; refused != (caller != h.window.OwnerOf(j, index)) {
+				t.Errorf("task %d for %s: refused is %v", index, caller, refused)
+			}
+		}
+	}
+	if own == h.window.OwnerOf(j, s.Tasks-1) {
+		t.Error("the last block is the job's owner's: nothing was tried")
+	}
+}
+
 // A leader wants a machine kept free that it believes to be idle. If a task was
 // asked for there meanwhile, the wish comes too late; and it is over when the
 // leader no longer has it, also one whose session is older than the last one's.
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -72,21 +72,13 @@
 				js.stale = true
 			}
 		}
-		if js.gain == 0 || js.settled {
+		if js.allSettled() {
 			if len(js.pending) == 0 {
 				delete(o.unclear, id)
 			}
-			continue
-		}
-		if !js.known.Before(sent) {
-			continue
-		}
-		for _, s := range r.Slots {
-			if s.Complete && r.Window >= js.gain && a.Fence.Term() == o.session.Term() {
-				js.seen[s.Slot] = true
-			}
+		} else if js.known.Before(sent) {
+			o.settles(js, a, r)
 		}
-		js.settled = len(js.seen) >= o.slots
 	}
 }
 
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"daledyke/internal/board"
@@ -188,7 +187,7 @@
 	if w == nil || h.window != nil && w.Number <= h.window.Number {
 		return
 	}
-	if h.window == nil || w.Number != h.window.Number+1 || !slices.Equal(w.Owners, h.window.Owners) {
+	if h.window == nil || w.Number != h.window.Number+1 || !w.SameOwners(h.window) {
 		h.ownersSince = w.Number
 	}
 	h.window = w
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -106,11 +106,11 @@
 	// known is when this controller first saw the job, ready when it saw that
 	// all those that it needs are done.
 	known, ready time.Time
-	// gain is the window since which we own the job without a break, 0 if we
-	// don't; settled: all that may be left of former owners' starts is known.
+	// shares are the blocks of its tasks that are ours to place, in their order.
+	shares []*share
+	// gain is the window since which we own the job itself without a break, 0 if we
+	// don't: its owner, who has its first block, records its results and ends it.
 	gain    uint64
-	settled bool
-	seen    map[int]bool // slots seen complete since the gain
 	pending map[int]*pendingStart
 	retryAt map[int]time.Time
 	errors  int
@@ -124,8 +124,8 @@
 	waitFrom time.Time
 	blocked  time.Time // no room was found; look again then
 
-	// stale: something changed since the last review; missing is how many
-	// tasks it found neither done nor begun nor asked for.
+	// stale: something changed since the last review; missing is how many tasks of
+	// settled blocks it found neither done nor begun nor asked for.
 	stale    bool
 	reviewed time.Time
 	recorded time.Time
@@ -179,7 +179,7 @@
 	id, now := j.Spec.ID, time.Now()
 	js := o.jobs[id]
 	if js == nil {
-		js = &jobState{job: j, known: now, pending: map[int]*pendingStart{}, retryAt: map[int]time.Time{}, badOn: map[string]bool{}, seen: map[int]bool{}}
+		js = &jobState{job: j, known: now, pending: map[int]*pendingStart{}, retryAt: map[int]time.Time{}, badOn: map[string]bool{}}
 		o.jobs[id] = js
 		if !j.Final() {
 			o.active[id] = js
@@ -203,7 +203,7 @@
 		delete(o.active, id)
 		delete(o.unclear, id)
 		o.haunt(js)
-		js.pending, js.retryAt, js.seen, js.badOn, js.permits = nil, nil, nil, nil, nil
+		js.pending, js.retryAt, js.badOn, js.permits = nil, nil, nil, nil
 	}
 	o.recount(id)
 	o.dirty = true
@@ -365,7 +365,7 @@
 	var ready []*jobState
 	var outcomes []bookkeeping.Outcome
 	for _, js := range o.active {
-		if js.gain == 0 || js.job.Waits > 0 && len(o.board.Tasks[js.job.Spec.ID]) == 0 {
+		if len(js.shares) == 0 || js.job.Waits > 0 && len(o.board.Tasks[js.job.Spec.ID]) == 0 {
 			continue // there may be thousands that wait for others
 		}
 		if js.stale || now.Sub(js.reviewed) >= reviewEvery {
@@ -377,7 +377,7 @@
 				}
 			}
 		}
-		if js.settled && js.missing > 0 && js.job.Waits == 0 && !now.Before(js.blocked) && o.onTrial(js, now) {
+		if js.missing > 0 && js.job.Waits == 0 && !now.Before(js.blocked) && o.onTrial(js, now) {
 			ready = append(ready, js)
 		}
 	}
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -170,7 +170,10 @@
 	var p *placement.Placing
 	var lacks []int // tasks that need a permit
 	defer func() { o.want(js, lacks, 0, false, now) }()
-	for index := 0; index < s.Tasks && looked < 32; index++ {
+	for index := range js.tasksLeft {
+		if looked >= 32 {
+			break
+		}
 		if js.job.TaskDone(index) || len(tasks[index]) > 0 || js.pending[index] != nil {
 			continue
 		}
@@ -207,6 +210,24 @@
 	return looked
 }
 
+// tasksLeft goes through the tasks of a job's settled blocks in which some are neither done
+// nor begun.
+func (js *jobState) tasksLeft(yield func(int) bool) {
+	for _, sh := range js.shares {
+		if !sh.settled || sh.left <= 0 {
+			continue
+		}
+		for sh.low < sh.to && js.job.TaskDone(sh.low) {
+			sh.low++
+		}
+		for index := sh.low; index < sh.to; index++ {
+			if !yield(index) {
+				return
+			}
+		}
+	}
+}
+
 // find finds a machine with room, or one where room may be made.
 func (o *Owner) find(js *jobState, p *placement.Placing, now time.Time) (placement.Choice, bool) {
 	c, ok := p.BestFit()
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -348,7 +348,7 @@
 func (o *Owner) borrow(now time.Time) {
 	for id, js := range o.quotas.holding {
 		for index, p := range js.permits {
-			if js.gain == 0 || p.term != o.session.Term() || now.After(p.until) {
+			if !js.mine(index) || p.term != o.session.Term() || now.After(p.until) {
 				delete(js.permits, index)
 				js.wantAt = now.Add(permitPause)
 			}
@@ -423,7 +423,7 @@
 	}
 	for k, w := range r.Wants {
 		js := o.active[w.Job]
-		if js == nil || js.gain == 0 || k >= len(reply.Binds) {
+		if js == nil || len(js.shares) == 0 || k >= len(reply.Binds) {
 			continue
 		}
 		js.binds = reply.Binds[k]
@@ -432,7 +432,7 @@
 		}
 		for _, at := range w.Attempts {
 			_, index, ok := protocol.SplitTask(at.Task)
-			if !ok || !got[at] || js.pending[index] != nil {
+			if !ok || !got[at] || js.pending[index] != nil || !js.mine(index) {
 				continue
 			}
 			if js.permits == nil {
@@ -445,8 +445,8 @@
 		}
 	}
 	for _, task := range reply.Yield {
-		job, _, _ := protocol.SplitTask(task)
-		if js := o.active[job]; js != nil && js.gain != 0 && len(o.quotas.yields) < 10_000 {
+		job, index, _ := protocol.SplitTask(task)
+		if js := o.active[job]; js != nil && js.mine(index) && len(o.quotas.yields) < 10_000 {
 			o.quotas.yields[task] = true
 			o.dirty = true
 		}
@@ -459,7 +459,7 @@
 		delete(o.quotas.yields, task)
 		job, index, _ := protocol.SplitTask(task)
 		js := o.active[job]
-		if js == nil || js.gain == 0 {
+		if js == nil || !js.mine(index) {
 			continue
 		}
 		s := js.job.Spec
@@ -516,7 +516,7 @@
 // binds is the account whose limit lets no more of a job start: as its authority
 // said, or, for other owners' jobs, as far as the board shows.
 func (o *Owner) binds(js *jobState, now time.Time) string {
-	if js.gain != 0 || js.job.Final() || o.account(js) == "" {
+	if len(js.shares) > 0 || js.job.Final() || o.account(js) == "" {
 		return js.binds
 	}
 	need := js.job.Spec.Need()
--- a/internal/coordination/ranges.go
+++ b/internal/coordination/ranges.go
@@ -1,8 +1,10 @@
 package coordination
 
 import (
+	"cmp"
 	"slices"
 
+	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
 	"daledyke/internal/protocol"
@@ -10,16 +12,52 @@
 
 // Which jobs are an owner's, and since when.
 
-// Token is a job's place on the ring. Jobs of a team with a limit stand where
-// the team's name does, so that one controller grants all that the team may
-// use (invariant 7).
-func Token(c *config.Config, s *protocol.JobSpec) int64 {
+// Place is a job's place on the ring, and into how many blocks it is divided. Jobs of
+// a team with a limit stand, whole, where the team's name does, so that one controller
+// grants all that the team may use (invariant 7).
+func Place(c *config.Config, s *protocol.JobSpec) (token int64, blocks int) {
 	if t := c.Team(s.Team); t != nil && t.Limited() {
-		return protocol.RingToken(s.Team)
+		return protocol.RingToken(s.Team), 1
 	}
-	return protocol.RingToken(s.ID)
+	return protocol.RingToken(s.ID), bookkeeping.BlocksOf(s)
 }
 
+// tenure is a time for which blocks of a job are this controller's without a break.
+type tenure struct {
+	// gain is the window that it began with.
+	gain uint64
+	// settled: all that may be left of former owners' starts is known; until then seen are
+	// the slots that were seen complete since the gain.
+	settled bool
+	seen    map[int]bool
+}
+
+// share is a block of a job's tasks that is this controller's to place.
+type share struct {
+	block    int
+	from, to int // its tasks: from the first up to, not with, the second
+	*tenure
+	// left is how many of its tasks the last review found neither done nor begun nor asked
+	// for, and low a task before which all are done.
+	left, low int
+}
+
+// shareOf is the share that a task is in, nil if it is not ours.
+func (js *jobState) shareOf(index int) *share {
+	if len(js.shares) == 0 {
+		return nil
+	}
+	block := js.job.BlockOf(index)
+	at, found := slices.BinarySearchFunc(js.shares, block, func(s *share, block int) int { return cmp.Compare(s.block, block) })
+	if !found {
+		return nil
+	}
+	return js.shares[at]
+}
+
+// mine tells whether a task is this controller's to place.
+func (js *jobState) mine(index int) bool { return js.shareOf(index) != nil }
+
 func (o *Owner) window() *bookkeeping.Window {
 	if len(o.windows) == 0 {
 		return nil
@@ -42,10 +80,10 @@
 	if cur != nil && w.Number != cur.Number+1 {
 		o.windows = nil // what happened in between is not known
 	}
-	if n := len(o.windows); n > 0 && slices.Equal(o.windows[n-1].Owners, w.Owners) {
+	if n := len(o.windows); n > 0 && o.windows[n-1].SameOwners(w) {
 		// Nothing changes hands: keep the first of equal windows as well,
 		// since it is the one that gains count from.
-		if n > 1 && slices.Equal(o.windows[n-2].Owners, w.Owners) {
+		if n > 1 && o.windows[n-2].SameOwners(w) {
 			o.windows[n-1] = w
 		} else {
 			o.windows = append(o.windows, w)
@@ -65,35 +103,83 @@
 // gainOf is the number of the window since which a token is ours without a
 // break, 0 if it isn't.
 func (o *Owner) gainOf(token int64) uint64 {
-	gain := uint64(0)
-	for i := len(o.windows) - 1; i >= 0 && o.windows[i].Owner(token) == o.cfg.Name; i-- {
-		gain = o.windows[i].Number
+	return o.since(func(w *bookkeeping.Window) bool { return w.Owner(token) == o.cfg.Name })
+}
+
+// since is the number of the first of the windows in a row, up to the present one, for
+// which something holds; 0 if it doesn't hold now.
+func (o *Owner) since(holds func(*bookkeeping.Window) bool) uint64 {
+	since := uint64(0)
+	for i := len(o.windows) - 1; i >= 0 && holds(o.windows[i]); i-- {
+		since = o.windows[i].Number
 	}
-	return gain
+	return since
 }
 
-// settle brings up to date whether, and since when, a job is ours.
+// settle brings up to date which blocks of a job are ours, and since when.
 func (o *Owner) settle(js *jobState) {
-	gain := o.gainOf(js.job.Token)
-	if gain == js.gain || gain != 0 && js.gain != 0 && gain > js.gain && len(o.windows) > 1 {
-		return // unchanged, or only the memory of windows was cut
+	var shares []*share
+	begun := map[uint64]*tenure{} // blocks that are gained together share one
+	changed := false
+	for block := range max(1, js.job.Blocks) {
+		gain := o.since(func(w *bookkeeping.Window) bool { return w.OwnerOfBlock(js.job, block) == o.cfg.Name })
+		from, to := js.job.Block(block)
+		old := js.shareOf(from)
+		switch {
+		case gain == 0:
+			changed = changed || old != nil
+		case old != nil && (gain == old.gain || gain > old.gain && len(o.windows) > 1):
+			shares = append(shares, old) // unchanged, or only the memory of windows was cut
+		default:
+			changed = true
+			if begun[gain] == nil {
+				born := o.bornBy(gain)
+				begun[gain] = &tenure{gain: gain, seen: map[int]bool{}, settled: born != 0 && js.job.Created > born}
+			}
+			if !begun[gain].settled {
+				o.unclear[js.job.Spec.ID] = js
+			}
+			shares = append(shares, &share{block: block, from: from, to: to, tenure: begun[gain], low: from})
+		}
 	}
-	js.gain, js.seen, js.stale = gain, map[int]bool{}, true
-	born := o.bornBy(gain)
-	js.settled = gain != 0 && born != 0 && js.job.Created > born
-	if gain != 0 && !js.settled {
-		o.unclear[js.job.Spec.ID] = js
+	if !changed {
+		return
+	}
+	js.shares, js.gain, js.stale = shares, 0, true
+	if len(shares) > 0 && shares[0].block == 0 {
+		js.gain = shares[0].gain
+	}
+}
+
+// allSettled tells whether all that may run of a job's blocks that are ours is known.
+func (js *jobState) allSettled() bool {
+	return !slices.ContainsFunc(js.shares, func(s *share) bool { return !s.settled })
+}
+
+// settles takes in which slots are known from news that were asked for after the job
+// was known.
+func (o *Owner) settles(js *jobState, a *FeedArgs, r *board.News) {
+	var last *tenure
+	for _, sh := range js.shares {
+		if sh.settled || sh.tenure == last { // those gained together are mostly neighbours
+			continue
+		}
+		last = sh.tenure
+		for _, s := range r.Slots {
+			if s.Complete && r.Window >= sh.gain && a.Fence.Term() == o.session.Term() {
+				sh.seen[s.Slot] = true
+			}
+		}
+		if sh.settled = len(sh.seen) >= o.slots; sh.settled {
+			js.stale = true
+		}
 	}
 }
 
 // presentSince is the first window in a row with the present owners, 0 if
 // there is none yet.
 func (o *Owner) presentSince() uint64 {
-	since := uint64(0)
-	for i := len(o.windows) - 1; i >= 0 && slices.Equal(o.windows[i].Owners, o.window().Owners); i-- {
-		since = o.windows[i].Number
-	}
-	return since
+	return o.since(o.window().SameOwners)
 }
 
 // learnBorn finds out from which revision on jobs are surely new to all: all
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -125,15 +125,30 @@
 func (o *Owner) review(js *jobState, now time.Time, rq requests) (out bookkeeping.Outcome) {
 	j := js.job
 	out.Job = j
-	js.missing = j.Spec.Tasks - j.DoneCount() - len(js.pending)
+	for _, sh := range js.shares {
+		sh.left = sh.to - sh.from - j.DoneIn(sh.from, sh.to)
+	}
+	for index := range js.pending {
+		if sh := js.shareOf(index); sh != nil {
+			sh.left--
+		}
+	}
 	for index, list := range o.board.Tasks[j.Spec.ID] {
-		if begun := j.Spec.Shape != protocol.Gang || list[0].Begun(); begun && !j.TaskDone(index) && js.pending[index] == nil {
-			js.missing--
+		sh := js.shareOf(index)
+		if begun := j.Spec.Shape != protocol.Gang || list[0].Begun(); sh != nil && begun && !j.TaskDone(index) && js.pending[index] == nil {
+			sh.left--
 		}
 		var keep *board.Instance
 		for _, i := range list {
 			if i.Exited() {
-				o.reviewExit(js, index, i, now, rq, &out)
+				if i.Cause == protocol.CauseDone {
+					// The holder has it forgotten once the result is recorded.
+					if js.gain != 0 && !j.TaskDone(index) {
+						out.Tasks = append(out.Tasks, index)
+					}
+				} else if sh != nil {
+					o.reviewExit(js, index, i, now, rq)
+				}
 				continue
 			}
 			if keep == nil || i.Since.Before(keep.Since) {
@@ -143,11 +158,17 @@
 		for _, i := range list {
 			// Two of one task cannot be by our doing; should it happen, the
 			// younger one goes.
-			if !i.Exited() && (i != keep && len(list) > 1 || j.TaskDone(index)) {
+			if sh != nil && !i.Exited() && (i != keep && len(list) > 1 || j.TaskDone(index)) {
 				o.askStop(i, 0, now, rq)
 			}
 		}
 	}
+	js.missing = 0
+	for _, sh := range js.shares {
+		if sh.settled {
+			js.missing += sh.left
+		}
+	}
 	o.rescue(js, now, rq)
 	if j.Spec.Shape == protocol.Gang && len(out.Tasks) > 0 {
 		out.Tasks = out.Tasks[:0]
@@ -165,7 +186,10 @@
 	if !s.Saves() {
 		return
 	}
-	for _, list := range o.board.Tasks[s.ID] {
+	for index, list := range o.board.Tasks[s.ID] {
+		if !js.mine(index) {
+			continue
+		}
 		for _, i := range list {
 			if !i.Machine.Leaving || !i.Running() {
 				continue
@@ -179,13 +203,8 @@
 	}
 }
 
-func (o *Owner) reviewExit(js *jobState, index int, i *board.Instance, now time.Time, rq requests, out *bookkeeping.Outcome) {
-	if i.Cause == protocol.CauseDone {
-		if !js.job.TaskDone(index) {
-			out.Tasks = append(out.Tasks, index)
-		}
-		return // the holder has it forgotten once the result is recorded
-	}
+// reviewExit has an attempt forgotten that ended otherwise than done, and says when to try again.
+func (o *Owner) reviewExit(js *jobState, index int, i *board.Instance, now time.Time, rq requests) {
 	if now.Sub(i.Asked) < 2*time.Second {
 		return
 	}
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -74,7 +74,7 @@
 		return "not to be run"
 	case j.Waits > 0:
 		return "waits for other jobs" // what is not known to be done is not
-	case h.window.Owner(j.Token) != a.Caller:
+	case h.window.OwnerOf(j, index) != a.Caller:
 		return "not the owner"
 	case now.Sub(h.syncedAt) > maxStale:
 		return "records too old"
@@ -134,7 +134,7 @@
 	if e == nil || e.attempt != st.Attempt {
 		return
 	}
-	if j := h.jobs[e.job]; j != nil && h.window.Owner(j.Token) != a.Caller {
+	if j := h.jobs[e.job]; j != nil && h.window.OwnerOf(j, e.index) != a.Caller {
 		return
 	}
 	switch {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -40,13 +40,13 @@
 			deal[s] = hearing[(s/len(names))%len(hearing)]
 		}
 	}
-	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: deal}
+	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: deal, Divided: divided(cur, members, names)}
 	if cur == nil {
 		return w
 	}
 	w.Number = cur.Number + 1
 	start := time.UnixMilli(cur.StartMs)
-	if !slices.Equal(cur.Owners, owners) || !slices.Equal(cur.Deal, deal) {
+	if !cur.SameOwners(w) || !slices.Equal(cur.Deal, deal) {
 		w.StartMs = max(now.Add(300*time.Millisecond).UnixMilli(), cur.StartMs)
 		return w
 	}
@@ -57,6 +57,24 @@
 	return w
 }
 
+// divided tells whether blocks of jobs may have owners of their own: every controller
+// was seen at once to know of them, and none came back since that doesn't. One that is
+// away may come back as it was before an upgrade, and would place all of a job that others
+// place blocks of.
+func divided(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string) bool {
+	known := 0
+	for _, n := range names {
+		switch m := members[n]; {
+		case m == nil:
+		case m.Generation < bookkeeping.GenerationBlocks:
+			return false
+		default:
+			known++
+		}
+	}
+	return known == len(names) || cur != nil && cur.Divided
+}
+
 // SlotCount is into how many shares the workers are dealt: enough that those
 // of one lost controller spread over all others.
 func SlotCount(controllers int) int { return max(1, controllers*(controllers-1)) }
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -47,3 +47,45 @@
 		t.Errorf("a deaf controller keeps its range but gets no workers: %+v", w)
 	}
 }
+
+// Blocks of jobs have owners of their own only once every controller was seen to know of
+// them: one that is away may come back as it was before an upgrade, and would place all of
+// a job of which others place blocks.
+func TestJobsAreDividedOnceAllKnow(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	know := func(names ...string) map[string]*bookkeeping.Member {
+		m := members(names...)
+		for _, x := range m {
+			x.Generation = bookkeeping.GenerationBlocks
+		}
+		return m
+	}
+	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: controllers, Deal: nil}
+	next := func(m map[string]*bookkeeping.Member) {
+		if n := NextWindow(w, m, controllers, now, 10*time.Second, 5*time.Second); n != nil {
+			w = n
+		}
+	}
+	older := know("c0", "c1", "c2")
+	older["c1"].Generation = bookkeeping.GenerationBlocks - 1
+	for i, step := range []struct {
+		m    map[string]*bookkeeping.Member
+		want bool
+	}{
+		{members("c0", "c1", "c2"), false},
+		{know("c0", "c2"), false},
+		{older, false},
+		{know("c0", "c1", "c2"), true},
+		{know("c0", "c2"), true}, // c1 was seen to know
+		{older, false},
+		{know("c0", "c2"), false},
+	} {
+		before := w
+		if next(step.m); w.Divided != step.want {
+			t.Errorf("step %d: divided is %v", i, w.Divided)
+		}
+		if w.Divided != before.Divided && w == before {
+			t.Errorf("step %d: nobody was told", i)
+		}
+	}
+}
