Services move together when the fleet shrinks

Change: internal/balance chooses machines that only settled services keep and others have room and images for (a minute after the type last grew, a minute after a replica started, 2% of the fleet at a time, (moves 60) a minute, 0 for none). Holders keep them free and say so in their news (Vacates); owners reserve room elsewhere, stop, start: each step follows from the board, nothing is recorded for it. A reservation is no twin, and the second door lets nothing start from one while the task is elsewhere here.

--- /dev/null
+++ b/internal/balance/vacate_test.go
@@ -0,0 +1,196 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"daledyke/internal/fleet"
+	"daledyke/internal/protocol"
+)
+
+var types = map[string]protocol.MachineType{
+	"box":  {Name: "box", Cores: 8, Accels: 4, RAM: 64, Price: 4, SpotPrice: 1, Zones: []string{"a", "b"}},
+	"rack": {Name: "rack", Cores: 32, Accels: 16, RAM: 256, Price: 20, SpotPrice: 6, Zones: []string{"a", "b"}},
+}
+
+// fleetOf draws a fleet that runs services and other work.
+func fleetOf(t *rapid.T) *fleet.Input {
+	in := &fleet.Input{Types: types, Scarce: map[string]bool{}}
+	for k := range rapid.IntRange(2, 60).Draw(t, "machines") {
+		m := &fleet.Machine{ID: fmt.Sprintf("m%02d", k), Type: rapid.SampledFrom([]string{"box", "box", "box", "rack"}).Draw(t, "type"), Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")}
+		whole := types[m.Type]
+		m.Free = whole.Room()
+		for n := range rapid.IntRange(0, 4).Draw(t, "tasks") {
+			s := &protocol.JobSpec{ID: fmt.Sprintf("wk-%d-%d", k, n), Shape: protocol.Service, Tasks: 2, Cores: 2, Accels: 1, RAM: 8, Image: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "image"),
+				Scatter: rapid.Bool().Draw(t, "scatter")}
+			m.Free, m.Used, m.Pinned = m.Free.Sub(s.Need()), true, true
+			m.Images = append(m.Images, s.Image)
+			m.Live = append(m.Live, fleet.Replica{Spec: s, Ran: time.Duration(rapid.IntRange(0, 100).Draw(t, "ran")) * time.Second})
+		}
+		m.Others = len(m.Live) < 4 && rapid.IntRange(0, 5).Draw(t, "others") == 0
+		in.Machines = append(in.Machines, m)
+	}
+	return in
+}
+
+// Whatever the fleet, a plan moves nothing that has not settled or that the budget has no room for,
+// empties no machine that takes what others lose, and finds room for all of it.
+func TestVacatePlansHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := fleetOf(t)
+		free := map[string]protocol.Room{}
+		byID := map[string]*fleet.Machine{}
+		for _, m := range in.Machines {
+			free[m.ID], byID[m.ID] = m.Free, m
+		}
+		afford := rapid.IntRange(0, 12).Draw(t, "afford")
+		chosen := Vacate(in, nil, nil, afford)
+		moved, taken := 0, protocol.Room{}
+		leaves := map[string]bool{}
+		for _, id := range chosen {
+			leaves[id] = true
+			for _, r := range byID[id].Live {
+				moved++
+				taken = taken.Add(r.Spec.Need())
+				if r.Ran < SettledAfter {
+					t.Fatalf("%s moves after %v", r.Spec.ID, r.Ran)
+				}
+			}
+			if byID[id].Others {
+				t.Fatalf("%s has work of others", id)
+			}
+		}
+		if moved > afford {
+			t.Fatalf("%d moves of %d", moved, afford)
+		}
+		given := protocol.Room{}
+		for _, m := range in.Machines {
+			if m.Free != free[m.ID] {
+				if leaves[m.ID] {
+					t.Fatalf("%s is emptied and takes others' services", m.ID)
+				}
+				if !m.Free.Fits(protocol.Room{}) {
+					t.Fatalf("%s is overfull: %v", m.ID, m.Free)
+				}
+				given = given.Add(free[m.ID].Sub(m.Free))
+			}
+		}
+		if d := given.Sub(taken); d.Cores > 1e-9 || d.Cores < -1e-9 {
+			t.Fatalf("%v leave and find %v of room", taken, given)
+		}
+	})
+}
+
+// The same snapshot twice plans the same, and a plan once carried out leaves less to do each
+// time until nothing is: services don't go round in circles.
+func TestVacatingEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := fleetOf(t)
+		for _, m := range in.Machines {
+			for k := range m.Live {
+				m.Live[k].Ran = time.Hour
+			}
+		}
+		for round := 0; ; round++ {
+			if round > 2*len(in.Machines) {
+				t.Fatal("it does not end")
+			}
+			copied := *in
+			copied.Machines = nil
+			for _, m := range in.Machines {
+				n := *m
+				copied.Machines = append(copied.Machines, &n)
+			}
+			first := Vacate(&copied, nil, nil, 1000)
+			byID := map[string]*fleet.Machine{}
+			for _, m := range in.Machines {
+				byID[m.ID] = m
+			}
+			if len(first) == 0 {
+				return
+			}
+			// It is carried out: the machines go, others take what they had.
+			var left []*fleet.Machine
+			for i, m := range copied.Machines {
+				if n := in.Machines[i]; m.Free != n.Free {
+					m.Live = append(m.Live[:len(m.Live):len(m.Live)], fleet.Replica{Spec: &protocol.JobSpec{ID: "wk-moved", Shape: protocol.Service, Tasks: 1, Cores: n.Free.Sub(m.Free).Cores,
+						Accels: n.Free.Sub(m.Free).Accels, RAM: n.Free.Sub(m.Free).RAM, Image: "x"}, Ran: time.Hour})
+				}
+			}
+			for _, m := range copied.Machines {
+				gone := false
+				for _, id := range first {
+					gone = gone || id == m.ID
+				}
+				if !gone {
+					left = append(left, m)
+				}
+			}
+			in = &fleet.Input{Types: in.Types, Scarce: in.Scarce, Machines: left}
+		}
+	})
+}
+
+// A few snapshots that people can read.
+func TestVacate(t *testing.T) {
+	type given struct {
+		live    int
+		image   string
+		ran     time.Duration
+		others  bool
+		packed  bool
+		zone    string
+		scatter bool
+	}
+	for _, c := range []struct {
+		name   string
+		fleet  []given
+		grew   bool
+		begun  []string
+		afford int
+		want   string
+	}{
+		{name: "a shrunk fleet comes together", fleet: []given{{live: 1}, {live: 2}, {live: 2}, {live: 2}}, afford: 9, want: "[m0]"},
+		{name: "two at a time at most", fleet: []given{{live: 1}, {live: 1}, {live: 1}, {live: 1}, {live: 1}, {live: 1}, {live: 1}}, afford: 9, want: "[m0 m2]"},
+		{name: "too little room is left", fleet: []given{{live: 3}, {live: 3}, {live: 3}}, afford: 9, want: "[]"},
+		{name: "nothing while the type grows", fleet: []given{{live: 1}, {live: 2}, {live: 2}, {live: 2}}, grew: true, afford: 9, want: "[]"},
+		{name: "what moved lately stays", fleet: []given{{live: 1, ran: 20 * time.Second}, {live: 2, ran: 20 * time.Second}, {live: 2, ran: 20 * time.Second}, {live: 2, ran: 20 * time.Second}}, afford: 9, want: "[]"},
+		{name: "the budget is spent", fleet: []given{{live: 1}, {live: 2}, {live: 2}, {live: 2}}, afford: 0, want: "[]"},
+		{name: "what was begun goes on without it", fleet: []given{{live: 1}, {live: 2}, {live: 2}, {live: 2}}, begun: []string{"m0"}, afford: 0, want: "[m0]"},
+		{name: "a machine with other work empties by itself or not at all", fleet: []given{{live: 1, others: true}, {live: 2}, {live: 2}, {live: 2}}, afford: 9, want: "[m1]"},
+		{name: "room that others are to have is no place to go", fleet: []given{{live: 1, packed: true}, {live: 2, packed: true}, {live: 2, packed: true}, {live: 2, packed: true}}, afford: 9, want: "[]"},
+		{name: "only where the image is", fleet: []given{{live: 1, image: "odd"}, {live: 2}, {live: 2}, {live: 2}}, afford: 9, want: "[m1]"},
+		{name: "spread over zones, it stays in its own", fleet: []given{{live: 1, scatter: true}, {live: 2, zone: "b", scatter: true}, {live: 2, zone: "b", scatter: true}, {live: 2, zone: "b", scatter: true}}, afford: 9, want: "[m1]"},
+	} {
+		in := &fleet.Input{Types: types, Scarce: map[string]bool{}}
+		for k, g := range c.fleet {
+			box := types["box"]
+			m := &fleet.Machine{ID: fmt.Sprintf("m%d", k), Type: "box", Zone: g.zone, Others: g.others, Packed: g.packed, Free: box.Room()}
+			if m.Zone == "" {
+				m.Zone = "a"
+			}
+			if g.image == "" {
+				g.image = "x"
+			}
+			if g.ran == 0 {
+				g.ran = time.Hour
+			}
+			m.Images = []string{g.image}
+			for range g.live {
+				s := &protocol.JobSpec{Shape: protocol.Service, Cores: 2, Accels: 1, RAM: 8, Image: g.image, Scatter: g.scatter}
+				m.Live, m.Free = append(m.Live, fleet.Replica{Spec: s, Ran: g.ran}), m.Free.Sub(s.Need())
+			}
+			in.Machines = append(in.Machines, m)
+		}
+		begun := map[string]bool{}
+		for _, id := range c.begun {
+			begun[id] = true
+		}
+		if got := fmt.Sprint(Vacate(in, map[string]bool{"box": c.grew}, begun, c.afford)); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/board/news.go
+++ b/internal/board/news.go
@@ -55,6 +55,9 @@
 	Sound   bool
 	// Leaving: the cloud gave notice.
 	Leaving bool
+	// Vacates: what is on it is to be moved elsewhere. A version before moves knows
+	// nothing of it, and places nothing here since it is not usable.
+	Vacates bool
 	// Drained is the wish since which it is kept free without a break, if
 	// nothing can be on it; else 0.
 	Drained uint64
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -23,6 +23,9 @@
 	IdleAfter time.Duration
 	// Spare scales the room that is kept ready for work in a hurry.
 	Spare float64
+	// Moves is how many of the services' replicas are moved in a minute at most, so that
+	// machines which only they keep can be given back; 0 for none.
+	Moves float64
 	// quotas are the accounts that (quotas ...) names, nil if there is none.
 	quotas *quotaForm
 	// pbs are the queues that (pbs ...) names, nil if there is none.
@@ -32,7 +35,7 @@
 // Defaults are the operators' settings where they say nothing.
 func Defaults() Operator {
 	return Operator{Window: 10 * time.Second, PublishOffset: 5 * time.Second, SummaryEvery: 2 * time.Second,
-		Sample: 6, IdleAfter: 20 * time.Second, Spare: 1}
+		Sample: 6, IdleAfter: 20 * time.Second, Spare: 1, Moves: 60}
 }
 
 // load reads a file such as
@@ -125,6 +128,11 @@
 			return fmt.Errorf("spare must be from 0 to 10, not %v", v)
 		}
 		o.Spare = v
+	case "moves":
+		if !(v >= 0 && v <= 10000) {
+			return fmt.Errorf("moves must be from 0 to 10000 a minute, not %v", v)
+		}
+		o.Moves = v
 	default:
 		return fmt.Errorf("unknown setting %s", name)
 	}
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -78,10 +78,19 @@
 			if m.Leaving || m.Silent {
 				continue
 			}
-			f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0, Fresh: now.Sub(m.Known) < fleet.FreshFor}
+			f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0, Fresh: now.Sub(m.Known) < fleet.FreshFor, Images: m.Images}
 			for _, i := range m.Instances {
 				if js := o.jobs[i.Job]; js != nil && !i.Exited() {
-					f.Pinned = f.Pinned || js.job.Spec.Shape == protocol.Service
+					if js.job.Spec.Shape == protocol.Service {
+						f.Pinned = true
+						r := fleet.Replica{Spec: js.job.Spec}
+						if i.Running() {
+							r.Ran = now.Sub(i.Ran)
+						}
+						f.Live = append(f.Live, r)
+					} else {
+						f.Others = true
+					}
 					if js.job.Filler {
 						f.Yields = f.Yields.Add(js.job.Spec.Need())
 					}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -105,6 +105,7 @@
 	holdOff   time.Time
 	drainTill time.Time
 	drainWish uint64 // since which it is kept free without a break
+	vacates   bool   // what is on it is to be moved elsewhere
 	silent    bool
 	errorsBy  map[string]bool // jobs that failed here since the last success
 	soundAt   time.Time       // when something last succeeded
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
 	"daledyke/internal/fleet"
@@ -46,13 +48,16 @@
 	coming   map[string]bool            // machines that had not come up a round ago
 	boots    map[string][]time.Duration // of each type's machines that came up lately, newest last
 	lots     map[string]*bookkeeping.Lot
+	moves    *rate.Limiter        // of replicas that are moved
+	grewAt   map[string]time.Time // when machines of a type were last to be rented
 }
 
 // NewLeader makes the actor.
 func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
 	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
 		members: map[string]*bookkeeping.Member{}, refusals: map[fleet.Kind]time.Time{}, listed: map[string]protocol.Machine{},
-		draining: map[string]drainWish{}, boots: map[string][]time.Duration{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now()}
+		draining: map[string]drainWish{}, boots: map[string][]time.Duration{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now(),
+		grewAt: map[string]time.Time{}, moves: rate.NewLimiter(rate.Limit(c.Moves/60), max(1, int(c.Moves)))}
 }
 
 // Run runs the actor until its context ends.
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -69,6 +69,9 @@
 	// leaders, since an older controller may follow a younger one.
 	Wish     uint64
 	Machines []string
+	// Vacate are machines that are to be kept free though there are tasks, which their
+	// owners move elsewhere. A version before moves passes over them.
+	Vacate []string
 }
 
 // Nothing is an empty reply.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -123,6 +123,7 @@
 	// waitFrom is since when a running gang lacks a task.
 	waitFrom time.Time
 	blocked  time.Time // no room was found; look again then
+	moveAt   time.Time // no replica is moved before
 
 	// stale: something changed since the last review; missing is how many tasks of
 	// settled blocks it found neither done nor begun nor asked for.
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"daledyke/internal/balance"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/fleet"
 	"daledyke/internal/protocol"
@@ -87,14 +88,16 @@
 	rent, idle := fleet.Plan(&st.in)
 	slog.Debug("fleet", "machines", len(st.in.Machines), "fillers", fleet.Fillers(st.in.Machines), "idle", len(idle),
 		"kinds to rent", len(rent), "ready", st.ready)
+	vacate := l.vacate(&st.in, rent, now)
 	unwanted := map[string]bool{}
-	for _, id := range slices.Concat(idle, st.suspect) {
+	for _, id := range slices.Concat(idle, st.suspect, vacate) {
 		unwanted[id] = true
 		d, ok := l.draining[id]
 		if !ok {
-			d = drainWish{wish, now}
-			l.draining[id] = d
+			d = drainWish{wish: wish, since: now}
 		}
+		d.vacates = slices.Contains(vacate, id)
+		l.draining[id] = d
 		// Only if it was empty under this wish: it may have been used since an
 		// earlier one.
 		if st.drained[id] >= d.wish || slices.Contains(st.suspect, id) && now.Sub(d.since) > 20*time.Second {
@@ -113,8 +116,42 @@
 type drainWish struct {
 	wish  uint64
 	since time.Time
+	// vacates: what is on it is to be moved elsewhere.
+	vacates bool
 }
 
+// vacate chooses the machines whose services are to be moved elsewhere.
+func (l *Leader) vacate(in *fleet.Input, rent []fleet.Rental, now time.Time) []string {
+	if l.cfg.Moves == 0 {
+		return nil
+	}
+	vacating := map[string]bool{}
+	for id, d := range l.draining {
+		if d.vacates && now.Sub(d.since) < vacateFor {
+			vacating[id] = true
+		}
+	}
+	grew := map[string]bool{}
+	for _, r := range rent {
+		l.grewAt[r.Type] = now
+	}
+	for rig, at := range l.grewAt {
+		grew[rig] = now.Sub(at) < balance.GrownFor
+	}
+	chosen := balance.Vacate(in, grew, vacating, int(l.moves.TokensAt(now)))
+	for _, m := range in.Machines {
+		if !vacating[m.ID] && slices.Contains(chosen, m.ID) {
+			l.moves.AllowN(now, len(m.Live))
+			slog.Info("vacating", "machine", m.ID, "services", len(m.Live))
+		}
+	}
+	return chosen
+}
+
+// vacateFor is how long a machine may take to be vacated before it is used again, or
+// chosen anew.
+const vacateFor = 30 * time.Second
+
 // noteBoots learns how long machines take to come up.
 func (l *Leader) noteBoots(st *fleetState, now time.Time) {
 	coming := map[string]bool{}
@@ -173,19 +210,21 @@
 // drain tells the holders which of their machines are to be kept free of new
 // tasks; those that were and no longer are, they may use again.
 func (l *Leader) drain(st *fleetState, wish uint64) {
-	byHolder := map[string][]string{}
+	byHolder := map[string]*DrainArgs{}
 	for name := range l.holders {
-		byHolder[name] = nil
+		byHolder[name] = &DrainArgs{Caller: l.cfg.Name, Wish: wish}
 	}
-	for id := range l.draining {
-		if h := st.holder[id]; h != "" {
-			byHolder[h] = append(byHolder[h], id)
+	for id, d := range l.draining {
+		if a := byHolder[st.holder[id]]; a != nil && d.vacates {
+			a.Vacate = append(a.Vacate, id)
+		} else if a != nil {
+			a.Machines = append(a.Machines, id)
 		}
 	}
-	for name, ids := range byHolder {
-		if h := l.holders[name]; h != nil && (len(ids) > 0 || l.drained[name]) {
-			err := h.Drain(l.ctx, DrainArgs{Caller: l.cfg.Name, Wish: wish, Machines: ids})
-			l.drained[name] = len(ids) > 0 || err != nil
+	for name, a := range byHolder {
+		if some := len(a.Machines)+len(a.Vacate) > 0; some || l.drained[name] {
+			err := l.holders[name].Drain(l.ctx, *a)
+			l.drained[name] = some || err != nil
 		}
 	}
 }
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -151,14 +151,14 @@
 				}
 				continue
 			}
-			if keep == nil || i.Since.Before(keep.Since) {
+			if i.State != board.TaskReserved && (keep == nil || i.Since.Before(keep.Since)) {
 				keep = i
 			}
 		}
 		for _, i := range list {
 			// Two of one task cannot be by our doing; should it happen, the
 			// younger one goes.
-			if sh != nil && !i.Exited() && (i != keep && len(list) > 1 || j.TaskDone(index)) {
+			if sh != nil && !i.Exited() && i.State != board.TaskReserved && (i != keep && len(list) > 1 || j.TaskDone(index)) {
 				o.askStop(i, 0, now, rq)
 			}
 		}
@@ -170,6 +170,7 @@
 		}
 	}
 	o.rescue(js, now, rq)
+	o.move(js, now, rq)
 	if j.Spec.Shape == protocol.Gang && len(out.Tasks) > 0 {
 		out.Tasks = out.Tasks[:0]
 		for t := range j.Spec.Tasks {
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -86,9 +86,12 @@
 	reserved := w.entries[st.Task]
 	if reserved != nil && !(reserved.state == board.TaskReserved && reserved.attempt == st.Attempt) {
 		return "already there"
-	} else if reserved == nil {
+	}
+	// Room may be reserved for a task that runs elsewhere and is about to be moved: nothing
+	// starts by that. Before it does, the task must be gone from there.
+	if !st.Reserve {
 		for _, o := range h.byID {
-			if x := o.entries[st.Task]; x != nil && !x.exited() {
+			if x := o.entries[st.Task]; o != w && x != nil && !x.exited() && x.state != board.TaskReserved {
 				return "elsewhere here"
 			}
 		}
@@ -244,8 +247,10 @@
 func (h *Holder) view(w *worker) board.MachineView {
 	v := board.MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
 		Free: h.free(w, true), Usable: h.startable(w), Silent: w.silent || w.lapsed, Suspect: w.suspect, Leaving: w.notice}
-	if time.Now().Before(w.drainTill) && len(w.entries) == 0 && !w.busy {
-		v.Drained = w.drainWish
+	if time.Now().Before(w.drainTill) {
+		if v.Vacates = w.vacates; len(w.entries) == 0 && !w.busy {
+			v.Drained = w.drainWish
+		}
 	}
 	v.Sound = time.Since(w.soundAt) < placement.SoundFor
 	for job := range w.errorsBy {
@@ -279,15 +284,18 @@
 		return // of a former leader
 	}
 	h.drainsFor = a.Wish
-	wanted := make(map[string]bool, len(a.Machines))
+	wanted, vacate := make(map[string]bool, len(a.Machines)), make(map[string]bool, len(a.Vacate))
 	for _, id := range a.Machines {
 		wanted[id] = true
 	}
+	for _, id := range a.Vacate {
+		wanted[id], vacate[id] = true, true
+	}
 	now := time.Now()
 	for id, w := range h.byID {
 		drains := now.Before(w.drainTill)
 		switch {
-		case wanted[id] && !drains && !w.suspect && len(w.entries) > 0:
+		case wanted[id] && !vacate[id] && !drains && !w.suspect && len(w.entries) > 0:
 			// It got work that the leader has not seen yet: it is not idle any more.
 		case wanted[id]:
 			if !drains {
@@ -299,9 +307,10 @@
 					delete(w.entries, name)
 				}
 			}
-			if !drains || len(w.entries) == 0 {
+			if !drains || len(w.entries) == 0 || w.vacates != vacate[id] {
 				h.touch(w)
 			}
+			w.vacates = vacate[id]
 		case drains:
 			w.drainTill = time.Time{}
 			h.touch(w)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -35,6 +35,8 @@
 	coming string
 	// accounts are the operators' quotas, as S-expressions.
 	accounts string
+	// watch is told of events, on the emulator's goroutine; it may be nil.
+	watch func(history.Event)
 }
 
 // stateLimits are those of the settings below.
@@ -51,6 +53,11 @@
 	}
 	var err error
 	w.em, err = emulator.New(ctx, w.net, emulator.Setup{Controllers: w.names, Capacity: 30, State: stateLimits,
+		Record: func(e history.Event) {
+			if w.watch != nil {
+				w.watch(e)
+			}
+		},
 		Teams:       []config.Team{{Name: "free"}, {Name: "bound", CoresMax: 8}},
 		ReportEvery: 3 * time.Second, Lease: 20 * time.Second, GangWait: 30 * time.Second, GangPeer: 5 * time.Second, CancelWithin: 40 * time.Second,
 		Types: []protocol.MachineType{
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -57,6 +57,19 @@
 	Pinned bool
 	// Fresh: it came up less than FreshFor ago.
 	Fresh bool
+	// Live are the services' replicas on it, Others tells that there are other tasks, and
+	// Images are those that it has.
+	Live   []Replica
+	Others bool
+	Images []string
+	// Packed: a plan counts on room that it has.
+	Packed bool
+}
+
+// Replica is a service's task on a machine, and for how long it is seen to run.
+type Replica struct {
+	Spec *protocol.JobSpec
+	Ran  time.Duration
 }
 
 // Input is the snapshot that renting is decided by.
@@ -193,9 +206,9 @@
 // over and over, where others of its type hold only filler work (hunt-cc4e-31).
 const FreshFor = 3 * time.Second
 
-// roomKept is the part of the machines of a type whose room is kept for what
+// RoomKept is the part of the machines of a type whose room is kept for what
 // comes, beside what is known, before any are given back at once.
-const roomKept = 0.12
+const RoomKept = 0.12
 
 // surplus chooses, and marks, the machines without tasks that need not stand
 // idle for a while first: as many of each type as the others have room for, and some more.
@@ -209,7 +222,7 @@
 		}
 	}
 	for _, m := range in.Machines {
-		if m.Used || m.Booting || m.Drains || m.Fresh || room[m.Type]-1 < max(1, roomKept*float64(count[m.Type])) {
+		if m.Used || m.Booting || m.Drains || m.Fresh || room[m.Type]-1 < max(1, RoomKept*float64(count[m.Type])) {
 			continue
 		}
 		room[m.Type]--
@@ -282,7 +295,7 @@
 		return 0
 	}
 	b.fillers = b.fillers || d.Filler && b.Booting && !b.Used
-	b.Used = true
+	b.Used, b.Packed = true, true
 	for range n {
 		b.Free = b.Free.Sub(d.Spec.Need())
 	}
--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -115,6 +115,7 @@
 		{"money", func(s *Summary) float64 { return s.Money }},
 		{"money per useful CPU hour", func(s *Summary) float64 { return s.Money / s.Useful }},
 		{"starts", func(s *Summary) float64 { return float64(s.Starts) }},
+		{"starts, most over mean of owners", func(s *Summary) float64 { return s.Uneven }},
 		{"state requests/s", func(s *Summary) float64 { return s.StateRequests }},
 		{"state changes/s", func(s *Summary) float64 { return s.StateChanges }},
 		{"events/s of real time", func(s *Summary) float64 { return float64(s.Events) / s.Took.Seconds() }},
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -55,8 +55,9 @@
 
 // Class is a kind of work.
 type Class struct {
-	Name     string
-	Team     string
+	Name string
+	// Teams are whose jobs they are, one drawn for each.
+	Teams    []string
 	Shape    protocol.Shape
 	Priority protocol.Priority
 	Arrivals []Arrivals
@@ -229,7 +230,7 @@
 	}()
 	value := ""
 	switch head {
-	case "clock", "controllers", "machines", "length", "rest", "scale":
+	case "clock", "controllers", "machines", "length", "rest", "scale", "served":
 		if value, err = one(values); err != nil {
 			return err
 		}
@@ -311,7 +312,7 @@
 }
 
 func parseClass(raw []byte) (c Class, err error) {
-	c = Class{Team: "desk", Shape: protocol.Array, Priority: "normal", Tasks: Draw{Kind: "const", A: 1}, Run: Draw{Kind: "const", A: 30},
+	c = Class{Teams: []string{"desk"}, Shape: protocol.Array, Priority: "normal", Tasks: Draw{Kind: "const", A: 1}, Run: Draw{Kind: "const", A: 30},
 		Cores: 4, RAM: 8, Image: "tools", ImageGB: 2}
 	name, entries, err := forms.Named(raw, "class")
 	if err != nil {
@@ -337,7 +338,7 @@
 
 func (c *Class) set(name string, values []string, raw []edn.RawMessage) (err error) {
 	value := values[0]
-	if len(values) != 1 && name != "image" && name != "saves" && name != "arrivals" && name != "types" {
+	if len(values) != 1 && name != "image" && name != "saves" && name != "arrivals" && name != "types" && name != "team" {
 		return fmt.Errorf("one value is needed, not %d", len(values))
 	}
 	share := func(into *float64) { *into, err = decimal(value, 0, 1) }
@@ -348,7 +349,7 @@
 	}
 	switch name {
 	case "team":
-		c.Team = value
+		c.Teams = values
 	case "shape":
 		shapes := map[string]protocol.Shape{"array": protocol.Array, "gang": protocol.Gang, "service": protocol.Service}
 		if c.Shape = shapes[value]; c.Shape == "" {
@@ -504,8 +505,10 @@
 			return fmt.Errorf("class %q is there twice", c.Name)
 		}
 		names[c.Name] = true
-		if !slices.ContainsFunc(d.Teams, func(t config.Team) bool { return t.Name == c.Team }) {
-			return fmt.Errorf("class %q: there is no team %q", c.Name, c.Team)
+		for _, name := range c.Teams {
+			if !slices.ContainsFunc(d.Teams, func(t config.Team) bool { return t.Name == name }) {
+				return fmt.Errorf("class %q: there is no team %q", c.Name, name)
+			}
 		}
 		for _, name := range c.Types {
 			if !slices.ContainsFunc(d.Types, func(t protocol.MachineType) bool { return t.Name == name }) {
@@ -572,8 +575,8 @@
 
 func (c Class) String() string {
 	shape := map[protocol.Shape]string{protocol.Array: "array", protocol.Gang: "gang", protocol.Service: "service"}[c.Shape]
-	s := fmt.Sprintf("(class %q (team %q) (shape %s) (priority %s) (arrivals%s) (tasks %s) (run %s) (error %v)\n    (cores %v) (accels %v) (ram %v) (image %q %v)",
-		c.Name, c.Team, shape, c.Priority, joined(c.Arrivals), c.Tasks, c.Run, c.Error, c.Cores, c.Accels, c.RAM, c.Image, c.ImageGB)
+	s := fmt.Sprintf("(class %q (team%s) (shape %s) (priority %s) (arrivals%s) (tasks %s) (run %s) (error %v)\n    (cores %v) (accels %v) (ram %v) (image %q %v)",
+		c.Name, quoted(c.Teams), shape, c.Priority, joined(c.Arrivals), c.Tasks, c.Run, c.Error, c.Cores, c.Accels, c.RAM, c.Image, c.ImageGB)
 	if c.Images > 0 {
 		s += fmt.Sprintf(" (images %d)", c.Images)
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -127,7 +127,11 @@
 func (c *Class) order(at time.Duration, rng *rand.Rand) order {
 	tasks := int(min(protocol.MaxTasks, max(1, math.Round(c.Tasks.draw(rng)))))
 	run := max(1, c.Run.draw(rng))
-	s := &protocol.JobSpec{Class: c.Name, Team: c.Team, Shape: c.Shape, Priority: c.Priority, Tasks: tasks, Cores: c.Cores, Accels: c.Accels, RAM: c.RAM,
+	team := c.Teams[0]
+	if len(c.Teams) > 1 {
+		team = c.Teams[rng.IntN(len(c.Teams))]
+	}
+	s := &protocol.JobSpec{Class: c.Name, Team: team, Shape: c.Shape, Priority: c.Priority, Tasks: tasks, Cores: c.Cores, Accels: c.Accels, RAM: c.RAM,
 		Image: c.Image, ImageGB: c.ImageGB, OneZone: c.OneZone, Scatter: c.Scatter, Spot: c.Spot, Types: c.Types,
 		CheckpointS: c.SaveEvery.Seconds(), SaveS: c.Save.Seconds()}
 	if c.Images > 1 {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -37,7 +37,10 @@
 	StateRequests float64 `json:"stateRequests"`
 	StateChanges  float64 `json:"stateChanges"`
 	Starts        int     `json:"starts"`
-	Events        int     `json:"events"`
+	// Uneven is how many times the mean the controller that started most tasks did, by the
+	// numbers of their attempts. A controller counts anew after each session.
+	Uneven float64 `json:"uneven"`
+	Events int     `json:"events"`
 	// Took is how long the run took in real time, and MemMB the most memory of its process.
 	Took  time.Duration `json:"took"`
 	MemMB float64       `json:"memMB"`
@@ -80,6 +83,7 @@
 	busy    int // samples with machines
 	last    time.Duration
 	served  history.Served
+	starts  map[uint64]int // by the term in the attempt's number, which is its owner's
 }
 
 // metered is a job as the meter knows it.
@@ -95,7 +99,7 @@
 
 // NewMeter makes a meter.
 func NewMeter() *Meter {
-	return &Meter{jobs: map[string]*metered{}, classes: map[string]*ClassSummary{}, times: map[string]*times{}}
+	return &Meter{jobs: map[string]*metered{}, classes: map[string]*ClassSummary{}, times: map[string]*times{}, starts: map[uint64]int{}}
 }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
@@ -125,6 +129,7 @@
 		m.answered(m.jobs[e.Job], e)
 	case history.Told:
 		m.s.Starts++
+		m.starts[protocol.Token(e.Attempt).Term()]++
 	case history.On, history.Off:
 		id, index, _ := protocol.SplitTask(e.Task)
 		if j := m.jobs[id]; j != nil {
@@ -195,6 +200,9 @@
 func (m *Meter) Summary() (Summary, error) {
 	s := m.s
 	s.Length = m.last
+	for _, n := range m.starts {
+		s.Uneven = max(s.Uneven, float64(n)*float64(len(m.starts))/float64(s.Starts))
+	}
 	s.ServedClasses, s.ServedTeams = m.served.Shares(m.last)
 	for _, j := range m.jobs {
 		if j.spec.Shape == protocol.Service {
