Holders are balanced, teams take turns

And in an owner's round one team's thousand jobs stood before all others of their priority. Change: ring.deal gives the slots of those away to the least loaded, and lets heirs keep them; for balance alone one slot in 20 s moves, if the most loaded holder carries over 1.3 of the mean and that lowers it by a tenth, never to a controller not heard of for 4 s (Window.Moved; a leader of the version before deals them home). placement.TakeTurns: within a priority each team has up to 32 tasks placed before the next has its turn.

--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -149,6 +149,9 @@
 	Owners []string `json:"owners"`
 	// Deal names the wanted holder of each slot.
 	Deal []string `json:"deal"`
+	// Moved are the slots that are not dealt to their home for balance alone. A version
+	// before balance knows nothing of it, and deals them home again when it leads.
+	Moved []int `json:"moved,omitempty"`
 	// Divided: blocks of large jobs have owners of their own (Job.Blocks). A version
 	// before blocks doesn't know of it: it is set once every controller of the
 	// deployment was seen to.
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -103,6 +103,7 @@
 			st.in.Machines = append(st.in.Machines, f)
 		}
 		st.in.Demands = o.demands(now, started)
+		st.load = o.load(now)
 	})
 	if !ok {
 		return nil
@@ -110,6 +111,30 @@
 	return st
 }
 
+// doubtAfter is for how long a controller may not have been heard of before nothing is
+// moved to it.
+const doubtAfter = 4 * time.Second
+
+// load is what the slots carry, and whose holders are doubted.
+func (o *Owner) load(now time.Time) ring.Load {
+	l := ring.Load{Slots: make([]float64, o.slots), Doubted: map[string]bool{}}
+	for n := range l.Slots {
+		s := o.board.Slots[n]
+		if s == nil {
+			continue
+		}
+		tasks := 0
+		for _, m := range s.Machines {
+			tasks += len(m.Instances)
+		}
+		l.Slots[n] = ring.LoadOf(len(s.Machines), tasks)
+	}
+	for name, p := range o.peers {
+		l.Doubted[name] = !p.valid || now.Sub(p.heard) > doubtAfter
+	}
+	return l
+}
+
 // demands is what has no machine, and what is expected to come.
 func (o *Owner) demands(now, started time.Time) []fleet.Demand {
 	var out []fleet.Demand
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -48,8 +49,12 @@
 	coming   map[string]bool            // machines that had not come up a round ago
 	boots    map[string][]time.Duration // of each type's machines that came up lately, newest last
 	lots     map[string]*bookkeeping.Lot
-	moves    *rate.Limiter        // of replicas that are moved
-	grewAt   map[string]time.Time // when machines of a type were last to be rented
+	moves    *rate.Limiter // of replicas that are moved
+	// load is that of the slots as the board showed it at loadAt; balanced is when the deal
+	// last changed.
+	load             ring.Load
+	loadAt, balanced time.Time
+	grewAt           map[string]time.Time // when machines of a type were last to be rented
 }
 
 // NewLeader makes the actor.
@@ -105,6 +110,13 @@
 
 // ---- windows
 
+// balanceEvery is how often a slot is moved for balance alone at most, and loadFresh how
+// old what is known of the load may be for it.
+const (
+	balanceEvery = 20 * time.Second
+	loadFresh    = 5 * time.Second
+)
+
 // firstWait is how long the very first window waits for controllers that are
 // not there yet.
 const firstWait = 2 * time.Second
@@ -116,10 +128,18 @@
 	if l.window == nil && len(l.members) < len(l.cfg.Siblings)+1 && time.Since(l.leadFrom) < firstWait {
 		return // all start together: what was dealt now would soon change hands
 	}
-	w := ring.NextWindow(l.window, l.members, l.cfg.Names(), time.Now(), l.cfg.Window, l.cfg.PublishOffset)
+	now := time.Now()
+	load := l.load
+	load.MayMove = load.Slots != nil && now.Sub(l.loadAt) < loadFresh && now.Sub(l.balanced) >= balanceEvery && now.Sub(l.leadFrom) >= balanceEvery
+	w := ring.NextWindow(l.window, l.members, l.cfg.Names(), load, now, l.cfg.Window, l.cfg.PublishOffset)
 	if w == nil {
 		return
 	}
+	if l.window != nil && !slices.Equal(w.Deal, l.window.Deal) {
+		// Whatever the reason: nothing is moved for balance while slots change hands.
+		l.balanced = now
+		slog.Info("slots are dealt anew", "moved for balance", w.Moved)
+	}
 	l.writing = true
 	leader, seen := l.leader, l.window
 	go func() {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -384,14 +384,14 @@
 	}
 	o.record(outcomes)
 	slices.SortFunc(ready, func(a, b *jobState) int {
-		if x, y := a.job.Filler, b.job.Filler; x != y {
-			if x {
-				return 1
-			}
-			return -1
+		return cmp.Or(o.due(a).Compare(o.due(b)), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+	})
+	placement.TakeTurns(ready, func(js *jobState) placement.Waiting {
+		w := placement.Waiting{Level: -js.job.Rank, Team: js.job.Spec.Team, Tasks: js.missing}
+		if js.job.Filler {
+			w.Level = 1 // behind all other work
 		}
-		return cmp.Or(cmp.Compare(b.job.Rank, a.job.Rank), o.due(a).Compare(o.due(b)),
-			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+		return w
 	})
 	o.usable, o.scarceNow, o.teams = nil, o.scarce(), nil
 	o.promise()
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -13,6 +13,7 @@
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/fleet"
 	"daledyke/internal/protocol"
+	"daledyke/internal/ring"
 	"daledyke/internal/transport"
 )
 
@@ -44,6 +45,7 @@
 	// up are machines that are not seen and on which tasks may be.
 	up    map[string]bool
 	ready bool
+	load  ring.Load
 }
 
 // round runs on a goroutine of its own; only one round runs at a time, and it
@@ -54,6 +56,9 @@
 	if st == nil || !l.session.Valid() {
 		return
 	}
+	if st.ready {
+		l.tell(func() { l.load, l.loadAt = st.load, now })
+	}
 	l.list(now, st)
 	var gone []string
 	wish := leadership<<24 + l.rounds // rises from round to round, and from leader to leader
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -15,7 +15,7 @@
 // into the present one, or at once when controllers came or went. names are all
 // controllers in a fixed order, members those whose sessions live; a window stands
 // for every. Controllers that their workers can't reach get none dealt.
-func NextWindow(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string, now time.Time, every, offset time.Duration) *bookkeeping.Window {
+func NextWindow(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string, load Load, now time.Time, every, offset time.Duration) *bookkeeping.Window {
 	var owners, hearing []string
 	for _, n := range names {
 		if m := members[n]; m != nil {
@@ -31,22 +31,14 @@
 	if len(hearing) == 0 {
 		hearing = owners
 	}
-	deal := make([]string, SlotCount(len(names)))
-	for s := range deal {
-		home := names[s%len(names)]
-		if slices.Contains(hearing, home) {
-			deal[s] = home
-		} else {
-			deal[s] = hearing[(s/len(names))%len(hearing)]
-		}
-	}
-	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: deal, Divided: divided(cur, members, names)}
+	dealt, moved := deal(cur, names, hearing, load)
+	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: dealt, Moved: moved, Divided: divided(cur, members, names)}
 	if cur == nil {
 		return w
 	}
 	w.Number = cur.Number + 1
 	start := time.UnixMilli(cur.StartMs)
-	if !cur.SameOwners(w) || !slices.Equal(cur.Deal, deal) {
+	if !cur.SameOwners(w) || !slices.Equal(cur.Deal, dealt) {
 		w.StartMs = max(now.Add(300*time.Millisecond).UnixMilli(), cur.StartMs)
 		return w
 	}
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -21,7 +21,7 @@
 	const every, offset = 10 * time.Second, 5 * time.Second
 	at := time.UnixMilli(1_000_000)
 	next := func(cur *bookkeeping.Window, m map[string]*bookkeeping.Member, now time.Time) *bookkeeping.Window {
-		return NextWindow(cur, m, controllers, now, every, offset)
+		return NextWindow(cur, m, controllers, Load{}, now, every, offset)
 	}
 	first := next(nil, members("c0", "c1", "c2"), at)
 	if first == nil || first.Number != 1 || !slices.Equal(first.Owners, controllers) || len(first.Deal) != 6 {
@@ -62,7 +62,7 @@
 	}
 	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: controllers, Deal: nil}
 	next := func(m map[string]*bookkeeping.Member) {
-		if n := NextWindow(w, m, controllers, now, 10*time.Second, 5*time.Second); n != nil {
+		if n := NextWindow(w, m, controllers, Load{}, now, 10*time.Second, 5*time.Second); n != nil {
 			w = n
 		}
 	}
