Room that comes free goes by order, and teams' turns count what they had lately

Cause: each job that found no room paused for 400 ms of its own, so that which one looked first when room came was a lottery, won by whoever has most jobs; and a round's turns forgot what a team had taken a moment before. Change: what found no room pauses its kind (team, class, types, zone, priority) for needs as large, until a machine is shown with room for it; within a priority teams go by what they had placed lately (half-life 15 s).

--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -59,6 +59,7 @@
 		o.noteFailures(&r.Machines[i])
 	}
 	o.touched(o.board.Apply(name, r, sent, time.Now()))
+	o.roomCame(r.Machines)
 	o.dirty = true
 	for at, ps := range o.quotas.ghosts {
 		if o.resolved(ps, name, a, r) {
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -84,7 +84,7 @@
 		if c, ok := o.find(js, o.placingFor(js, ""), now); ok {
 			o.start(js, 0, cmp.Or(attempt, o.newAttempt()), c, false, rq)
 		} else {
-			js.blocked = now.Add(400 * time.Millisecond)
+			o.lacksRoom(js, now)
 		}
 		return 1
 	}
--- /dev/null
+++ b/internal/coordination/lacks.go
@@ -0,0 +1,87 @@
+package coordination
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"daledyke/internal/board"
+	"daledyke/internal/protocol"
+)
+
+// Kinds of work for which no machine has room now. Once each job had a pause of its own
+// after it found none. Which of them looked first when room came free was a matter of
+// luck then, and so of numbers: a team with a thousand jobs had nearly all of it.
+
+// kind is work that is alike in where it may run and what may be stopped for it.
+type kind struct {
+	team, class, types, zone string
+	spot, filler             bool
+	rank                     int
+}
+
+// lack is a need that no machine had room for.
+type lack struct {
+	spec  *protocol.JobSpec
+	until time.Time
+}
+
+const (
+	// lackFor is for how long nothing as large of the kind is looked for, unless room comes
+	// up: what may be stopped for it changes with time.
+	lackFor = 400 * time.Millisecond
+	// maxLacks bounds the kinds.
+	maxLacks = 256
+)
+
+// kindOf is the kind of a job's tasks; false if where they may run is its own matter.
+func (js *jobState) kindOf() (kind, bool) {
+	s := js.job.Spec
+	if s.OneZone && s.Tasks > 1 || s.Scatter || len(js.badOn) > 0 {
+		return kind{}, false
+	}
+	k := kind{team: s.Team, class: s.Class, types: strings.Join(s.Types, " "), spot: s.Spot, filler: js.job.Filler, rank: js.job.Rank}
+	if s.Zone != nil {
+		k.zone = *s.Zone
+	}
+	return k, true
+}
+
+// lacksRoom notes that no machine has room for a job's tasks.
+func (o *Owner) lacksRoom(js *jobState, now time.Time) {
+	k, ok := js.kindOf()
+	if !ok {
+		js.blocked = now.Add(lackFor)
+		return
+	}
+	if len(o.lacks) >= maxLacks {
+		clear(o.lacks)
+	}
+	o.lacks[k] = lack{js.job.Spec, now.Add(lackFor)}
+}
+
+// hopeless tells whether a need no larger was found to have no room a moment ago, and none
+// came up since.
+func (o *Owner) hopeless(js *jobState, now time.Time) bool {
+	if len(o.lacks) == 0 {
+		return false
+	}
+	k, ok := js.kindOf()
+	if !ok {
+		return false
+	}
+	l, lacks := o.lacks[k]
+	return lacks && now.Before(l.until) && js.job.Spec.Need().Fits(l.spec.Need())
+}
+
+// roomCame has kinds looked for again that machines which were shown anew have room for.
+func (o *Owner) roomCame(views []board.MachineView) {
+	for k, l := range o.lacks {
+		if slices.ContainsFunc(views, func(v board.MachineView) bool {
+			m := o.board.Machines[v.ID]
+			return m != nil && m.Usable && m.Free.Sub(m.Promised).Fits(l.spec.Need()) && l.spec.Allows(m.Type, m.Zone, m.Spot)
+		}) {
+			delete(o.lacks, k)
+		}
+	}
+}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -74,6 +74,8 @@
 	planned   time.Time
 	classes   map[string]*fleet.Class
 	rng       *rand.Rand
+	lacks     map[kind]lack
+	lately    placement.Lately
 
 	// usable, scarceNow and teams are worked out once a round.
 	teams     *teams
@@ -162,7 +164,7 @@
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
 		rosters: map[int]bookkeeping.Roster{}, gone: map[string]bool{},
 		born: map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
-		classes: map[string]*fleet.Class{}, ended: map[string]*bookkeeping.Job{}, failing: map[string]*jobState{}}
+		classes: map[string]*fleet.Class{}, ended: map[string]*bookkeeping.Job{}, failing: map[string]*jobState{}, lacks: map[kind]lack{}, lately: placement.Lately{HalfLife: latelyHalf}}
 }
 
 // Run follows all holders' feeds and runs the actor until its context ends.
@@ -344,6 +346,10 @@
 	}
 }
 
+// latelyHalf is the half-life of what teams had placed: as long as room takes to come
+// free by itself, give or take.
+const latelyHalf = 15 * time.Second
+
 // requests collects what a planning round asks of each holder.
 type requests map[string]*AskArgs
 
@@ -378,7 +384,7 @@
 				}
 			}
 		}
-		if js.missing > 0 && js.job.Waits == 0 && !now.Before(js.blocked) && o.onTrial(js, now) {
+		if js.missing > 0 && js.job.Waits == 0 && !now.Before(js.blocked) && !o.hopeless(js, now) && o.onTrial(js, now) {
 			ready = append(ready, js)
 		}
 	}
@@ -392,7 +398,7 @@
 			w.Level = 1 // behind all other work
 		}
 		return w
-	})
+	}, &o.lately, now)
 	o.usable, o.scarceNow, o.teams = nil, o.scarce(), nil
 	o.promise()
 	budget := 64
@@ -401,7 +407,9 @@
 			o.dirty = true
 			break
 		}
-		budget -= o.placeJob(js, now, rq)
+		if !o.hopeless(js, now) {
+			budget -= o.placeJob(js, now, rq)
+		}
 	}
 	if o.quotas.tree != nil {
 		o.yield(now, rq)
@@ -452,6 +460,9 @@
 	ps := &pendingStart{attempt: attempt, machine: m.ID, holder: m.Holder, inc: o.peers[m.Holder].incarnation, slot: m.Slot, term: m.Term,
 		need: js.job.Spec.Need()}
 	js.pending[index] = ps
+	if !reserve || js.job.Spec.Shape != protocol.Gang { // a gang counts once, when it starts
+		o.lately.Placed(js.job.Spec.Team, time.Now())
+	}
 	if o.teams != nil {
 		team := js.job.Spec.Team
 		o.teams.pending[team] = o.teams.pending[team].Add(ps.need)
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -197,7 +197,7 @@
 		}
 		c, ok := o.find(js, p, now)
 		if !ok {
-			js.blocked = now.Add(400 * time.Millisecond)
+			o.lacksRoom(js, now)
 			return looked
 		}
 		o.start(js, index, o.attempt(permit), c, false, rq)
--- a/internal/ring/deal.go
+++ b/internal/ring/deal.go
@@ -27,8 +27,10 @@
 	// for up to a report interval nothing is started on the machines of a slot that moves.
 	Uneven     = 1.3
 	worthwhile = 0.1
-	// leastMoved is the load of a slot below which moving it is of no use.
-	leastMoved = 4
+	// leastExcess is by how much above the mean the most loaded holder must be: any
+	// controller carries so much more with ease, and a small fleet's slots stay where they
+	// are (once, one moved amid the only task of a trace, whose end was late for it).
+	leastExcess = 32
 )
 
 func (l *Load) of(slot int) float64 {
@@ -112,12 +114,12 @@
 		}
 	}
 	mean := total / float64(len(hearing))
-	if carries[most] <= Uneven*mean {
+	if carries[most] <= max(Uneven*mean, mean+leastExcess) {
 		return slot, ""
 	}
 	best := carries[most] - worthwhile*mean
 	for s, holder := range deal {
-		if holder != most || load.of(s) < leastMoved {
+		if holder != most {
 			continue
 		}
 		for _, n := range sound {
