Kinds that lack room are told apart by how long they waited; moves start sooner

Change: work that may have other work stopped is told apart by 3 s of waiting; a moved replica is started as soon as it has exited elsewhere, before that is cleared away.

--- a/internal/coordination/lacks.go
+++ b/internal/coordination/lacks.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daledyke/internal/board"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 )
 
@@ -18,6 +19,9 @@
 	team, class, types, zone string
 	spot, filler             bool
 	rank                     int
+	// waited is for how long it waited already, in steps, if work may be stopped for it:
+	// with time more may.
+	waited int
 }
 
 // lack is a need that no machine had room for.
@@ -30,12 +34,15 @@
 	// lackFor is for how long nothing as large of the kind is looked for, unless room comes
 	// up: what may be stopped for it changes with time.
 	lackFor = 400 * time.Millisecond
+	// waitStep is the step of kinds' waiting times. Once a job that had come late and was due
+	// early kept those from being looked at that had waited for long enough to have work stopped.
+	waitStep = 3 * time.Second
 	// maxLacks bounds the kinds.
 	maxLacks = 256
 )
 
 // kindOf is the kind of a job's tasks; false if where they may run is its own matter.
-func (js *jobState) kindOf() (kind, bool) {
+func (o *Owner) kindOf(js *jobState, now time.Time) (kind, bool) {
 	s := js.job.Spec
 	if s.OneZone && s.Tasks > 1 || s.Scatter || len(js.badOn) > 0 {
 		return kind{}, false
@@ -44,12 +51,15 @@
 	if s.Zone != nil {
 		k.zone = *s.Zone
 	}
+	if k.rank >= placement.Preempts {
+		k.waited = int(min(now.Sub(js.job.Ready), o.within(s.Class, time.Minute)) / waitStep)
+	}
 	return k, true
 }
 
 // lacksRoom notes that no machine has room for a job's tasks.
 func (o *Owner) lacksRoom(js *jobState, now time.Time) {
-	k, ok := js.kindOf()
+	k, ok := o.kindOf(js, now)
 	if !ok {
 		js.blocked = now.Add(lackFor)
 		return
@@ -66,7 +76,7 @@
 	if len(o.lacks) == 0 {
 		return false
 	}
-	k, ok := js.kindOf()
+	k, ok := o.kindOf(js, now)
 	if !ok {
 		return false
 	}
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -46,7 +46,7 @@
 			}
 		}
 		switch {
-		case held != nil && on == nil && len(list) == 1:
+		case held != nil && on == nil: // what is left of it elsewhere has exited
 			o.start(js, index, held.Attempt, placement.Choice{Machine: held.Machine}, false, rq)
 			return
 		case held != nil && on != nil && on.Machine.Vacates:
