Tasks wait for room where their image is, if that comes sooner than a fetch

Change: placement.Ends is how often room for a task comes free where its image is, by the run times seen of each class (internal/learn: bounded, without what is far off, owners' estimates until enough was seen); Hold is how many tasks of a job wait for that: up to half a fetch each, and no longer than the class's aim leaves for the fetch after all. Nothing is rented for them. Services don't wait.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -139,6 +139,7 @@
 func (o *Owner) demands(now, started time.Time) []fleet.Demand {
 	var out []fleet.Demand
 	affordable := o.affordable()
+	rates, ahead := o.endsByImage(), map[string]int{}
 	for id, js := range o.active {
 		if js.job.Waits > 0 {
 			continue // nothing is kept for it that others could use now
@@ -167,6 +168,13 @@
 		if missing <= 0 {
 			continue
 		}
+		if _, fetch := fleet.Ready(o.types, s, s.ImageGB); fetch > 0 && s.Shape != protocol.Service {
+			n := min(missing, placement.Hold(rates[s.Image], ahead[s.Image], fetch, now.Sub(js.job.Ready), o.within(s.Class, time.Minute)))
+			ahead[s.Image] += n
+			if missing -= n; missing <= 0 {
+				continue // room where their image is comes sooner than a machine
+			}
+		}
 		if s.Shape == protocol.Array && o.within(s.Class, 0) == 0 {
 			ready, _ := fleet.Ready(o.types, s, s.ImageGB)
 			missing = fleet.InTurn(missing, s.Estimate(), o.finish(js).Sub(now)-ready)
@@ -201,6 +209,30 @@
 	return out
 }
 
+// endsByImage is how often a second a task ends on machines that have an image, for each.
+func (o *Owner) endsByImage() map[string]float64 {
+	rates := map[string]float64{}
+	for _, m := range o.board.Machines {
+		if !m.Usable {
+			continue
+		}
+		rate := 0.0
+		for _, i := range m.Instances {
+			if js := o.jobs[i.Job]; js != nil && i.Running() && js.job.Spec.Shape != protocol.Service {
+				if mean := o.runs.Mean(js.job.Spec.Class, js.job.Spec.Estimate()); mean > 0 {
+					rate += 1 / mean.Seconds()
+				}
+			}
+		}
+		for _, image := range m.Images {
+			if rate > 0 && !slices.Contains(m.Pulling, image) {
+				rates[image] += rate
+			}
+		}
+	}
+	return rates
+}
+
 // finish is when the users want a job to be done: by the aim of its class, or
 // by its deadline, and in any case by what those that need it leave; as soon as
 // it was ready if nobody says.
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -81,7 +81,10 @@
 		return 1
 	}
 	if s.Tasks == 1 {
-		if c, ok := o.find(js, o.placingFor(js, ""), now); ok {
+		p := o.placingFor(js, "")
+		if c, ok := o.find(js, p, now); ok && o.hold(js, p, &c, 1, now) > 0 {
+			js.blocked = now.Add(holdFor)
+		} else if ok {
 			o.start(js, 0, cmp.Or(attempt, o.newAttempt()), c, false, rq)
 		} else {
 			o.lacksRoom(js, now)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -14,6 +14,7 @@
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
 	"daledyke/internal/fleet"
+	"daledyke/internal/learn"
 	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 	"daledyke/internal/quota"
@@ -76,6 +77,10 @@
 	rng       *rand.Rand
 	lacks     map[kind]lack
 	lately    placement.Lately
+	// runs are the run times that were seen, held how many tasks wait in this round for room where
+	// their image is, by image.
+	runs learn.Runs
+	held map[string]int
 
 	// usable, scarceNow and teams are worked out once a round.
 	teams     *teams
@@ -399,7 +404,7 @@
 		}
 		return w
 	}, &o.lately, now)
-	o.usable, o.scarceNow, o.teams = nil, o.scarce(), nil
+	o.usable, o.scarceNow, o.teams, o.held = nil, o.scarce(), nil, map[string]int{}
 	o.promise()
 	budget := 64
 	for _, js := range ready {
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -168,6 +168,7 @@
 	tasks := o.board.Tasks[s.ID]
 	looked := 0
 	var p *placement.Placing
+	hold := -1      // how many had better wait for room where the image is, -1 if not known yet
 	var lacks []int // tasks that need a permit
 	defer func() { o.want(js, lacks, 0, false, now) }()
 	for index := range js.tasksLeft {
@@ -200,6 +201,13 @@
 			o.lacksRoom(js, now)
 			return looked
 		}
+		if hold < 0 {
+			hold = o.hold(js, p, &c, js.missing, now)
+		}
+		if js.missing-(looked-1) <= hold && len(c.Evict) == 0 && p.Fetch(c.Machine) > 0 {
+			js.blocked = now.Add(holdFor)
+			return looked
+		}
 		o.start(js, index, o.attempt(permit), c, false, rq)
 		p.Zones[c.Machine.Zone]++
 		if js.opinion == placement.AtFault {
@@ -240,6 +248,29 @@
 	return c, ok
 }
 
+// holdFor is for how long tasks that wait for room where their image is are left alone.
+const holdFor = 300 * time.Millisecond
+
+// hold is how many of a job's missing tasks had better wait for room where their image is
+// than be started as chosen.
+func (o *Owner) hold(js *jobState, p *placement.Placing, c *placement.Choice, missing int, now time.Time) int {
+	fetch := p.Fetch(c.Machine)
+	s := js.job.Spec
+	if fetch == 0 || len(c.Evict) > 0 || s.Shape == protocol.Service {
+		return 0 // a service is missed as long as it is not there
+	}
+	rate := p.Ends(o.machinesNow(), func(i *board.Instance) placement.Ending {
+		other := o.jobs[i.Job]
+		if other == nil || other.job.Spec.Shape == protocol.Service {
+			return placement.Ending{}
+		}
+		return placement.Ending{Need: other.job.Spec.Need(), Mean: o.runs.Mean(other.job.Spec.Class, other.job.Spec.Estimate())}
+	})
+	n := placement.Hold(rate, o.held[s.Image], fetch, now.Sub(js.job.Ready), o.within(s.Class, time.Minute))
+	o.held[s.Image] += min(n, missing)
+	return n
+}
+
 // onlyFiller tells whether all that has to go for a choice is filler work.
 func (o *Owner) onlyFiller(c *placement.Choice) bool {
 	for _, task := range c.Evict {
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -145,6 +145,7 @@
 					// The holder has it forgotten once the result is recorded.
 					if js.gain != 0 && !j.TaskDone(index) {
 						out.Tasks = append(out.Tasks, index)
+						o.learn(js, i, now)
 					}
 				} else if sh != nil {
 					o.reviewExit(js, index, i, now, rq)
@@ -180,6 +181,14 @@
 	return out
 }
 
+// learn notes how long a task ran, once.
+func (o *Owner) learn(js *jobState, i *board.Instance, now time.Time) {
+	if !i.Ran.IsZero() {
+		o.runs.Note(js.job.Spec.Class, now.Sub(i.Ran))
+		i.Ran = time.Time{}
+	}
+}
+
 // rescue has tasks save what they can on machines that are being taken away;
 // the tasks of a gang must all be told.
 func (o *Owner) rescue(js *jobState, now time.Time, rq requests) {
--- /dev/null
+++ b/internal/placement/patience.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"daledyke/internal/board"
+	"daledyke/internal/protocol"
+)
+
+const (
+	// patience is for which part of a fetch it is worth to wait for room where the image is:
+	// what comes free is hoped for, the fetch is sure.
+	patience = 0.5
+	// inTime is what of an aim must be left for a fetch after all, when waiting was in vain.
+	inTime = 10 * time.Second
+)
+
+// Ending is what is known of a task that runs: what it takes, and how long such tasks run,
+// 0 if they don't end by themselves.
+type Ending struct {
+	Need protocol.Room
+	Mean time.Duration
+}
+
+// Ends is how often a second room for a task comes free on machines that have its image, by
+// the run times of what is there; tasks are taken to end at any time alike, since owners'
+// estimates say little of a single one.
+func (p *Placing) Ends(machines []*board.Machine, of func(*board.Instance) Ending) (rate float64) {
+	need := p.Spec.Need()
+	for _, m := range machines {
+		if !slices.Contains(m.Images, p.Spec.Image) || slices.Contains(m.Pulling, p.Spec.Image) || !p.allowed(m) {
+			continue
+		}
+		free := m.Free.Sub(m.Promised)
+		for _, i := range m.Instances {
+			if !i.Running() {
+				continue
+			}
+			if e := of(i); e.Mean > 0 && free.Add(e.Need).Fits(need) {
+				rate += 1 / e.Mean.Seconds()
+			}
+		}
+	}
+	return rate
+}
+
+// Hold is how many tasks of a job had better wait for room where their image is than be
+// started where it must be fetched, if room comes free there so often a second, ahead others
+// wait for the same image, and the job waited for so long of what its aim allows to start.
+func Hold(rate float64, ahead int, fetch, waited, within time.Duration) int {
+	worth := time.Duration(patience * float64(fetch))
+	if left := within - inTime - fetch - waited; left > 0 {
+		worth = min(worth, left)
+	} else if waited < within {
+		return 0 // fetched at once it may yet be in time
+	}
+	return max(0, int(rate*worth.Seconds())-ahead)
+}
