--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -37,9 +37,6 @@
 	Instances []*Instance
 	// Promised is the room of starts asked for that the view doesn't show.
 	Promised protocol.Room
-	// Refused: its holder had no room for what was asked for; the view is out of date until
-	// the next one comes.
-	Refused bool
 }
 
 // Slot is a share of the workers, as its newest holder shows it.
@@ -146,7 +143,7 @@
 	for _, i := range old {
 		b.unlink(i, touched)
 	}
-	m.MachineView, m.Holder, m.Current, m.Instances, m.Refused = v, holder, true, nil, false
+	m.MachineView, m.Holder, m.Current, m.Instances = v, holder, true, nil
 	for _, t := range v.Tasks {
 		job, index, ok := protocol.SplitTask(t.Task)
 		if !ok {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -534,9 +534,6 @@
 		case k < len(r.Refused) && r.Refused[k] != "":
 			delete(js.pending, index)
 			js.retryAt[index] = time.Now().Add(300 * time.Millisecond)
-			if m := o.board.Machines[st.Machine]; m != nil && r.Refused[k] == refusedRoom {
-				m.Refused = true
-			}
 		default:
 			mine[k].acked, mine[k].ackInc, mine[k].version = true, r.Incarnation, r.Version
 			// The feed may have shown it before the answer came.
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -36,7 +36,7 @@
 // if it is empty.
 func (o *Owner) placingFor(js *jobState, zone string) *placement.Placing {
 	s := js.job.Spec
-	p := &placement.Placing{Spec: s, Zone: zone, Avoid: js.badOn, Types: o.types, Scarce: o.scarceNow, Sample: o.cfg.Sample, Rand: o.rng, Self: o.cfg.Name}
+	p := &placement.Placing{Spec: s, Zone: zone, Avoid: js.badOn, Types: o.types, Scarce: o.scarceNow, Sample: o.cfg.Sample, Rand: o.rng}
 	if s.Shape == protocol.Service && placement.RunsOnOthers(s, o.types, o.scarceNow) {
 		// Other machines can be had in about the time that they take to boot.
 		ready, _ := fleet.Ready(o.types, s, s.ImageGB)
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -63,9 +63,6 @@
 	return r, true
 }
 
-// refusedRoom is what owners of any version are told that asked for room that is taken.
-const refusedRoom = "no room"
-
 func (h *Holder) start(a *AskArgs, st Start, now time.Time) string {
 	w := h.byID[st.Machine]
 	jobID, index, ok := protocol.SplitTask(st.Task)
@@ -113,7 +110,7 @@
 	// What was reserved was granted; its room may still be in use by tasks that
 	// were told to make way.
 	if reserved == nil && !room.Fits(j.Spec.Need()) {
-		return refusedRoom
+		return "no room"
 	}
 	for _, name := range st.Evict {
 		if v := w.entries[name]; v != nil && !v.stop {
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -40,10 +40,6 @@
 	// Keep: scarce machines are not to be used. A service would hold them for
 	// good, while work that fits nowhere else waits.
 	Keep bool
-	// Self is the controller that places. Machines that it holds itself are dearer to it
-	// than others': what it knows of them is newer, and owners that decide at once don't
-	// all take the same.
-	Self string
 	// Zones is how many tasks of the job each zone has.
 	Zones map[string]int
 	// with and without hold the machines that had room when they were
@@ -85,7 +81,7 @@
 }
 
 func (p *Placing) fits(m *board.Machine) bool {
-	return !m.Refused && m.Free.Sub(m.Promised).Fits(p.Spec.Need()) && p.allowed(m)
+	return m.Free.Sub(m.Promised).Fits(p.Spec.Need()) && p.allowed(m)
 }
 
 // BestFit draws a few of the machines that have room, as many again of those
@@ -114,10 +110,6 @@
 	return Choice{Machine: best}, best != nil
 }
 
-// crowd is what it costs, in seconds' worth, to ask another controller for room that others
-// may be asking it for at the same time: 300 ms until the next try, and often not the only one.
-const crowd = 2
-
 // Cost is how badly a machine fits, in seconds' worth: the fetch, the room left
 // over, and what else the machine would be better for.
 func (p *Placing) Cost(m *board.Machine) float64 {
@@ -132,9 +124,6 @@
 	if p.Spec.Spot && !m.Spot {
 		c += 4
 	}
-	if m.Holder != p.Self {
-		c += crowd
-	}
 	return c
 }
 
