--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -39,7 +39,6 @@
 		st.ready = o.window() != nil && o.board.AllComplete(o.slots, 0)
 		st.in.Types = o.types
 		st.in.Scarce = o.scarce()
-		st.in.Uses = map[string]int{}
 		for id, m := range o.machReg {
 			st.reg[id] = m
 			if o.board.Machines[id] == nil && o.rosters[ring.SlotOf(id, o.slots)][m.Number()] {
@@ -82,7 +81,6 @@
 			f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0, Fresh: now.Sub(m.Known) < fleet.FreshFor, Images: m.Images}
 			for _, i := range m.Instances {
 				if js := o.jobs[i.Job]; js != nil && !i.Exited() {
-					st.in.Uses[js.job.Spec.Image]++
 					if js.job.Spec.Shape == protocol.Service {
 						f.Pinned = true
 						r := fleet.Replica{Spec: js.job.Spec}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -83,8 +83,6 @@
 	IdleAfter time.Duration
 	// Scarce are types that some class cannot do without.
 	Scarce map[string]bool
-	// Uses is how many tasks, there or waiting, need each image.
-	Uses map[string]int
 }
 
 // Rental is a number of machines of a kind to rent.
@@ -214,7 +212,6 @@
 
 // surplus chooses, and marks, the machines without tasks that need not stand
 // idle for a while first: as many of each type as the others have room for, and some more.
-// Those go first whose images are least missed.
 // Machines with tasks are not emptied for it: tried, and no cheaper.
 func surplus(in *Input) (empty []string) {
 	room, count := map[string]float64{}, map[string]int{} // by type, in whole machines
@@ -224,8 +221,7 @@
 			count[m.Type]++
 		}
 	}
-	missed := in.missed()
-	for _, m := range slices.SortedStableFunc(slices.Values(in.Machines), func(a, b *Machine) int { return cmp.Compare(missed[a], missed[b]) }) {
+	for _, m := range in.Machines {
 		if m.Used || m.Booting || m.Drains || m.Fresh || room[m.Type]-1 < max(1, RoomKept*float64(count[m.Type])) {
 			continue
 		}
@@ -236,27 +232,6 @@
 	return empty
 }
 
-// missed is how much the images of machines without tasks would be missed: each as many
-// times as tasks use it, shared among the machines that have it. Once the machines that
-// were rented first went first, which had fetched most.
-func (in *Input) missed() map[*Machine]float64 {
-	copies := map[string]int{}
-	for _, m := range in.Machines {
-		for _, image := range m.Images {
-			copies[image]++
-		}
-	}
-	missed := map[*Machine]float64{}
-	for _, m := range in.Machines {
-		if !m.Used && !m.Booting {
-			for _, image := range m.Images {
-				missed[m] += float64(in.Uses[image]) / float64(copies[image])
-			}
-		}
-	}
-	return missed
-}
-
 // chooseZone settles on one zone for tasks that must share one: that which
 // takes most of them as it is.
 func (d *Demand) chooseZone(in *Input, bins []*Machine) {
