--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -102,7 +102,7 @@
 
 func TestOperatorSettings(t *testing.T) {
 	o := Defaults()
-	if err := o.parse([]byte("; ours\n(daledyke (window-s 20) (publish-offset-s 7.5) (sample 3) (spare 0))")); err != nil ||
+	if err := o.parse([]byte("; ours\n(daledyke (window-s 20) (publish-offset-s 7.5) (sample 3) (spare 0) (moves 0) (patience 0.25))")); err != nil || o.Moves != 0 || o.Patience != 0.25 ||
 		o.Window != 20*time.Second || o.PublishOffset != 7500*time.Millisecond || o.Sample != 3 || o.Spare != 0 {
 		t.Fatalf("read as %+v, %v", o, err)
 	}
@@ -117,6 +117,8 @@
 		`(daledyke (idle-after-s -3))`:                   "idle-after-s",
 		`(daledyke (window-s 1e999))`:                    "window-s",
 		`(daledyke (summary-s 2) (spare "much"))`:        "spare",
+		`(daledyke (moves -1))`:                          "moves",
+		`(daledyke (patience 1.5))`:                      "patience",
 		`(daledyke (publish-offset-s 5) (window-s 5.0))`: "publish-offset-s",
 	} {
 		o := Defaults()
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -26,6 +26,9 @@
 	// Moves is how many of the services' replicas are moved in a minute at most, so that
 	// machines which only they keep can be given back; 0 for none.
 	Moves float64
+	// Patience is for which part of an image's fetch a task may wait for room where its
+	// image is; 0 for not at all.
+	Patience float64
 	// quotas are the accounts that (quotas ...) names, nil if there is none.
 	quotas *quotaForm
 	// pbs are the queues that (pbs ...) names, nil if there is none.
@@ -35,7 +38,7 @@
 // Defaults are the operators' settings where they say nothing.
 func Defaults() Operator {
 	return Operator{Window: 10 * time.Second, PublishOffset: 5 * time.Second, SummaryEvery: 2 * time.Second,
-		Sample: 6, IdleAfter: 20 * time.Second, Spare: 1, Moves: 60}
+		Sample: 6, IdleAfter: 20 * time.Second, Spare: 1, Moves: 60, Patience: 0.5}
 }
 
 // load reads a file such as
@@ -133,6 +136,11 @@
 			return fmt.Errorf("moves must be from 0 to 10000 a minute, not %v", v)
 		}
 		o.Moves = v
+	case "patience":
+		if !(v >= 0 && v <= 1) {
+			return fmt.Errorf("patience must be from 0 to 1, not %v", v)
+		}
+		o.Patience = v
 	default:
 		return fmt.Errorf("unknown setting %s", name)
 	}
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -169,7 +169,7 @@
 			continue
 		}
 		if _, fetch := fleet.Ready(o.types, s, s.ImageGB); fetch > 0 && s.Shape != protocol.Service {
-			n := min(missing, placement.Hold(rates[s.Image], ahead[s.Image], fetch, now.Sub(js.job.Ready), o.within(s.Class, time.Minute)))
+			n := min(missing, placement.Hold(o.cfg.Patience, rates[s.Image], ahead[s.Image], fetch, now.Sub(js.job.Ready), o.within(s.Class, time.Minute)))
 			ahead[s.Image] += n
 			if missing -= n; missing <= 0 {
 				continue // room where their image is comes sooner than a machine
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -256,7 +256,7 @@
 func (o *Owner) hold(js *jobState, p *placement.Placing, c *placement.Choice, missing int, now time.Time) int {
 	fetch := p.Fetch(c.Machine)
 	s := js.job.Spec
-	if fetch == 0 || len(c.Evict) > 0 || s.Shape == protocol.Service {
+	if fetch == 0 || len(c.Evict) > 0 || o.cfg.Patience == 0 || s.Shape == protocol.Service {
 		return 0 // a service is missed as long as it is not there
 	}
 	rate := p.Ends(o.machinesNow(), func(i *board.Instance) placement.Ending {
@@ -266,7 +266,7 @@
 		}
 		return placement.Ending{Need: other.job.Spec.Need(), Mean: o.runs.Mean(other.job.Spec.Class, other.job.Spec.Estimate())}
 	})
-	n := placement.Hold(rate, o.held[s.Image], fetch, now.Sub(js.job.Ready), o.within(s.Class, time.Minute))
+	n := placement.Hold(o.cfg.Patience, rate, o.held[s.Image], fetch, now.Sub(js.job.Ready), o.within(s.Class, time.Minute))
 	o.held[s.Image] += min(n, missing)
 	return n
 }
--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -8,13 +8,8 @@
 	"daledyke/internal/protocol"
 )
 
-const (
-	// patience is for which part of a fetch it is worth to wait for room where the image is:
-	// what comes free is hoped for, the fetch is sure.
-	patience = 0.5
-	// inTime is what of an aim must be left for a fetch after all, when waiting was in vain.
-	inTime = 10 * time.Second
-)
+// inTime is what of an aim must be left for a fetch after all, when waiting was in vain.
+const inTime = 10 * time.Second
 
 // Ending is what is known of a task that runs: what it takes, and how long such tasks run,
 // 0 if they don't end by themselves.
@@ -48,7 +43,9 @@
 // Hold is how many tasks of a job had better wait for room where their image is than be
 // started where it must be fetched, if room comes free there so often a second, ahead others
 // wait for the same image, and the job waited for so long of what its aim allows to start.
-func Hold(rate float64, ahead int, fetch, waited, within time.Duration) int {
+// patience is for which part of a fetch it is worth to wait: what comes free is hoped for,
+// the fetch is sure.
+func Hold(patience, rate float64, ahead int, fetch, waited, within time.Duration) int {
 	worth := time.Duration(patience * float64(fetch))
 	if left := within - inTime - fetch - waited; left > 0 {
 		worth = min(worth, left)
--- /dev/null
+++ b/internal/placement/sample_test.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"daledyke/internal/board"
+	"daledyke/internal/protocol"
+)
+
+// sampledFleet is a fleet at 60 to 95% of its room, whose machines have some of 40 images.
+func sampledFleet(rng *rand.Rand, n int) []*board.Machine {
+	machines := make([]*board.Machine, n)
+	for k := range machines {
+		t := benchTypes["box"]
+		m := &board.Machine{Current: true, MachineView: board.MachineView{ID: fmt.Sprintf("host-%06d", k), Type: "box", Zone: []string{"a", "b"}[k%2], Usable: true, Spot: k%3 == 0}}
+		m.Free = t.Room().Scale(0.4 * rng.Float64())
+		if rng.IntN(8) == 0 {
+			m.Free = t.Room()
+		}
+		for range rng.IntN(8) {
+			m.Images = append(m.Images, fmt.Sprint("img-", int(40*rng.Float64()*rng.Float64())))
+		}
+		if len(m.Images) > 0 && rng.IntN(4) == 0 {
+			m.Pulling = m.Images[:1]
+		}
+		machines[k] = m
+	}
+	return machines
+}
+
+var benchTypes = map[string]protocol.MachineType{"box": {Name: "box", Cores: 32, Accels: 4, RAM: 256, FetchRate: 0.12, Price: 8, SpotPrice: 2, Zones: []string{"a", "b"}}}
+
+// What a draw of d machines (with room, and as many with the image) costs beside looking at
+// all, on the same snapshots: with the six of the default no task is placed worse by more than
+// 2 s on average, be there 100 machines or 6,000.
+func TestSampledFitIsNearTheFullScan(t *testing.T) {
+	for _, n := range []int{100, 400, 1400, 6000} {
+		excess := map[int]float64{}
+		tasks := 0
+		for seed := range uint64(12) {
+			rng := rand.New(rand.NewPCG(seed, uint64(n)))
+			machines := sampledFleet(rng, n)
+			for k := range 8 {
+				s := &protocol.JobSpec{ID: fmt.Sprint("wk-", k), Shape: protocol.Array, Tasks: 1, Cores: 2 + 6*rng.Float64(), Accels: 1, RAM: 20, Image: fmt.Sprint("img-", int(40*rng.Float64()*rng.Float64())), ImageGB: 6, Spot: true}
+				cost := map[int]float64{}
+				for _, d := range []int{1, 2, 4, 6, 8, n} {
+					p := &Placing{Spec: s, Types: benchTypes, Sample: d, Rand: rng, Zones: map[string]int{}}
+					p.Gather(machines)
+					c, ok := p.BestFit()
+					if !ok {
+						break
+					}
+					cost[d] = p.Cost(c.Machine)
+				}
+				if len(cost) == 0 {
+					continue
+				}
+				tasks++
+				for d, c := range cost {
+					excess[d] += c - cost[n]
+				}
+			}
+		}
+		t.Logf("%d machines, %d tasks: seconds' worth above the full scan: d=1 %.2f, 2 %.2f, 4 %.2f, 6 %.2f, 8 %.2f", n, tasks,
+			excess[1]/float64(tasks), excess[2]/float64(tasks), excess[4]/float64(tasks), excess[6]/float64(tasks), excess[8]/float64(tasks))
+		if got := excess[6] / float64(tasks); got > 2 || got < 0 {
+			t.Errorf("%d machines: a draw of six costs %.2f more than the best", n, got)
+		}
+	}
+}
+
+// Seven owners that decide at once on the same snapshot don't all choose the same machines:
+// of what they ask for together, more than half is granted though there is hardly more
+// room than that, and no machine is asked for by all.
+func TestOwnersAtOnceDontHerd(t *testing.T) {
+	const owners, each = 7, 20
+	rng := rand.New(rand.NewPCG(7, 7))
+	asked, granted := 0, 0
+	for range 20 {
+		var machines []*board.Machine
+		for k := range 300 {
+			m := &board.Machine{Current: true, MachineView: board.MachineView{ID: fmt.Sprint("host-", k), Type: "box", Zone: "a", Usable: true, Spot: true, Images: []string{"img-0"}}}
+			if k < owners*each+20 {
+				m.Free = protocol.Room{Cores: 8, Accels: 1, RAM: 64}
+			}
+			machines = append(machines, m)
+		}
+		wanted := map[string]int{}
+		for range owners {
+			mine := make([]*board.Machine, len(machines))
+			for k, m := range machines {
+				n := *m
+				mine[k] = &n
+			}
+			p := &Placing{Spec: &protocol.JobSpec{ID: "wk-1", Tasks: each, Cores: 8, Accels: 1, RAM: 20, Image: "img-0", ImageGB: 6, Spot: true}, Types: benchTypes, Sample: 6, Rand: rng, Zones: map[string]int{}}
+			p.Gather(mine)
+			for range each {
+				c, ok := p.BestFit()
+				if !ok {
+					t.Fatal("no room")
+				}
+				c.Machine.Promised = c.Machine.Promised.Add(p.Spec.Need())
+				wanted[c.Machine.ID]++
+				asked++
+			}
+		}
+		for id, n := range wanted {
+			granted++ // the first; the holder refuses the others
+			if n == owners {
+				t.Errorf("%s was asked for by all", id)
+			}
+		}
+	}
+	if t.Logf("%d of %d granted", granted, asked); 2*granted < asked {
+		t.Errorf("%d of %d granted", granted, asked)
+	}
+}
