--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -282,6 +282,7 @@
 		status, body = request(m.ctx, client, http.MethodPost, "http://"+addr+"/checkin", rep, reportAnswer)
 	}
 	wait = nextNode
+	lost := false // it goes to another node
 	m.w.loop.do(func() {
 		next := (m.node + 1) % len(m.w.set.Controllers)
 		switch status {
@@ -307,8 +308,13 @@
 			}
 		}
 		m.node = next
-		client.CloseIdleConnections()
+		lost = true
 	})
+	if lost {
+		// Not on the world's goroutine: closing waits for the network, which asks the world
+		// for zones while one is cut. Each waited for the other (incident emulator-cut-stall).
+		client.CloseIdleConnections()
+	}
 	return wait
 }
 
