--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -139,7 +139,7 @@
 func (o *Owner) demands(now, started time.Time) []fleet.Demand {
 	var out []fleet.Demand
 	affordable := o.affordable()
-	rates, ahead := o.endsByImage(), map[string]int{}
+	rates, ahead := o.endsByImage(now), map[string]int{}
 	for id, js := range o.active {
 		if js.job.Waits > 0 {
 			continue // nothing is kept for it that others could use now
@@ -210,8 +210,8 @@
 }
 
 // endsByImage is how often a second a task ends on machines that have an image, for each.
-func (o *Owner) endsByImage() map[string]float64 {
-	rates := map[string]float64{}
+func (o *Owner) endsByImage(now time.Time) map[string]float64 {
+	rates, wanted := map[string]float64{}, o.wantedImages(now)
 	for _, m := range o.board.Machines {
 		if !m.Usable {
 			continue
@@ -224,6 +224,7 @@
 				}
 			}
 		}
+		rate /= float64(placement.Wanted(m, wanted))
 		for _, image := range m.Images {
 			if rate > 0 && !slices.Contains(m.Pulling, image) {
 				rates[image] += rate
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -81,6 +81,9 @@
 	// their image is, by image.
 	runs learn.Runs
 	held map[string]int
+	// wanted are the images of tasks that are not begun, as they were at wantedAt.
+	wanted   map[string]bool
+	wantedAt time.Time
 
 	// usable, scarceNow and teams are worked out once a round.
 	teams     *teams
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -259,7 +259,7 @@
 	if fetch == 0 || len(c.Evict) > 0 || o.cfg.Patience == 0 || s.Shape == protocol.Service {
 		return 0 // a service is missed as long as it is not there
 	}
-	rate := p.Ends(o.machinesNow(), func(i *board.Instance) placement.Ending {
+	rate := p.Ends(o.machinesNow(), o.wantedImages(now), func(i *board.Instance) placement.Ending {
 		other := o.jobs[i.Job]
 		if other == nil || other.job.Spec.Shape == protocol.Service {
 			return placement.Ending{}
@@ -271,6 +271,20 @@
 	return n
 }
 
+// wantedImages are the images of jobs, whoever's, of which tasks are not begun. It is worked
+// out once a second.
+func (o *Owner) wantedImages(now time.Time) map[string]bool {
+	if o.wanted == nil || now.Sub(o.wantedAt) >= time.Second {
+		o.wanted, o.wantedAt = map[string]bool{}, now
+		for id, js := range o.active {
+			if s := js.job.Spec; js.job.Waits == 0 && !o.wanted[s.Image] && len(o.board.Tasks[id]) < s.Tasks && len(o.board.Tasks[id])+js.job.DoneCount() < s.Tasks {
+				o.wanted[s.Image] = true
+			}
+		}
+	}
+	return o.wanted
+}
+
 // onlyFiller tells whether all that has to go for a choice is filler work.
 func (o *Owner) onlyFiller(c *placement.Choice) bool {
 	for _, task := range c.Evict {
