--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -339,6 +339,9 @@
 		}
 		if now.Before(w.drainTill) {
 			c.Draining++
+			if w.vacates {
+				c.Vacating++
+			}
 		}
 		for _, e := range w.entries {
 			if e.exited() {
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -76,6 +76,7 @@
 	}
 	p.Gather(to)
 	if c, ok := p.BestFit(); ok && p.Fetch(c.Machine) == 0 {
+		o.moves++
 		slog.Info("moving", "task", next.Task, "from", next.Machine.ID, "to", c.Machine.ID)
 		o.start(js, next.Index, o.newAttempt(), c, true, rq)
 	}
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -81,6 +81,8 @@
 	// their image is, by image.
 	runs learn.Runs
 	held map[string]int
+	// moves is how many moves of replicas were begun.
+	moves int
 	// wanted are the images of tasks that are not begun, as they were at wantedAt.
 	wanted   map[string]bool
 	wantedAt time.Time
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -181,7 +181,10 @@
 	if o.quotas.tree != nil {
 		v.Quotas = o.quotaView(mostShown)
 	}
-	v.Jobs = protocol.JobCount{Active: len(o.active), Waiting: map[string]int{}, AsksPending: len(o.unclear), Unmoved: len(o.ended)}
+	v.Jobs = protocol.JobCount{Active: len(o.active), Waiting: map[string]int{}, AsksPending: len(o.unclear), Unmoved: len(o.ended), Moves: o.moves}
+	for _, n := range o.held {
+		v.Jobs.Patient += n
+	}
 	var waiting []*jobState
 	for _, js := range o.active {
 		if js.gain != 0 {
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -70,6 +70,8 @@
 	Suspect  int `json:"suspect"`
 	Doubted  int `json:"doubted"`
 	Draining int `json:"draining"`
+	// Vacating are those of the draining ones whose services are moved elsewhere.
+	Vacating int `json:"vacating"`
 	Tasks    int `json:"tasks"`
 	Running  int `json:"running"`
 }
@@ -96,6 +98,10 @@
 	// jobs that are over and whose records still stand with the others.
 	AsksPending int `json:"asksPending"`
 	Unmoved     int `json:"unmoved"`
+	// Moves is how many moves of services' replicas this controller began, Patient how many
+	// tasks wait now for room where their image is.
+	Moves   int `json:"moves"`
+	Patient int `json:"patient"`
 }
 
 // SiblingView is what a controller knows of another one, or of itself.
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -101,7 +101,7 @@
 	gauge("slots_held", float64(held))
 	gauge("slots_incomplete", float64(incomplete))
 	for state, n := range map[string]int{"all": v.Holds.Machines, "silent": v.Holds.Silent, "suspect": v.Holds.Suspect,
-		"doubted": v.Holds.Doubted, "draining": v.Holds.Draining} {
+		"doubted": v.Holds.Doubted, "draining": v.Holds.Draining, "vacating": v.Holds.Vacating} {
 		gauge("machines_held", float64(n), "state", state)
 	}
 	gauge("tasks_held", float64(v.Holds.Tasks))
@@ -116,6 +116,8 @@
 	gauge("jobs_active", float64(v.Jobs.Active))
 	gauge("jobs_owned", float64(v.Jobs.Owned))
 	gauge("jobs_unmoved", float64(v.Jobs.Unmoved))
+	gauge("moves_total", float64(v.Jobs.Moves))
+	gauge("tasks_patient", float64(v.Jobs.Patient))
 	gauge("jobs_chained", float64(v.Jobs.Chained))
 	gauge("jobs_unclear", float64(v.Jobs.Unclear))
 	for _, s := range v.Siblings {
