--- a/internal/coordination/moves_test.go
+++ b/internal/coordination/moves_test.go
@@ -130,14 +130,16 @@
 		}
 	}
 	before, gone := w.machinesUp(), make(chan string, 100)
-	w.watch = func(e history.Event) {
-		if id, _, _ := strings.Cut(e.Task, "/"); e.Kind == history.Off && !cancelled[id] && e.Cause == "halted" {
-			select {
-			case gone <- e.Machine:
-			default:
+	w.em.Rules(func(*history.Checker) { // on the goroutine that calls it
+		w.watch = func(e history.Event) {
+			if id, _, _ := strings.Cut(e.Task, "/"); e.Kind == history.Off && !cancelled[id] && e.Cause == "halted" {
+				select {
+				case gone <- e.Machine:
+				default:
+				}
 			}
 		}
-	}
+	})
 	select {
 	case from := <-gone:
 		time.Sleep(at)
--- a/internal/emulator/cut_test.go
+++ b/internal/emulator/cut_test.go
@@ -48,7 +48,7 @@
 			})
 		}
 		time.Sleep(time.Minute)
-		cancel()
+		pipes.Sever(func(string, string) bool { return true }) // nobody asks for zones while the world ends
 		w.End()
 		time.Sleep(time.Minute)
 	})
