--- a/internal/balance/vacate.go
+++ b/internal/balance/vacate.go
@@ -1,6 +1,6 @@
 // Package balance decides what moves when the picture changes: which machines are vacated,
-// their services moved onto others that stay, and which holders pass machines on. All of it
-// are pure functions of a snapshot; the leader asks, and owners and holders act.
+// their services moved onto others that stay. All of it are pure functions of a snapshot;
+// the leader asks, and owners and holders act.
 package balance
 
 import (
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -218,10 +218,8 @@
 		}
 		rate := 0.0
 		for _, i := range m.Instances {
-			if js := o.jobs[i.Job]; js != nil && i.Running() && js.job.Spec.Shape != protocol.Service {
-				if mean := o.runs.Mean(js.job.Spec.Class, js.job.Spec.Estimate()); mean > 0 {
-					rate += 1 / mean.Seconds()
-				}
+			if e := o.ending(i); i.Running() && e.Mean > 0 {
+				rate += 1 / e.Mean.Seconds()
 			}
 		}
 		rate /= float64(placement.Wanted(m, wanted))
--- a/regress.sh
+++ b/regress.sh
@@ -90,15 +90,16 @@
 
 # play SITE...: all days of sites, and who was served least.
 play() {
-  local reports site day
+  local reports site day status=0
   reports=$(mktemp -d -t regress.XXXXXX)
   for site in "$@"; do
     while read -r day; do
       printf '%s\0%s\0' "$site" "$day"
     done < <(awk '/^\[\[day\]\]/ { d = 1 } d && /^name/ { gsub(/.* = "|"$/, ""); print; d = 0 }' "$site")
   done | xargs -0 -n 2 -P 6 bash -c '"$0" run "$3" "$4" --why "$2" --report "$1/$(basename "$3" .toml)-$4.json" >/dev/null' "$bench" "$reports" "$why" ||
-    echo "a day could not be played" >&2
-  served "$reports"/*.json
+    { echo "a day could not be played" >&2; status=1; }
+  served "$reports"/*.json || status=1
+  return $status
 }
 
 keep() {
