--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -218,7 +218,7 @@
 		}
 		rate := 0.0
 		for _, i := range m.Instances {
-			if e := o.ending(i); i.Running() && e.Mean > 0 {
+			if e := o.endOf(i); i.Running() && e.Mean > 0 {
 				rate += 1 / e.Mean.Seconds()
 			}
 		}
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -259,14 +259,14 @@
 	if fetch == 0 || len(c.Evict) > 0 || o.cfg.Patience == 0 || s.Shape == protocol.Service {
 		return 0 // a service is missed as long as it is not there
 	}
-	rate := p.Ends(o.machinesNow(), o.wantedImages(now), o.ending)
+	rate := p.Ends(o.machinesNow(), o.wantedImages(now), o.endOf)
 	n := placement.Hold(o.cfg.Patience, rate, o.held[s.Image], fetch, now.Sub(js.job.Ready), o.within(s.Class, time.Minute))
 	o.held[s.Image] += min(n, missing)
 	return n
 }
 
-// ending is what is known of when a task ends; services and what is not known never do.
-func (o *Owner) ending(i *board.Instance) placement.Ending {
+// endOf is what is known of when a task ends; services and what is not known never do.
+func (o *Owner) endOf(i *board.Instance) placement.Ending {
 	js := o.jobs[i.Job]
 	if js == nil || js.job.Spec.Shape == protocol.Service {
 		return placement.Ending{}
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -147,6 +147,10 @@
 	for _, m := range in.Machines {
 		if !vacating[m.ID] && slices.Contains(chosen, m.ID) {
 			l.moves.AllowN(now, len(m.Live))
+			if d, ok := l.draining[m.ID]; ok {
+				d.since = now // chosen anew, and paid for once
+				l.draining[m.ID] = d
+			}
 			slog.Info("vacating", "machine", m.ID, "services", len(m.Live))
 		}
 	}
