--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -12,6 +12,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
+
+	"daledyke/internal/history"
 )
 
 // Estimate is a mean over seeds with half the width of its 95% confidence interval (of
@@ -88,6 +90,14 @@
 	Of func(*Summary) float64
 }
 
+func lowest(shares map[string]float64) float64 {
+	if len(shares) == 0 {
+		return math.NaN()
+	}
+	_, share := history.Lowest(shares)
+	return share
+}
+
 // measures are all that the runs of a result are compared by.
 func (r *Result) measures() []Measure {
 	classes := map[string]bool{}
@@ -98,6 +108,8 @@
 	}
 	all := []Measure{
 		{"rules broken", func(s *Summary) float64 { return float64(len(s.Broken)) }},
+		{"served, of the lowest class", func(s *Summary) float64 { return lowest(s.ServedClasses) }},
+		{"served, of the lowest team", func(s *Summary) float64 { return lowest(s.ServedTeams) }},
 		{"CPUs in use", func(s *Summary) float64 { return s.Used }},
 		{"machines", func(s *Summary) float64 { return s.Machines }},
 		{"money", func(s *Summary) float64 { return s.Money }},
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -35,6 +35,9 @@
 	Vary []Variable
 	// Scale multiplies the numbers of jobs.
 	Scale float64
+	// Served is the least share of any class's and any team's work that must be served, 0
+	// for none.
+	Served float64
 	// Own is what the deployment has instead of the example's.
 	Own Own
 }
@@ -247,6 +250,8 @@
 		e.Rest, err = duration(value)
 	case "scale":
 		e.Scale, err = decimal(value, 0.001, 1000)
+	case "served":
+		e.Served, err = decimal(value, 0, 1)
 	case "seeds":
 		e.Seeds = nil
 		for _, v := range values {
@@ -532,6 +537,9 @@
 	}
 	p("(clock %s) (controllers %d) (machines %d) (length %q) (rest %q) (scale %v)", clock, e.Controllers, e.Machines, e.Length, e.Rest, e.Scale)
 	p("(seeds%s)", joined(e.Seeds))
+	if e.Served > 0 {
+		p("(served %v)", e.Served)
+	}
 	for _, v := range e.Versions {
 		p("(version %q %q)", v.Name, v.Path)
 	}
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -20,6 +20,10 @@
 	Broken  []history.Violation      `json:"broken"`
 	Jobs    int                      `json:"jobs"`
 	Classes map[string]*ClassSummary `json:"classes"`
+	// ServedClasses and ServedTeams are the shares of each class's and team's work that were
+	// served (history.Served).
+	ServedClasses map[string]float64 `json:"servedClasses"`
+	ServedTeams   map[string]float64 `json:"servedTeams"`
 	// Used is the mean share of the machines' CPUs that tasks had.
 	Used float64 `json:"used"`
 	// Money was spent; Useful is the run time of tasks that completed and of services, in
@@ -75,6 +79,7 @@
 	used    float64
 	busy    int // samples with machines
 	last    time.Duration
+	served  history.Served
 }
 
 // metered is a job as the meter knows it.
@@ -101,6 +106,7 @@
 func (m *Meter) Note(e history.Event) {
 	m.s.Events++
 	m.last = e.At
+	m.served.Note(e)
 	switch e.Kind {
 	case history.Submitted:
 		if m.jobs[e.Job] != nil {
@@ -189,6 +195,7 @@
 func (m *Meter) Summary() (Summary, error) {
 	s := m.s
 	s.Length = m.last
+	s.ServedClasses, s.ServedTeams = m.served.Shares(m.last)
 	for _, j := range m.jobs {
 		if j.spec.Shape == protocol.Service {
 			for _, since := range j.on {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net/http"
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -197,10 +199,23 @@
 		over = true
 	})
 	sum, err = meter.Summary()
+	broken = append(broken, sum.unserved(e.Served)...)
 	sum.Broken, sum.Length = broken, max(sum.Length, length)
 	return sum, err
 }
 
+// unserved are the classes and teams of which less than a share is served.
+func (s *Summary) unserved(least float64) (broken []history.Violation) {
+	for kind, shares := range map[string]map[string]float64{"class": s.ServedClasses, "team": s.ServedTeams} {
+		for _, name := range slices.Sorted(maps.Keys(shares)) {
+			if share := shares[name]; share < least {
+				broken = append(broken, history.Violation{At: s.Length, Rule: history.Unserved, What: fmt.Sprintf("%s %s is served by %.2f of its work", kind, name, share)})
+			}
+		}
+	}
+	return broken
+}
+
 func newStage(ctx context.Context, e *Experiment, d *Deployment, set emulator.Setup, program, dir string) (st *stage, err error) {
 	st = &stage{d: d}
 	var network emulator.Network = emulator.Loopback{}
--- a/regress.sh
+++ b/regress.sh
@@ -2,13 +2,15 @@
 # The regression runs on the users' bench; CONTRIBUTING.md tells which before what.
 #
 #   ./regress.sh quick [WHY]    the two roughest days of each of the four sites
-#   ./regress.sh fleet [WHY]    the same, and of the two fleet sites
-#   ./regress.sh full  [WHY]    all six in full, and a hunt on each
+#   ./regress.sh fleet [WHY]    the same, and of the two fleet sites, whose days are all played
+#   ./regress.sh full  [WHY]    all six in full, and a hunt on each; the fleet's days as well
+#   ./regress.sh served REPORT...  days' reports (fleetbench run --report): who was served least
 #   ./regress.sh compare FILE   what a run printed earlier, compared again
 #   ./regress.sh keep FILE      makes the figures in FILE the ones to compare with
 #
 # Exit status: 0 nothing fell, 1 a rule broke, a day failed or a figure fell by more
-# than 0.03 against docs/regression.txt, 2 it could not be run.
+# than 0.03 against docs/regression.txt, or a class of jobs or a team was served by less
+# than half on a day of the fleet, 2 it could not be run.
 set -uo pipefail
 cd "$(dirname "$0")"
 given=../given/kit
@@ -18,7 +20,7 @@
   "$given/change/korvanel-ops-next.toml" "$given/change/lanyu-hosted-next.toml")
 fleet=("$given/more/fleet/korvanel-ops-fleet.toml" "$given/more/fleet/lanyu-hosted-fleet.toml")
 
-usage() { sed -n '2,11s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+usage() { sed -n '2,14s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 
 # figures FILE: "site mode figure" for each site scored in what a run printed.
 figures() {
@@ -54,6 +56,51 @@
   return $status
 }
 
+# A day of the fleet fails if less than half of any one class or team is served; below
+# the second figure it is worth a look.
+least=0.5
+look=0.65
+
+# served REPORT...: for each day the class and the team that were served least. Of services
+# the share of replica time counts, of other jobs the smaller of those that began and those
+# that were done, of all that were not cancelled; of teams, jobs that began.
+served() {
+  command -v jq >/dev/null || { echo "jq is needed to read the days' reports" >&2; return 2; }
+  local status=0 report line
+  for report in "$@"; do
+    if line=$(jq -re --argjson least $least --argjson look $look '
+      def share(a; b): if b > 0 then ([1, a / b] | min) else 1 end;
+      def worst: to_entries | min_by(.value);
+      def told: . * 1000 | floor / 1000;
+      (.classes | with_entries(.value |= (if .up != null then .up
+        else ([share(.started; .jobs - .cancelled), share(.done; .jobs - .cancelled)] | min) end)) | worst) as $class
+      | (.teams | with_entries(.value |= share(.started; .jobs)) | worst) as $team
+      | ([$class.value, $team.value] | min) as $low
+      | "\(.scenario) seed \(.seed), \(.machines) machines: class \($class.key) \($class.value | told), team \($team.key) \($team.value | told)"
+        + (if $low < $least then "  UNSERVED" elif $low < $look then "  (low)" else "" end)' "$report" 2>&1); then
+      echo "$line"
+      [[ $line != *UNSERVED ]] || status=1
+    else
+      echo "$report: not a day's report: $line" >&2
+      status=1
+    fi
+  done
+  return $status
+}
+
+# play SITE...: all days of sites, and who was served least.
+play() {
+  local reports site day
+  reports=$(mktemp -d -t regress.XXXXXX)
+  for site in "$@"; do
+    while read -r day; do
+      printf '%s\0%s\0' "$site" "$day"
+    done < <(awk '/^\[\[day\]\]/ { d = 1 } d && /^name/ { gsub(/.* = "|"$/, ""); print; d = 0 }' "$site")
+  done | xargs -0 -n 2 -P 6 bash -c '"$0" run "$3" "$4" --why "$2" --report "$1/$(basename "$3" .toml)-$4.json" >/dev/null' "$bench" "$reports" "$why" ||
+    echo "a day could not be played" >&2
+  served "$reports"/*.json
+}
+
 keep() {
   local new site mode now
   new=$(figures "$1")
@@ -72,6 +119,12 @@
     "$1" "$why"
     exit
     ;;
+  served)
+    [ -r "$why" ] || usage
+    shift
+    served "$@"
+    exit
+    ;;
   *) usage ;;
 esac
 if [ ! -x "$bench" ]; then
@@ -91,6 +144,7 @@
 else
   "$bench" score "${sites[@]}" --quick --why "$why" | tee "$out" || failed=1
 fi
+[ "$1" = quick ] || { echo "== who was served least"; play "${fleet[@]}" || failed=1; }
 echo "== compared with $kept (printed: $out)"
 compare "$out" || failed=1
 exit $failed
