--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -1,6 +1,7 @@
 package bookkeeping
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -59,6 +60,8 @@
 	caught func(revision uint64)
 	// placeOf gives a job its place on the ring.
 	placeOf func(*protocol.JobSpec) Seat
+	// Block is how long one wait for changes may last; 0 is as usual.
+	Block time.Duration
 }
 
 // NewReplica makes a replica; weigh gives a job's own urgency.
@@ -68,7 +71,7 @@
 		divided: map[string]bool{}, delayed: map[string]time.Time{}, found: make(chan []finding, 1)}
 }
 
-// watchBlock bounds one wait for changes, and so how stale a replica can be
+// watchBlock bounds one wait for changes, unless Block does, and so how stale a replica can be
 // while it believes to be fresh.
 const watchBlock = 3 * time.Second
 
@@ -84,7 +87,7 @@
 			loaded = err == nil
 		} else {
 			var ev protocol.Events
-			block := watchBlock
+			block := cmp.Or(r.Block, watchBlock)
 			if r.find(ctx) {
 				block = findBlock
 			}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -219,6 +219,21 @@
 func (c *Config) GangPeer() time.Duration    { return protocol.Seconds(c.Deployment.Workers.GangPeerS) }
 func (c *Config) ListLag() time.Duration     { return protocol.Seconds(c.Deployment.Cloud.ListLagS) }
 
+// RenewFor is for how long after a moment a report may still be answered without knowing
+// whether a job was cancelled since: what the answer renews lives for a lease at most, and ends
+// within cancel_s of that moment.
+func (c *Config) RenewFor() time.Duration {
+	return SurelyWithin(protocol.Seconds(c.Deployment.Workers.CancelS)) - Surely(c.WorkerLease())
+}
+
+// leastRenew is the least of that with which daledyke can serve: it is told of changes within
+// a third of it.
+const leastRenew = 3 * time.Second
+
+// WatchFor bounds one wait for changes, and so how old what a controller knows grows while all
+// is well.
+func (c *Config) WatchFor() time.Duration { return min(3*time.Second, c.RenewFor()/3) }
+
 // drift is more than twice what two steady clocks may drift apart.
 const drift = 0.002
 
@@ -231,9 +246,11 @@
 // SurelyWithin shortens a duration to one that ends here for certain before
 // it ends on another machine's clock.
 func SurelyWithin(d time.Duration) time.Duration {
-	return d - time.Duration(float64(d)*drift) - 300*time.Millisecond
+	return d - time.Duration(float64(d)*drift) - surelyMargin
 }
 
+const surelyMargin = 300 * time.Millisecond
+
 // SessionTTL is the life of a controller's lease in the state service: half
 // the workers' lease, so that a successor can take them over before it ends.
 func (c *Config) SessionTTL() time.Duration { return c.WorkerLease() / 2 }
@@ -324,6 +341,11 @@
 	if d.Workers.LeaseS < 2*d.Workers.ReportS {
 		return errors.New("deployment.workers.lease_s must be at least twice report_s")
 	}
+	if c.RenewFor() < leastRenew {
+		least := time.Duration(float64(Surely(c.WorkerLease())+leastRenew+surelyMargin) / (1 - drift))
+		return fmt.Errorf("deployment.workers.cancel_s must be at least %.1f with a lease_s of %v, not %v: a machine that is answered runs on for a lease, whatever is cancelled meanwhile",
+			least.Seconds()+0.05, d.Workers.LeaseS, d.Workers.CancelS)
+	}
 	if d.ClockOffMs < 0 || d.Cloud.ListLagS < 0 {
 		return errors.New("deployment.clock_off_ms and deployment.cloud.list_lag_s must not be negative")
 	}
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -38,22 +38,24 @@
 	return r
 }
 
-// wanted works out which commands lead from what is on a machine to what
-// should be.
-func (h *Holder) wanted(w *worker, now time.Time) []protocol.Command {
+// wanted works out which commands lead from what is on a machine to what should be. A holder
+// that may not act as usual stops what nobody is to run any more, and no more: whoever is
+// entitled to a machine may, since such commands are fenced by the slot's term as all are, and
+// undo no others.
+func (h *Holder) wanted(w *worker, now time.Time, acts bool) []protocol.Command {
 	var out []protocol.Command
 	for _, e := range w.entries {
 		j := h.jobs[e.job]
-		over := j != nil && j.Final()
+		over := h.over(e.job)
 		switch {
 		case e.exited():
 			// A result is kept on the machine until it is recorded.
-			if (e.reap || over || e.cause == protocol.CauseDone && j != nil && j.TaskDone(e.index)) && now.Sub(e.sent) > 2*time.Second {
+			if acts && (e.reap || over || e.cause == protocol.CauseDone && j != nil && j.TaskDone(e.index)) && now.Sub(e.sent) > 2*time.Second {
 				e.sent = now
 				out = append(out, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
 			}
 		case e.unconfirmed():
-		case over || e.stop:
+		case over || acts && e.stop:
 			grace := e.grace
 			if over {
 				grace = 0
@@ -64,12 +66,15 @@
 			}
 		}
 	}
+	if !acts {
+		return out
+	}
 	room := h.free(w, false)
 	for _, e := range w.entries {
 		if e.state != board.TaskQueued {
 			continue
 		}
-		if j := h.jobs[e.job]; j == nil || j.Final() || !h.startable(w) {
+		if h.jobs[e.job] == nil || h.over(e.job) || !h.startable(w) {
 			delete(w.entries, e.task)
 			continue
 		}
@@ -84,29 +89,70 @@
 
 // atRest tells whether no command to the worker is due, or will be before
 // something changes.
-func (w *worker) atRest() bool {
+func (h *Holder) atRest(w *worker) bool {
 	for _, e := range w.entries {
-		if e.stop || e.unconfirmed() || e.exited() {
+		if e.stop || e.unconfirmed() || e.exited() || h.over(e.job) {
 			return false
 		}
 	}
 	return true
 }
 
+// stopsCancelled are the commands that an answer to a report carries along, so that it renews
+// nothing that is known to be cancelled (invariant 9): a worker that takes the answer in
+// carries them out with it, and one that does not lives by what it heard before. known is
+// false if a task runs there of which it is not known whether it is cancelled. The commands
+// may be repeated and come late, as any that stop; starts that are under way of such tasks
+// are fenced by a higher token.
+func (h *Holder) stopsCancelled(w *worker, rep *protocol.Report) (stops []protocol.Command, known bool) {
+	now := 0.0
+	stops = []protocol.Command{}
+	stop := func(task string, attempt uint64) {
+		stops = append(stops, protocol.Command{Verb: protocol.VerbStop, Task: task, Attempt: attempt, GraceS: &now})
+	}
+	for _, t := range rep.Tasks {
+		id, _, _ := protocol.SplitTask(t.Task)
+		switch {
+		case t.State == protocol.TaskExited:
+		case h.over(id):
+			stop(t.Task, t.Attempt)
+		case h.jobs[id] == nil:
+			return nil, false
+		}
+	}
+	fence := false
+	for _, e := range w.entries {
+		if !h.over(e.job) || e.exited() || e.state == board.TaskReserved || e.state == board.TaskQueued {
+			continue
+		}
+		if e.unconfirmed() {
+			fence = true
+		}
+		stop(e.task, e.attempt) // it may have started since the report was sent
+	}
+	if fence {
+		w.seq++
+	}
+	return stops, true
+}
+
 // pump sends a worker the commands it needs. One direct command is under way
 // at a time; each has a token of its own, so that a report with a higher one
 // proves that it was carried out or never will be.
 func (h *Holder) pump(w *worker) {
 	now := time.Now()
-	if w.busy || w.lapsed || w.session == 0 || now.Before(w.holdOff) || !h.session.Valid() || h.slots[w.slot.slot] != w.slot {
+	if w.busy || w.lapsed || w.session == 0 || now.Before(w.holdOff) || !h.entitled() || h.slots[w.slot.slot] != w.slot {
 		return
 	}
+	acts := h.session.Valid() && h.mayAnswer()
 	var cmds []protocol.Command
 	if w.verified {
-		if cmds = h.wanted(w, now); len(cmds) == 0 && !w.probe {
-			w.settled = w.atRest()
+		if cmds = h.wanted(w, now, acts); len(cmds) == 0 && !(acts && w.probe) {
+			w.settled = acts && h.atRest(w)
 			return
 		}
+	} else if !acts {
+		return
 	}
 	w.seq++
 	orders := protocol.Orders{Token: protocol.NewToken(w.slot.term, w.seq), Session: w.session, Commands: cmds}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -95,6 +95,7 @@
 	k.reader = bookkeeping.NewReader(k.store)
 	k.replica = bookkeeping.NewReplica(k.store, func(s *protocol.JobSpec) bookkeeping.Seat { return Place(c, s) }, func(j *bookkeeping.Job) bookkeeping.Urgency { return urgency(c, j) }, k,
 		func(revision uint64) { k.reader.Caught(ctx, revision) })
+	k.replica.Block = c.WatchFor()
 	return k
 }
 
@@ -187,7 +188,7 @@
 
 func (k *Controller) Synced(at time.Time) {
 	k.loaded.Store(true)
-	k.holder.tell(func() { k.holder.syncedAt = at })
+	k.holder.tell(func() { k.holder.synced(at) })
 }
 
 // ---- what users and workers ask
@@ -253,7 +254,7 @@
 func (k *Controller) Status(ctx context.Context, id string) (*protocol.JobStatus, error) {
 	known := k.owner.Known(ctx, id)
 	if known != nil && known.Final() {
-		return k.answer(&standing{job: known}), nil
+		return k.confirm(ctx, &standing{job: known})
 	}
 	ctx, cancel := context.WithTimeout(ctx, bookkeeping.FreshWithin)
 	defer cancel()
@@ -265,7 +266,7 @@
 		if !found.Final() && len(found.Spec.Needs) > 0 {
 			return nil, ErrLater // one of those may be cancelled, and it with it
 		}
-		return k.answer(&standing{job: found}), nil
+		return k.confirm(ctx, &standing{job: found})
 	}
 	if err := k.reader.Fresh(ctx); err != nil {
 		return nil, err
@@ -276,7 +277,19 @@
 		// and whether it was cancelled is being looked up.
 		return nil, ErrLater
 	}
-	return k.answer(st), nil
+	return k.confirm(ctx, st)
+}
+
+// confirm gives a user's answer, unless it says that the job is cancelled and that may not be
+// said yet (membership.MayConfirm): from then on its tasks have only so long to live, wherever
+// they are and whoever knows of it.
+func (k *Controller) confirm(ctx context.Context, s *standing) (*protocol.JobStatus, error) {
+	if s.job.State == protocol.Cancelled {
+		if may, ok := askFor(ctx, &k.holder.actor, func() bool { return k.holder.mayConfirm(s.job.Spec.ID) }); !ok || !may {
+			return nil, ErrLater
+		}
+	}
+	return k.answer(s), nil
 }
 
 // ---- what operators ask
@@ -472,15 +485,19 @@
 
 // Cancel cancels a job.
 func (k *Controller) Cancel(ctx context.Context, id string) (status int, answer any) {
-	if known := k.owner.Known(ctx, id); known != nil && known.Final() {
-		return http.StatusOK, k.answer(&standing{job: known})
+	j := k.owner.Known(ctx, id)
+	if j == nil || !j.Final() {
+		var err error
+		switch j, err = k.store.CancelJob(ctx, id); {
+		case err != nil:
+			return http.StatusServiceUnavailable, ErrLater
+		case j == nil:
+			return http.StatusNotFound, errors.New("no such job")
+		}
 	}
-	j, err := k.store.CancelJob(ctx, id)
-	switch {
-	case err != nil:
+	st, err := k.confirm(ctx, &standing{job: j})
+	if err != nil {
 		return http.StatusServiceUnavailable, ErrLater
-	case j == nil:
-		return http.StatusNotFound, errors.New("no such job")
 	}
-	return http.StatusOK, k.answer(&standing{job: j})
+	return http.StatusOK, st
 }
--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/hearing_test.go
@@ -28,15 +28,17 @@
 	h.session.until.Store(int64(time.Hour))
 	s := &heldSlot{slot: h.slotOf(machine), term: term, adopted: time.Now(), ready: true, roster: bookkeeping.Roster{protocol.MachineNumber(machine): true},
 		awaited: map[string]bool{machine: true}}
-	h.slots[s.slot], h.syncedAt = s, time.Now()
+	h.slots[s.slot] = s
+	h.synced(time.Now())
 	h.registry[machine] = &bookkeeping.Machine{ID: machine}
 	return h, s
 }
 
 func noWorker(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
 
-// told has the holder do what it was told, and look around.
+// told has the holder do what it was told, and look around; it follows the records meanwhile.
 func (h *Holder) told() {
+	h.synced(time.Now())
 	synctest.Wait()
 	for len(h.inbox) > 0 {
 		(<-h.inbox)()
@@ -212,7 +214,12 @@
 		}
 		rep, lost = m.snapshot(), m.mute
 	}
-	if <-done; lost {
+	select {
+	case <-done:
+	case <-r.Context().Done(): // the test is over
+		lost = true
+	}
+	if lost {
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(status)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -8,6 +8,7 @@
 	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
+	"daledyke/internal/membership"
 	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 	"daledyke/internal/quota"
@@ -32,7 +33,7 @@
 	slots       map[int]*heldSlot
 	byID        map[string]*worker
 	changedJobs map[string]bool // to be looked at in the next tick
-	over        []string        // jobs that are over, in the order in which they ended
+	ended       []string        // jobs that are over, in the order in which they ended
 	gone        []goneMachine   // bounded
 	retired     recent          // machines that were returned
 	version     uint64
@@ -60,16 +61,20 @@
 	// served is when the state service last did what this controller asked; nil if nobody
 	// knows.
 	served func() time.Time
-	// started is when this process was; promisers reach all siblings. promised is until when
-	// whose slots are not taken, promisedTo until when all siblings promised that to us;
-	// askingAll and askedAll tell of the last time they were asked.
+	// started is when this process was; promisers reach all siblings, in the order of the
+	// settings. giving is what was promised to them, promisedTo until when all of them promised
+	// it to us; consulting and consulted tell of the last time they were asked.
 	started    time.Time
 	promisers  []PromiseCaller
-	promised   map[string]time.Time
+	giving     map[string]membership.Giving
 	promisedTo time.Time
-	askingAll  bool
-	askedAll   time.Time
-	invalid    time.Time // when the session was last seen not to be valid
+	consulting bool
+	consulted  time.Time
+	// cancelled are the jobs that are known to be, by records, users' requests or siblings;
+	// horizon is up to when these are all that anyone confirmed.
+	cancelled membership.Cancellations
+	horizon   membership.Horizon
+	invalid   time.Time // when reports were last seen not to be answered
 }
 
 type goneMachine struct {
@@ -168,7 +173,7 @@
 
 // NewHolder makes the actor.
 func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
-	return &Holder{started: time.Now(), promised: map[string]time.Time{}, actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
+	return &Holder{started: time.Now(), giving: map[string]membership.Giving{}, horizon: membership.Horizon{Siblings: map[string]membership.Heard{}}, actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
 		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]placement.Opinion{}, releasing: map[int]*heldSlot{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
@@ -232,7 +237,7 @@
 	if h.latest != nil && (h.window == nil || h.latest.Number > h.window.Number) && now.UnixMilli() >= h.latest.StartMs {
 		h.obey(h.latest)
 	}
-	h.ride(now)
+	h.consult(now)
 	h.adopt()
 	h.release()
 	h.enroll()
@@ -318,6 +323,9 @@
 func (h *Holder) jobChanged(j *bookkeeping.Job) {
 	old := h.jobs[j.Spec.ID]
 	h.jobs[j.Spec.ID] = j
+	if j.State == protocol.Cancelled {
+		h.cancelled.Learn(j.Spec.ID, time.Now())
+	}
 	if !j.Final() && len(j.Results) == 0 {
 		return
 	}
@@ -329,9 +337,9 @@
 	if old != nil && old.Final() {
 		return
 	}
-	if h.over = append(h.over, j.Spec.ID); len(h.over) > maxFinal {
-		delete(h.jobs, h.over[0])
-		h.over = h.over[1:]
+	if h.ended = append(h.ended, j.Spec.ID); len(h.ended) > maxFinal {
+		delete(h.jobs, h.ended[0])
+		h.ended = h.ended[1:]
 	}
 }
 
@@ -349,6 +357,18 @@
 	}
 }
 
+// synced takes in that the records at hand are as new as a read that began then.
+func (h *Holder) synced(began time.Time) {
+	h.syncedAt = began
+	h.horizon.Read(began)
+}
+
+// over tells whether nothing of a job is to run any more, as far as is known.
+func (h *Holder) over(id string) bool {
+	j := h.jobs[id]
+	return j != nil && j.Final() || h.cancelled.Has(id)
+}
+
 // overview is what the holder adds to a controller's overview.
 func (h *Holder) overview() protocol.MachineCount {
 	now := time.Now()
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -67,8 +67,12 @@
 		h.askItself(w)
 		return http.StatusServiceUnavailable, nil
 	}
+	stops, known := h.stopsCancelled(w, rep)
+	if !known {
+		return http.StatusServiceUnavailable, nil // owners look such jobs up
+	}
 	w.answered, w.answeredWith = time.Now(), protocol.NewToken(s.term, w.seq)
-	return http.StatusOK, protocol.ReportAnswer{Token: protocol.NewToken(s.term, w.seq), Commands: []protocol.Command{}}
+	return http.StatusOK, protocol.ReportAnswer{Token: protocol.NewToken(s.term, w.seq), Commands: stops}
 }
 
 // hear takes in a report, from whichever way it came; false if it is no news.
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -70,7 +70,7 @@
 	switch {
 	case !ok || w == nil || h.slots[w.slot.slot] != w.slot:
 		return "not held here"
-	case j == nil || j.Final() || index >= j.Spec.Tasks || j.TaskDone(index):
+	case j == nil || h.over(jobID) || index >= j.Spec.Tasks || j.TaskDone(index):
 		return "not to be run"
 	case j.Waits > 0:
 		return "waits for other jobs" // what is not known to be done is not
--- /dev/null
+++ b/internal/membership/horizon_test.go
@@ -0,0 +1,369 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// An explicit-state model of one holder and its siblings, over a state service that is away,
+// or refuses one of them alone; of processes that end and begin again; of cancellations that are
+// recorded, answered or not, and confirmed; and of questions and answers that are slow, lost
+// or never asked. A step is a second; the daemon's own decisions are called. In no state may a
+// cancellation that was confirmed before the horizon be unknown to the holder, nor may it
+// answer what outlives one.
+
+const (
+	tick     = time.Second
+	beyond   = 12 // ages are told apart up to here; older states are not followed
+	never    = int8(-1)
+	renewFor = 9 // ticks
+)
+
+type question struct {
+	asked    int8 // how long ago; never: none is under way
+	since    int8
+	answered bool
+	// What the answer says: of the process then.
+	age, synced  int8
+	given, names bool
+}
+
+type sibling struct {
+	served, down bool
+	unserved     int8 // for how long
+	age          int8 // of its process
+	synced       int8 // how long ago its records were as new as that; never: none read
+	known        int8 // how long ago it came to know of the cancellation; never
+	until, named int8 // what it promised: for how much longer, and named how long ago
+	// What the holder knows of it: ages; quiet may lie ahead.
+	told, quiet int8
+	q           question
+}
+
+type world struct {
+	recorded, knows bool // in the state service; by the holder
+	confirmed       int8 // how long ago; never
+	served          bool // the holder is
+	records         int8 // the holder's records are as new as that
+	reading         int8 // it reads since; never
+	read            bool // what it will have read
+	s               [2]sibling
+}
+
+type mistakes struct {
+	renewalProves, believesYoung, neverQuiet, confirmsYoung, boundDropped, fromTheAnswer, forgetsToName bool
+}
+
+var noon = time.Unix(1_000_000, 0)
+
+func ago(age int8) time.Time { return noon.Add(-time.Duration(age) * tick) }
+
+func (w *world) horizon(n int) (h Horizon) {
+	h = Horizon{Records: ago(w.records), Siblings: map[string]Heard{}}
+	for k := range n {
+		h.Siblings[fmt.Sprint(k)] = Heard{Told: ago(w.s[k].told), Quiet: ago(w.s[k].quiet)}
+	}
+	return h
+}
+
+func age(t time.Time) int8 {
+	// What lies between two ticks counts as the earlier: less is known.
+	d := noon.Sub(t)
+	a := d / tick
+	if d > 0 && d%tick != 0 {
+		a++
+	}
+	return int8(min(a, beyond+1))
+}
+
+// wrong tells what may not be.
+func (w *world) wrong(n int, bad mistakes) string {
+	if w.confirmed == never || w.knows {
+		return ""
+	}
+	h := w.horizon(n)
+	if ago(w.confirmed).Before(h.At()) {
+		return "confirmed before the horizon, and not known"
+	}
+	if (Renews(h.At(), renewFor*tick, noon) || bad.boundDropped) && w.confirmed > renewFor {
+		return "what is answered outlives it"
+	}
+	return ""
+}
+
+// pass lets a tick pass.
+func (w *world) pass(n int) {
+	older := func(a *int8) {
+		if *a != never && *a <= beyond {
+			*a++
+		}
+	}
+	older(&w.confirmed)
+	older(&w.records)
+	older(&w.reading)
+	for k := range n {
+		s := &w.s[k]
+		for _, a := range []*int8{&s.synced, &s.known, &s.named, &s.told, &s.q.asked} {
+			older(a)
+		}
+		if s.quiet <= beyond {
+			s.quiet++
+		}
+		if s.until > 0 {
+			s.until--
+		}
+		if s.age <= beyond && !s.down {
+			s.age++
+		}
+		if s.served {
+			s.unserved = 0
+		} else if s.unserved <= beyond {
+			s.unserved++
+		}
+		if s.q.asked != never && time.Duration(s.q.asked)*tick > AskWithin {
+			s.q = question{asked: never} // it is not waited for any more
+		}
+	}
+}
+
+func (s *sibling) giving() map[string]Giving {
+	return map[string]Giving{"h": {Until: noon.Add(time.Duration(s.until) * tick), Named: ago(s.named)}}
+}
+
+// next are all states that may follow.
+func (w world) next(n int, bad mistakes) (all []world) {
+	add := func(change func(*world)) {
+		c := w
+		change(&c)
+		if c != w {
+			all = append(all, c)
+		}
+	}
+	add(func(c *world) { c.pass(n) })
+	for _, away := range []bool{true, false} { // for all, for the holder alone, or for nobody
+		add(func(c *world) {
+			c.served = !away
+			for k := range n {
+				c.s[k].served = !away
+			}
+		})
+	}
+	add(func(c *world) { c.served = false })
+	add(func(c *world) { c.s[0].served = false })
+	if w.served {
+		if w.reading == never {
+			add(func(c *world) { c.reading, c.read = 0, c.recorded })
+		}
+		if bad.renewalProves {
+			add(func(c *world) { c.records = 0 })
+		}
+	}
+	if w.reading != never {
+		add(func(c *world) {
+			h := c.horizon(n)
+			h.Read(ago(c.reading))
+			c.records, c.knows = age(h.Records), c.knows || c.read
+			c.reading, c.read = never, false
+		})
+		add(func(c *world) { c.reading, c.read = never, false })
+	}
+	for k := range n {
+		s := w.s[k]
+		// It ends, and begins again.
+		add(func(c *world) {
+			s := &c.s[k]
+			if s.down {
+				s.down = false
+				return
+			}
+			s.down, s.age, s.synced, s.known, s.until, s.named, s.unserved = true, 0, never, never, 0, 0, int8(UnservedFor/tick)
+			if !s.q.answered {
+				s.q = question{asked: never}
+			}
+		})
+		if s.down {
+			continue
+		}
+		if s.served {
+			add(func(c *world) { // it reads
+				s := &c.s[k]
+				if s.synced, s.unserved = 0, 0; c.recorded && s.known == never {
+					s.known = 0
+				}
+			})
+			if !w.recorded {
+				add(func(c *world) { c.recorded = true }) // its user cancels, and it hears no answer
+				add(func(c *world) { c.recorded, c.s[k].known = true, 0 })
+			}
+		}
+		if s.known != never && w.confirmed == never {
+			started := ago(s.age)
+			if bad.confirmsYoung {
+				started = ago(120)
+			}
+			if bad.neverQuiet || MayConfirm(ago(s.known), started, s.giving(), noon) {
+				add(func(c *world) { c.confirmed = 0 })
+			}
+		}
+		if s.q.asked == never {
+			add(func(c *world) {
+				h := c.horizon(n)
+				c.s[k].q = question{asked: 0, since: age(h.At())}
+			})
+		} else if !s.q.answered {
+			add(func(c *world) {
+				s := &c.s[k]
+				s.q.answered, s.q.age, s.q.synced = true, s.age, s.synced
+				s.q.given = Giver{Unserved: time.Duration(s.unserved) * tick, Loaded: s.synced != never, Alive: true}.Gives()
+				s.q.names = s.known != never && time.Duration(s.known-s.q.since)*tick <= AskWithin && !bad.forgetsToName
+				if s.q.given {
+					g := s.giving()["h"].Again(noon)
+					s.until, s.named = int8(g.Until.Sub(noon)/tick), age(g.Named)
+				}
+			})
+		} else {
+			add(func(c *world) {
+				s := &c.s[k]
+				c.knows = c.knows || s.q.names
+				h, asked := c.horizon(n), ago(s.q.asked)
+				if bad.fromTheAnswer {
+					asked = noon
+				}
+				word := Word{Age: time.Duration(s.q.age) * tick, Whole: true, Quiet: s.q.given}
+				if s.q.synced != never {
+					word.Synced = time.Duration(s.q.synced)*tick + time.Millisecond
+				}
+				if bad.believesYoung {
+					word.Age = time.Hour
+				}
+				h.Hear(fmt.Sprint(k), word, asked, noon)
+				heard := h.Siblings[fmt.Sprint(k)]
+				c.records, s.told, s.quiet = age(h.Records), age(heard.Told), age(heard.Quiet)
+				s.q = question{asked: never}
+			})
+			add(func(c *world) { c.s[k].q = question{asked: never} }) // lost
+		}
+	}
+	return all
+}
+
+func calm() (w world) {
+	w = world{confirmed: never, served: true, reading: never}
+	for k := range w.s {
+		w.s[k] = sibling{served: true, age: beyond + 1, known: never, told: 1, quiet: 1, q: question{asked: never}}
+	}
+	return w
+}
+
+// amid is where the service has been away for a while, and the sibling has just been asked.
+func amid() (w world) {
+	w = calm()
+	w.served, w.records = false, 4
+	for k := range w.s {
+		w.s[k].served, w.s[k].unserved, w.s[k].synced, w.s[k].told, w.s[k].quiet = false, 4, 4, 4, 4
+		w.s[k].q = question{since: 4}
+	}
+	return w
+}
+
+// followed tells whether a state is within what ages tell apart.
+func (w *world) followed(n int) bool {
+	if w.records > beyond || w.confirmed > beyond {
+		return false
+	}
+	for k := range n {
+		if w.s[k].told > beyond || w.s[k].synced > beyond {
+			return false
+		}
+	}
+	return true
+}
+
+// all visits every state that can be reached with so many siblings, so many states at most.
+func all(from world, n int, bad mistakes, most int) (states int, what string) {
+	seen := map[world]bool{from: true}
+	queue := []world{from}
+	for len(queue) > 0 && len(seen) < most {
+		w := queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		for _, c := range w.next(n, bad) {
+			if seen[c] || !c.followed(n) {
+				continue
+			}
+			if what := c.wrong(n, bad); what != "" {
+				return len(seen), fmt.Sprintf("%s: %+v", what, c)
+			}
+			seen[c] = true
+			queue = append(queue, c)
+		}
+	}
+	return len(seen), ""
+}
+
+// wander goes through so many states at random.
+func wander(from world, n int, bad mistakes, seed uint64, most int) (states int, what string) {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	for states < most {
+		w := from
+		for range 40 {
+			states++
+			next := w.next(n, bad)
+			if w = next[rng.IntN(len(next))]; rng.IntN(3) == 0 {
+				w.pass(n)
+			}
+			if !w.followed(n) {
+				break
+			}
+			if what := w.wrong(n, bad); what != "" {
+				return states, fmt.Sprintf("%s: %+v", what, w)
+			}
+		}
+	}
+	return states, ""
+}
+
+// Whatever is confirmed before the horizon is known, and nothing that is answered outlives it;
+// each mistake that is put in is seen.
+func TestNoCancellationIsOutlived(t *testing.T) {
+	n, what := all(calm(), 1, mistakes{}, 200_000)
+	if what != "" {
+		t.Fatalf("one sibling, after %d states: %s", n, what)
+	}
+	t.Logf("one sibling: %d states", n)
+	if n, what := wander(amid(), 2, mistakes{}, 1, 400_000); what != "" {
+		t.Fatalf("two siblings, on a walk of %d states: %s", n, what)
+	}
+	for name, bad := range map[string]mistakes{"a renewal is taken for proof": {renewalProves: true}, "a young process speaks for the one before": {believesYoung: true},
+		"what was promised is confirmed": {neverQuiet: true}, "a young process confirms": {confirmsYoung: true}, "the bound is dropped": {boundDropped: true},
+		"the horizon counts from the answer": {fromTheAnswer: true}, "what is known is not named": {forgetsToName: true}} {
+		n, what := wander(amid(), 1, bad, 8, 1_000_000)
+		if what == "" {
+			t.Errorf("%s: not seen", name)
+		} else {
+			t.Logf("%s: seen after %d states", name, n)
+		}
+	}
+}
+
+// Of the jobs that are known to be cancelled those of late are named; when too many came, that
+// is said.
+func TestCancellationsAreNamedWhole(t *testing.T) {
+	var c Cancellations
+	for k := range mostCancellations {
+		c.Learn(fmt.Sprintf("wk-%d", k), noon.Add(time.Duration(k)*time.Millisecond))
+	}
+	last := noon.Add((mostCancellations - 1) * time.Millisecond)
+	if jobs, whole := c.Since(last.Add(-time.Millisecond)); !whole || !slices.Equal(jobs, []string{"wk-8191", "wk-8190"}) {
+		t.Errorf("%v %v", jobs, whole)
+	}
+	if c.Learn("wk-0", last) {
+		t.Error("learnt twice")
+	}
+	c.Learn("wk-9000", last.Add(time.Second))
+	if jobs, whole := c.Since(noon); whole || len(jobs) != mostCancellations || c.Has("wk-0") || !c.Has("wk-9000") {
+		t.Errorf("%d jobs, whole %v", len(jobs), whole)
+	}
+}
