Horizon: all siblings speak or none; tests of the holder, the settings and the versions

Cause: a sibling that never spoke was not counted among those whose word makes the horizon, so that one that spoke was enough, and a zero time was passed over. Found by rereading; the model began with all having spoken. Seen failing by TestAllSiblingsSpeakOrNone.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"time"
 
@@ -344,7 +345,7 @@
 	if c.RenewFor() < leastRenew {
 		least := time.Duration(float64(Surely(c.WorkerLease())+leastRenew+surelyMargin) / (1 - drift))
 		return fmt.Errorf("deployment.workers.cancel_s must be at least %.1f with a lease_s of %v, not %v: a machine that is answered runs on for a lease, whatever is cancelled meanwhile",
-			least.Seconds()+0.05, d.Workers.LeaseS, d.Workers.CancelS)
+			math.Ceil(least.Seconds()*10)/10, d.Workers.LeaseS, d.Workers.CancelS)
 	}
 	if d.ClockOffMs < 0 || d.Cloud.ListLagS < 0 {
 		return errors.New("deployment.clock_off_ms and deployment.cloud.list_lag_s must not be negative")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -73,6 +73,7 @@
 		"host_name":      {`host_name = "n0"`, ``},
 		"services.state": {`state = "10.2.0.1:2379"`, `state = "nowhere"`},
 		"lease_s":        {`lease_s = 26.0`, `lease_s = -1.0`},
+		"least 30.0":     {`cancel_s = 51.0`, `cancel_s = 28.0`},
 		"txn_ops":        {`txn_ops = 12`, ``},
 		"at least 4":     {`txn_ops = 12`, `txn_ops = 2`},
 		"too many":       {`value_kb = 8.0`, `value_kb = 0.01`},
@@ -91,6 +92,16 @@
 	}
 }
 
+// The least cancel_s that a refusal names is taken, and changes are asked for often enough then.
+func TestTheLeastCancelIsTaken(t *testing.T) {
+	for _, more := range []string{"30.0", "40.0", "51.0"} {
+		c, err := load(t, strings.Replace(sound, "cancel_s = 51.0", "cancel_s = "+more, 1))
+		if err != nil || c.WatchFor() > c.RenewFor()/3 || c.WatchFor() > 3*time.Second || c.WatchFor() < time.Second {
+			t.Errorf("cancel_s %s: %v, renews for %v, asks every %v", more, err, c.RenewFor(), c.WatchFor())
+		}
+	}
+}
+
 // Limits that are to fall are planned for from the start, and what is to rise
 // is not counted on.
 func TestTheSmallerLimitsCount(t *testing.T) {
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"daledyke/internal/board"
@@ -108,7 +109,9 @@
 	now := 0.0
 	stops = []protocol.Command{}
 	stop := func(task string, attempt uint64) {
-		stops = append(stops, protocol.Command{Verb: protocol.VerbStop, Task: task, Attempt: attempt, GraceS: &now})
+		if !slices.ContainsFunc(stops, func(c protocol.Command) bool { return c.Task == task && c.Attempt == attempt }) {
+			stops = append(stops, protocol.Command{Verb: protocol.VerbStop, Task: task, Attempt: attempt, GraceS: &now})
+		}
 	}
 	for _, t := range rep.Tasks {
 		id, _, _ := protocol.SplitTask(t.Task)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -173,7 +173,11 @@
 
 // NewHolder makes the actor.
 func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
-	return &Holder{started: time.Now(), giving: map[string]membership.Giving{}, horizon: membership.Horizon{Siblings: map[string]membership.Heard{}}, actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
+	var siblings []string
+	for _, s := range c.Siblings {
+		siblings = append(siblings, s.Name)
+	}
+	return &Holder{started: time.Now(), giving: map[string]membership.Giving{}, horizon: membership.NewHorizon(siblings), actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
 		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]placement.Opinion{}, releasing: map[int]*heldSlot{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -221,6 +221,8 @@
 			err = fmt.Errorf("took %v", time.Since(began))
 		}
 		return err
+	case "begins-cancel": // begins-cancel JOB: its user goes on asking, and the trace goes on meanwhile
+		w.meanwhile("cancel", args)
 	case "window": // window CONTROLLER N: it goes by the window of this number, or a later one
 		v, err := w.overview(args[0])
 		if n, bad := strconv.ParseUint(args[1], 10, 64); err == nil && (bad != nil || v.Window == nil || v.Window.Number < n) {
--- a/internal/membership/horizon.go
+++ b/internal/membership/horizon.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Which cancellations a holder surely knows of, and so for how long it may renew what runs
 // (invariant 9, docs/design-recovery.md).
@@ -30,24 +33,35 @@
 type Heard struct{ Told, Quiet time.Time }
 
 // Horizon is how far a holder's knowledge of cancellations reaches: Records is by records, its
-// own or those of a sibling that told what is in them.
+// own or those of a sibling that told what is in them. All siblings stand in Siblings, also
+// those that never spoke.
 type Horizon struct {
 	Records  time.Time
 	Siblings map[string]Heard
 }
 
+// NewHorizon is that of a holder which knows nothing yet and has these siblings.
+func NewHorizon(siblings []string) Horizon {
+	h := Horizon{Siblings: make(map[string]Heard, len(siblings))}
+	for _, name := range siblings {
+		h.Siblings[name] = Heard{}
+	}
+	return h
+}
+
 // Read takes in that the records at hand are as new as a read that began then.
 func (h *Horizon) Read(began time.Time) { h.Records = later(h.Records, began) }
 
-// At is the horizon.
+// At is the horizon: by records, or by the word of all siblings.
 func (h *Horizon) At() time.Time {
-	var least time.Time
+	told := make([]time.Time, 0, len(h.Siblings))
 	for _, s := range h.Siblings {
-		if least.IsZero() || s.Told.Before(least) {
-			least = s.Told
-		}
+		told = append(told, s.Told)
+	}
+	if len(told) == 0 {
+		return h.Records
 	}
-	return later(h.Records, least)
+	return later(h.Records, slices.MinFunc(told, time.Time.Compare))
 }
 
 // Hear takes in a sibling's word, whose cancellations are known by now: it was asked at a time
--- a/internal/membership/horizon_test.go
+++ b/internal/membership/horizon_test.go
@@ -348,6 +348,34 @@
 	}
 }
 
+// The word of one sibling proves nothing while another never spoke, and records do without any.
+func TestAllSiblingsSpeakOrNone(t *testing.T) {
+	h := NewHorizon([]string{"a", "b", "c"})
+	h.Read(ago(60))
+	word := Word{Age: time.Hour, Whole: true}
+	h.Hear("a", word, ago(3), ago(2))
+	h.Hear("c", word, ago(5), ago(4))
+	if at := h.At(); !at.Equal(ago(60)) {
+		t.Errorf("two of three spoke: %v before", noon.Sub(at))
+	}
+	h.Hear("b", Word{Age: time.Hour}, ago(2), ago(1)) // of the version before: it names nothing
+	if at := h.At(); !at.Equal(ago(60)) {
+		t.Errorf("one gives no word: %v before", noon.Sub(at))
+	}
+	h.Hear("b", word, ago(4), ago(4))
+	if at := h.At(); !at.Equal(ago(5)) {
+		t.Errorf("all spoke: %v before", noon.Sub(at))
+	}
+	h.Hear("b", Word{Age: time.Hour, Synced: time.Second, Whole: true}, noon, noon)
+	if at := h.At(); !at.After(ago(2)) || !at.Before(noon) {
+		t.Errorf("one knows the records: %v before", noon.Sub(at))
+	}
+	alone := NewHorizon(nil)
+	if alone.Read(ago(7)); !alone.At().Equal(ago(7)) {
+		t.Errorf("without siblings: %v before", noon.Sub(alone.At()))
+	}
+}
+
 // Of the jobs that are known to be cancelled those of late are named; when too many came, that
 // is said.
 func TestCancellationsAreNamedWhole(t *testing.T) {
