Late drops: accounts set again, and long descriptions of jobs that are cancelled with others

Cause, found by going through all writers for transactions that are carried out late or end in between: (1) parts of former accounts are dropped without a condition under a name made of what they hold, so that a drop carried out late took the same accounts away when they were set again; (2) the archive dropped a description that takes several transactions before the record of a job that was cancelled with another one said so: if all controllers ended in between, the job was never heard of again. Change: parts are named by the revision too; such a record is made final first.

--- a/internal/bookkeeping/quotas.go
+++ b/internal/bookkeeping/quotas.go
@@ -68,11 +68,15 @@
 	if err != nil {
 		return err
 	}
-	next.Revision, next.Sum, next.Of = 1, sum, len(parts)
+	next.Revision, next.Of = 1, len(parts)
 	cond := protocol.Condition{Key: keyQuotas}
 	if seen != nil {
 		next.Revision, cond.Version = seen.Revision+1, seen.Version
 	}
+	// No two revisions share parts: those of a former one are dropped without a condition, and
+	// that may be carried out late, when the same accounts are set again.
+	sum = fmt.Sprintf("%s-%d", sum, next.Revision)
+	next.Sum = sum
 	var then []protocol.Change
 	for k, p := range parts {
 		if then = append(then, set(quotaKey(sum, k), p, 0)); len(then) == s.txnOps || k == len(parts)-1 {
--- a/internal/bookkeeping/store_jobs.go
+++ b/internal/bookkeeping/store_jobs.go
@@ -116,6 +116,15 @@
 	}
 	for _, j := range jobs {
 		drops := dropsOf(j)
+		if j.Record == protocol.Pending && len(drops) > s.txnOps-2 {
+			// Its record still needs its description, which several transactions would drop:
+			// it says first what the job is. The rest comes with a later round.
+			if s.commit(ctx, transport.Deferred, 10*time.Second, []protocol.Condition{{Key: jobKey(j.Spec.ID), Version: j.Version}},
+				set(jobKey(j.Spec.ID), s.brief(j.ended(j.State, j.With, time.Now())), 0)) != nil {
+				return
+			}
+			continue
+		}
 		// A job of a great many tasks has more results than a transaction takes.
 		for ; len(drops) > s.txnOps-2; drops = drops[s.txnOps-2:] {
 			if s.commit(ctx, transport.Deferred, 10*time.Second, nil, drops[:s.txnOps-2]...) != nil {
