--- a/internal/bookkeeping/late_test.go
+++ b/internal/bookkeeping/late_test.go
@@ -1,7 +1,9 @@
 package bookkeeping
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -114,3 +116,95 @@
 		}
 	}
 }
+
+// What a controller writes by what it saw a while ago, or what is carried out a while after, never
+// takes the place of what is newer: of results, slots, windows, sessions and jobs. (Seen with each
+// condition left out.)
+func TestNoWriterReplacesWhatIsNewer(t *testing.T) {
+	most := 1000
+	st := served(t, &most)
+	ctx := t.Context()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	refused := func(what string, err error) {
+		t.Helper()
+		if !errors.Is(err, ErrConflict) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	// Results.
+	spec := &protocol.JobSpec{ID: "wk-1", Class: "batch", Team: "free", Shape: protocol.Array, Priority: "normal", Tasks: 3, Cores: 1, RAM: 1, Image: "img"}
+	must(st.CreateJob(ctx, spec, ""))
+	seen, err := st.ReadJob(ctx, "wk-1")
+	must(err)
+	st.Record(ctx, transport.Ordinary, []Outcome{{Job: seen, Tasks: []int{0}}})
+	st.Record(ctx, transport.Ordinary, []Outcome{{Job: seen, Tasks: []int{1}}})       // by what it saw before
+	st.Record(ctx, transport.Ordinary, []Outcome{{Job: seen, Tasks: []int{0, 1, 2}}}) // ends it, likewise
+	chunk, _, err := get[chunkRecord](ctx, st, transport.Ordinary, time.Second, resultKey("wk-1", 0))
+	must(err)
+	if chunk == nil || !bytes.Equal(chunk.Bits, []byte{1}) {
+		t.Errorf("results: %+v", chunk)
+	}
+	if j, err := st.ReadJob(ctx, "wk-1"); err != nil || j.Record != protocol.Pending {
+		t.Errorf("the job: %+v, %v", j, err)
+	}
+	// A cancellation of which nothing was heard is not told.
+	most = 0
+	if j, err := st.CancelJob(ctx, "wk-1"); err == nil {
+		t.Errorf("cancelled without an answer: %+v", j)
+	}
+	most = 1000
+	// Slots and sessions.
+	inc, lease, _, err := st.Join(ctx, "c0", 10*time.Second)
+	must(err)
+	term, err := st.TakeSlots(ctx, "c0", inc, []Claim{{Slot: 3}})
+	must(err)
+	if _, err := st.TakeSlots(ctx, "c0", inc, []Claim{{Slot: 3}}); err == nil {
+		t.Error("a slot that is held was taken as a free one")
+	}
+	rec, version, err := get[Slot](ctx, st, transport.Ordinary, time.Second, slotKey(3))
+	must(err)
+	to := SlotChange{Slot: 3, Seen: version, To: Slot{Holder: "c0", Incarnation: inc, Term: rec.Term, Listed: true}}
+	must(st.ChangeSlots(ctx, transport.Ordinary, []SlotChange{to}))
+	to.To.Holder = ""
+	refused("a slot given up by its former record", st.ChangeSlots(ctx, transport.Ordinary, []SlotChange{to}))
+	again, newer, _, err := st.Join(ctx, "c0", 10*time.Second)
+	must(err)
+	refused("a session's record of the process before", st.UpdateMember(ctx, "c0", Member{Term: inc, Deaf: true}, lease))
+	must(st.UpdateMember(ctx, "c0", Member{Term: again, Deaf: true}, newer))
+	seenSlot, version, err := get[Slot](ctx, st, transport.Ordinary, time.Second, slotKey(3))
+	must(err)
+	seenSlot.Version = version
+	_, err = st.TakeSlots(ctx, "c1", again+9, []Claim{{Slot: 3, Seen: seenSlot, Former: "c0"}})
+	refused("a slot of one that has a session", err)
+	if term >= again {
+		t.Errorf("terms %d, %d", term, again)
+	}
+	// Leaders and windows.
+	must(st.Lead(ctx, nil, Leader{Name: "c0", Term: again}, newer))
+	refused("a leader in place of none", st.Lead(ctx, nil, Leader{Name: "c0", Term: again}, newer))
+	l, version, err := get[Leader](ctx, st, transport.Ordinary, time.Second, keyLeader)
+	must(err)
+	l.Version = version
+	must(st.PublishWindow(ctx, l, nil, Window{Number: 1}))
+	refused("a window in place of none", st.PublishWindow(ctx, l, nil, Window{Number: 1}))
+	w, err := st.ReadWindow(ctx)
+	must(err)
+	must(st.Lead(ctx, l, Leader{Name: "c0", Term: again}, newer))
+	refused("a window of a former leader", st.PublishWindow(ctx, l, w, Window{Number: 2}))
+	// Machines.
+	must(st.AddLot(ctx, transport.Ordinary, "b-1-1", Lot{Type: "small", Machines: []string{"host-000001", "host-000002"}}))
+	lot, version, err := get[Lot](ctx, st, transport.Ordinary, time.Second, lotKey("b-1-1"))
+	must(err)
+	lot.Version = version
+	must(st.DropMachines(ctx, map[string]bool{"host-000001": true}, map[string]*Lot{"b-1-1": lot}))
+	refused("a lot by its former record", st.DropMachines(ctx, map[string]bool{"host-000002": true}, map[string]*Lot{"b-1-1": lot}))
+	must(st.AddLot(ctx, transport.Ordinary, "b-1-1", Lot{Type: "small", Machines: []string{"host-000001", "host-000002"}}))
+	if lot, _, err = get[Lot](ctx, st, transport.Ordinary, time.Second, lotKey("b-1-1")); err != nil || len(lot.Machines) != 1 {
+		t.Errorf("a lot that was written once more: %+v, %v", lot, err)
+	}
+}
--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/hearing_test.go
@@ -137,12 +137,17 @@
 			t.Errorf("never sent: %+v of %+v", e, w)
 		}
 		h.Report(report(1, 6, protocol.NewToken(7, 1)))
-		w.busy = true
+		w.busy, w.seq = true, 9
 		w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 3, state: board.TaskStarting, token: o.Token}
 		h.executed(w, o, nil, false, fmt.Errorf("%w: no answer", transport.ErrUnknown))
 		if e := w.entries["wk-1/0"]; e == nil || e.state != board.TaskStarting || !w.hearing.doubted() {
 			t.Errorf("unanswered: %+v of %+v", e, w)
 		}
+		// It may be carried out late, until the machine has heard of a higher token.
+		h.jobs["wk-1"] = pendingJob("wk-1")
+		if _, body := h.Report(report(1, 7, protocol.NewToken(7, 1))); body.(protocol.ReportAnswer).Token <= o.Token {
+			t.Errorf("the next answer fences nothing: %+v after %d", body, o.Token)
+		}
 	})
 }
 
--- a/internal/coordination/scripts_test.go
+++ b/internal/coordination/scripts_test.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.upload(&j.Spec, 10*time.Second, false)
+	w.upload(&j.Spec, 10*time.Second, 0, false)
 	return id
 }
 
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -321,6 +321,10 @@
 		by, err := time.ParseDuration(args[0])
 		w.em.State.Slow(by)
 		return err
+	case "state-late": // state-late TIME: transactions are carried out so much later, unanswered, 0s for no more
+		by, err := time.ParseDuration(args[0])
+		w.em.State.Late(by)
+		return err
 	case "state-refuses":
 		w.em.State.Refuse(args[0], onOff(args))
 	case "older-records": // as a version left them that kept no rosters
@@ -396,7 +400,7 @@
 	s := &protocol.JobSpec{ID: args[0], Class: "batch", Team: "free", Shape: map[string]protocol.Shape{"array": protocol.Array,
 		"gang": protocol.Gang, "service": protocol.Service}[args[1]], Priority: "normal", Tasks: tasks, Cores: 4, Accels: 1, RAM: 16,
 		Image: "img", ImageGB: 3, EstimateS: 30}
-	run, mistake := 30*time.Second, false
+	run, apart, mistake := 30*time.Second, time.Duration(0), false
 	for _, a := range args[3:] {
 		key, value, _ := strings.Cut(a, "=")
 		number, _ := strconv.ParseFloat(strings.TrimSuffix(value, "s"), 64)
@@ -406,6 +410,8 @@
 		case "run":
 			run = protocol.Seconds(number)
 			s.EstimateS = number
+		case "apart": // each task runs so much longer than the one before
+			apart = protocol.Seconds(number)
 		case "cores":
 			s.Cores = number
 		case "ram":
@@ -446,7 +452,7 @@
 			return fmt.Errorf("unknown property %s", key)
 		}
 	}
-	w.upload(s, run, mistake)
+	w.upload(s, run, apart, mistake)
 	status, st := w.ask(http.MethodPost, "/v1/jobs", s)
 	w.told(history.Answered, s.ID, status, st.Status)
 	if status != 201 && status != 200 {
@@ -513,11 +519,11 @@
 }
 
 // upload has the workers know a job; a service runs until it is stopped.
-func (w *world) upload(s *protocol.JobSpec, run time.Duration, mistake bool) {
+func (w *world) upload(s *protocol.JobSpec, run, apart time.Duration, mistake bool) {
 	if s.Shape == protocol.Service {
 		run = 0
 	}
-	w.em.Upload(s, func(int) time.Duration { return run }, mistake)
+	w.em.Upload(s, func(index int) time.Duration { return run + time.Duration(index)*apart }, mistake)
 }
 
 // uses is how many CPUs an account's tasks use.
