A word speaks only for records that were followed

Cause, found by rereading the change: a process that has just read the records has not read those of jobs long over. Asked by a controller that the state service refuses, it said how new its records were, and that one took itself to know all that was cancelled until then: also a job that was cancelled and put away before the other restarted, whose tasks it then went on renewing, in an outage for as long as that lasted. Change: how new its records are is said only to who asks for what came since it follows them. TestPromisesOfTheVersionBefore expected the wrong answer (records vouched for since ever); it now expects none for that, and one for what was followed.

--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -47,6 +47,9 @@
 	quotas      *quota.Tree
 
 	syncedAt time.Time
+	// follows is since when each change of the records was seen. What was cancelled and put away
+	// before that is not known here.
+	follows  time.Time
 	adopting bool
 	// releasing are slots given up whose records don't say so yet.
 	releasing    map[int]*heldSlot
@@ -367,8 +370,15 @@
 	}
 }
 
+// mostUnfollowed is after how long without word of the records they may have been read anew: the
+// state service keeps more changes than it takes in that time.
+const mostUnfollowed = 30 * time.Second
+
 // synced takes in that the records at hand are as new as a read that began then.
 func (h *Holder) synced(began time.Time) {
+	if began.Sub(h.syncedAt) > mostUnfollowed {
+		h.follows = began
+	}
 	h.syncedAt = began
 	h.horizon.Read(began)
 }
--- a/internal/coordination/horizon_test.go
+++ b/internal/coordination/horizon_test.go
@@ -197,9 +197,15 @@
 				t.Errorf("since %d: %+v", since, r)
 			}
 		}
-		if r := h.promise(&PromiseArgs{Caller: "c1", SinceMs: 1 << 62}); !r.Whole || r.AgeMs < 0 || r.SyncedMs <= 0 {
+		// What was put away before it followed the records it can't name, whatever is asked.
+		if r := h.promise(&PromiseArgs{Caller: "c1", SinceMs: 1 << 62}); !r.Whole || r.AgeMs < 0 || r.SyncedMs != 0 {
 			t.Errorf("since ever: %+v", r)
 		}
+		time.Sleep(5 * time.Second)
+		h.synced(time.Now())
+		if r := h.promise(&PromiseArgs{Caller: "c1", SinceMs: 1000}); !r.Whole || r.SyncedMs <= 0 {
+			t.Errorf("since it follows the records: %+v", r)
+		}
 	})
 }
 
@@ -243,3 +249,33 @@
 		}
 	})
 }
+
+// A process that has just read the records has not read those of jobs long over: what was
+// cancelled and put away before that it can't name. Its word says nothing of what its records
+// are as new as, to one that asks for what was before.
+func TestWhoHasJustBegunToFollowCanNotNameWhatWasPutAway(t *testing.T) {
+	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, _ *heldSlot) {
+		s := NewHolder(h.ctx, c, h.session, nil, h.workers)
+		synced := func(since time.Duration) int64 {
+			r := s.promise(&PromiseArgs{Caller: "c1", SinceMs: since.Milliseconds()})
+			if !r.Whole {
+				t.Errorf("what it knows itself it names: %+v", r)
+			}
+			return r.SyncedMs
+		}
+		if s.synced(time.Now()); synced(10*time.Second) != 0 {
+			t.Error("it speaks for what was before it read")
+		}
+		for range 10 {
+			time.Sleep(3 * time.Second)
+			s.synced(time.Now())
+		}
+		if synced(10*time.Second) == 0 || synced(40*time.Second) != 0 {
+			t.Error("it followed for 30 s")
+		}
+		time.Sleep(2 * time.Minute) // so long that it may have had to read anew
+		if s.synced(time.Now()); synced(10*time.Second) != 0 {
+			t.Error("it speaks for what it did not follow")
+		}
+	})
+}
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -143,12 +143,12 @@
 		more := min(max(membership.BriefFor, time.Duration(a.ForMs)*time.Millisecond), membership.PromiseFor)
 		h.giving[a.Caller] = h.giving[a.Caller].Again(now, more)
 	}
-	if g.Loaded {
+	// The question was under way for no longer than it is waited for.
+	since := now.Add(-config.Surely(min(max(0, time.Duration(a.SinceMs)*time.Millisecond), mostSince)) - membership.AskWithin)
+	r.Cancelled, r.Whole = h.cancelled.Since(since)
+	if g.Loaded && !since.Before(h.follows) {
 		r.SyncedMs = now.Sub(h.syncedAt).Milliseconds() + 1
 	}
-	since := min(max(0, time.Duration(a.SinceMs)*time.Millisecond), mostSince)
-	// The question was under way for no longer than it is waited for.
-	r.Cancelled, r.Whole = h.cancelled.Since(now.Add(-config.Surely(since) - membership.AskWithin))
 	r.Whole = r.Whole && a.SinceMs > 0
 	return r
 }
