A copy from before a machine began anew ends nothing

A machine that had been deaf begins anew, so that its sessions count from one again, and its slot changes hands. A copy of a report from before, of its second session, comes to the holder that knows it by its new first one: a higher session, so all that ran there was taken for gone and started elsewhere. Change: tokens never fall either. A message whose numbers are higher and whose token is lower than what was shown is from the other side of a new beginning and is passed over; after a lease that ended the next token is a new one. What a machine answers directly, when nothing was heard since it was asked, is newer whatever its numbers say: the lease counts from then (a second hole, found by the property test: a start carried out right after a new beginning outlived its holder's count). TestNothingIsGoneThatRuns now starts tasks as the protocol does, with a token and an answer that may be lost; its shortcut allowed histories that can't be. It also starts on machines that began anew.

--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -164,7 +164,7 @@
 			w.entries[c.Task].token = orders.Token
 		}
 	}
-	w.busy, w.probe, w.probed = true, false, now
+	w.busy, w.askedAfter, w.probe, w.probed = true, w.ticket, false, now
 	h.touch(w)
 	addr := w.addr
 	go func() {
@@ -222,6 +222,9 @@
 	}
 	if rep.Machine == w.id && rep.Token.Term() <= w.slot.term {
 		w.hearing = hearing{} // it answered
+		if !w.isNewer(rep) && w.session == o.Session && w.ticket == w.askedAfter {
+			h.beganAnew(w, rep)
+		}
 		h.hear(w, rep)
 	}
 	h.touch(w)
--- a/internal/coordination/hearing.go
+++ b/internal/coordination/hearing.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"log/slog"
 	"time"
 
 	"daledyke/internal/protocol"
@@ -96,3 +97,17 @@
 		h.pump(w)
 	}
 }
+
+// beganAnew takes in that a machine's direct answer has lower numbers than what was heard of it,
+// though nothing came since it was asked: it counts from the beginning. Its lease may count from
+// any time before now: counted from the last answer, it was once over for this holder and not for
+// what had been started since. Before it is used again it shows a token newer than all before.
+func (h *Holder) beganAnew(w *worker, rep *protocol.Report) {
+	slog.Info("machine began anew", "machine", w.id, "was", w.session, "is", rep.Session)
+	now := time.Now()
+	w.session, w.ticket, w.shown, w.lapsedIn = rep.Session, rep.Ticket-1, 0, 0
+	w.lastAnswer, w.answered = now, time.Time{}
+	w.seq++
+	w.hearing.doubt(protocol.NewToken(w.slot.term, w.seq), now)
+	h.touch(w)
+}
--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/hearing_test.go
@@ -121,6 +121,42 @@
 	})
 }
 
+// A machine that began anew, unseen, is first heard by its answer to a direct command, which starts
+// a task there. Its lease counts from when it began, which may be a moment ago: not from what was
+// answered before.
+func TestAMachineThatBeganAnewHasItsLease(t *testing.T) {
+	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, s *heldSlot) {
+		h.jobs["wk-1"] = pendingJob("wk-1")
+		h.Report(report(2, 5, protocol.NewToken(7, 1)))
+		h.told()
+		w := h.byID["host-000004"]
+		time.Sleep(7 * time.Second)
+		w.busy, w.askedAfter, w.hearing = true, w.ticket, hearing{}
+		o := protocol.Orders{Token: protocol.NewToken(7, 9), Session: 2, Commands: []protocol.Command{{Verb: protocol.VerbStart, Task: "wk-1/0", Attempt: 3}}}
+		w.seq = 9
+		// Refused, since its session is another: the next one is sent to that.
+		h.executed(w, o, report(1, 2, 0), false, nil)
+		if w.session != 1 || h.startable(w) {
+			t.Errorf("it is used before it showed that it hears: %+v", w)
+		}
+		w.seq++
+		o = protocol.Orders{Token: protocol.NewToken(7, w.seq), Session: 1, Commands: o.Commands}
+		w.busy, w.askedAfter = true, w.ticket
+		w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 3, state: board.TaskStarting, token: o.Token}
+		running := report(1, 3, o.Token)
+		running.Tasks = []protocol.TaskReport{{Task: "wk-1/0", Attempt: 3, State: protocol.TaskRunning}}
+		h.executed(w, o, running, true, nil)
+		time.Sleep(c.WorkerLease() - time.Second)
+		if h.told(); w.lapsed || w.entries["wk-1/0"] == nil {
+			t.Errorf("taken for gone: %+v", w)
+		}
+		time.Sleep(2 * time.Second)
+		if h.told(); !w.lapsed {
+			t.Error("no lease lasts as long as that")
+		}
+	})
+}
+
 // A command that was never sent, for want of a connection, says nothing of its machine: what it
 // was to start waits on, and the machine is not doubted. (Once many machines that were silent
 // together held all connections, and healthy ones were held for deaf.)
@@ -151,6 +187,47 @@
 	})
 }
 
+// A machine that had come to its third session begins anew, with numbers from the beginning. Its
+// next holder knows what runs there by then. What was sent before and comes only now has a higher
+// session, and is older all the same, as its token shows: it doesn't prove that anything ended.
+// Once it did, and the tasks were started again elsewhere beside those that ran on.
+func TestACopyFromBeforeAMachineBeganAnewEndsNothing(t *testing.T) {
+	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, s *heldSlot) {
+		h.jobs["wk-1"] = pendingJob("wk-1")
+		h.Report(report(1, 3, protocol.NewToken(6, 2)))
+		h.told()
+		w := h.byID["host-000004"]
+		running := report(1, 4, protocol.NewToken(7, w.seq))
+		running.Tasks = []protocol.TaskReport{{Task: "wk-1/0", Attempt: 1, State: protocol.TaskRunning}}
+		if status, _ := h.Report(running); status != http.StatusOK || w.entries["wk-1/0"] == nil {
+			t.Fatal("it is not believed", status)
+		}
+		answered := w.entitled()
+		time.Sleep(time.Second)
+		for _, old := range []*protocol.Report{report(3, 50, protocol.NewToken(5, 9)), report(1, 50, protocol.NewToken(5, 9))} {
+			if status, _ := h.Report(old); status == http.StatusOK || w.entries["wk-1/0"] == nil || w.session != 1 || w.entitled().Before(answered) {
+				t.Errorf("session %d: %d, %+v", old.Session, status, w)
+			}
+		}
+		// What it reports itself counts as before.
+		running.Ticket++
+		if status, _ := h.Report(running); status != http.StatusOK {
+			t.Error("it is turned away", status)
+		}
+		// And so does one that comes after a session that ended, also where the machine began
+		// anew unseen: whatever it shows from then on is newer than all before.
+		shown := w.seq
+		time.Sleep(config.Surely(c.WorkerLease()) + time.Second)
+		if h.told(); !w.lapsed {
+			t.Fatal("no lease lasts as long as that")
+		}
+		w.lastHeard = time.Now() // as one that was answered in vain
+		if status, body := h.Report(report(2, 3, 0)); status != http.StatusOK || body.(protocol.ReportAnswer).Token <= protocol.NewToken(7, shown) {
+			t.Error("it is not heard again under a token of its own", status, body)
+		}
+	})
+}
+
 // modelWorker is a machine with one task, by the protocol: a plain model of what may run.
 type modelWorker struct {
 	session, ticket uint64
@@ -299,10 +376,22 @@
 					m.session, m.ticket, m.token, m.renewed, m.running, m.again, m.next = 1, 0, 0, time.Now(), false, true, time.Now()
 				},
 				"a task runs there": func(rt *rapid.T) {
-					// Started by whoever holds it, who knows it to be there: only where it is known.
-					if w := h.byID["host-000004"]; w != nil && w.verified && !w.lapsed && s.complete && !m.deaf && !m.again && m.session == w.session && !m.running {
-						m.running, m.next = true, time.Now()
-						w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 1, state: protocol.TaskRunning}
+					// Started by whoever holds it, by a direct command, who knows it to be there: only
+					// where it is known. Whether its answer comes or not, unless it began anew unseen.
+					w := h.byID["host-000004"]
+					if w == nil || w.lapsed || w.busy || !s.complete || !h.startable(w) || m.deaf || m.running || w.entries["wk-1/0"] != nil || m.session != w.session {
+						return
+					}
+					w.seq++
+					o := protocol.Orders{Token: protocol.NewToken(term, w.seq), Session: w.session, Commands: []protocol.Command{{Verb: protocol.VerbStart, Task: "wk-1/0", Attempt: 1}}}
+					w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 1, state: board.TaskStarting, token: o.Token}
+					w.busy, w.askedAfter = true, w.ticket
+					m.token, m.running, m.next = o.Token, true, time.Now()
+					rep := m.snapshot()
+					if m.again || rapid.Bool().Draw(rt, "answered") {
+						h.executed(w, o, &rep, true, nil)
+					} else {
+						h.executed(w, o, nil, false, transport.ErrUnknown)
 					}
 				},
 			})
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -102,6 +102,8 @@
 	// awaited are machines that may have tasks and have not reported under
 	// this term yet.
 	awaited map[string]bool
+	// issued is the highest number of a token of machines that were dropped.
+	issued uint64
 }
 
 type worker struct {
@@ -110,6 +112,10 @@
 	slot                *heldSlot
 	session, ticket     uint64
 	seq                 uint64
+	// shown is the highest token that it reported since its lease last surely ended; askedAfter
+	// the ticket last heard when the direct command under way was sent.
+	shown      protocol.Token
+	askedAfter uint64
 	// verified: a report under this slot's term has come (invariant 3).
 	verified   bool
 	firstHeard time.Time
@@ -266,6 +272,8 @@
 	for _, w := range h.byID {
 		if !w.lapsed && now.Sub(w.entitled()) > lease {
 			w.lapsed, w.lapsedIn = true, w.session
+			// Should it have begun anew: whatever it shows from now on is newer than all before.
+			w.shown, w.seq = 0, w.seq+1
 			clear(w.entries)
 			h.touch(w)
 			slog.Info("lease lapsed", "machine", w.id)
@@ -321,9 +329,11 @@
 
 // drop takes a machine off what is told of the slots.
 func (h *Holder) drop(id string) {
-	if h.byID[id] == nil {
+	w := h.byID[id]
+	if w == nil {
 		return
 	}
+	w.slot.issued = max(w.slot.issued, w.seq)
 	delete(h.byID, id)
 	if len(h.gone) == maxGone {
 		h.gone = h.gone[1:]
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -39,12 +39,12 @@
 	}
 	w := h.byID[rep.Machine]
 	if w == nil {
-		w = &worker{id: rep.Machine, slot: s, seq: 1, firstHeard: time.Now(), entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
+		w = &worker{id: rep.Machine, slot: s, seq: s.issued + 1, firstHeard: time.Now(), entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
 		h.byID[rep.Machine] = w
 	}
 	was := w.session
 	late := time.Since(w.lastHeard) > h.cfg.ReportEvery()*2
-	if !rep.Newer(w.session, w.ticket) {
+	if !w.isNewer(rep) {
 		// An old message that was held up on its way, or a copy: it must not count as an
 		// answer, nor as news. Nor is it used if the worker began anew and counts from the
 		// beginning: that shows in its next session, a lease later at most.
@@ -75,12 +75,21 @@
 	return http.StatusOK, protocol.ReportAnswer{Token: protocol.NewToken(s.term, w.seq), Commands: stops}
 }
 
+// isNewer tells whether a report is newer than all that was heard of its machine: by its numbers,
+// and by the highest token that it has seen, which never falls either. Where the two disagree the
+// machine began anew and counts from the beginning, before or after: a copy from before that,
+// with a later session, once had what ran there taken for gone.
+func (w *worker) isNewer(rep *protocol.Report) bool {
+	return rep.Newer(w.session, w.ticket) && rep.Token >= w.shown
+}
+
 // hear takes in a report, from whichever way it came; false if it is no news.
 func (h *Holder) hear(w *worker, rep *protocol.Report) bool {
-	if !rep.Newer(w.session, w.ticket) || rep.Session <= w.lapsedIn {
+	if !w.isNewer(rep) || rep.Session <= w.lapsedIn {
 		return false
 	}
 	now := time.Now()
+	w.shown = rep.Token
 	news := rep.Session > w.session || w.lapsed || w.silent || w.notice != (rep.NoticeS != nil)
 	was := w.verified
 	if rep.Session > w.session && w.session != 0 {
