--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -300,11 +300,11 @@
 	for _, k := range rand.Perm(len(addrs))[:asked] {
 		go func() { answers <- h.workers.Reachable(h.ctx, addrs[k]) }()
 	}
-	any := false
+	reached := false
 	for range asked {
-		any = <-answers || any
+		reached = <-answers || reached
 	}
-	return any
+	return reached
 }
 
 // stray is a report that came to a controller that does not hold its machine.
