Reread: a stray is one type and told only lately; docs of machines that begin anew or are mute

Found by rereading the change: a second type beside board.Stray, and the comparison of numbers written again beside Report.Newer; a slot's record looked up twice in a report; an old stray sent with every reply of a feed, and the holder told of each reply, also where there is nothing to tell. Change: one type; told for two reports, which is as long as it counts; nothing is passed on where there is nothing. Behaviour as before. The question that a machine gets before it counts as silent also finds one that began anew: it is known again after two reports, unless its lease lapsed before.

--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		inc, since = r.Incarnation, r.Version
-		if name != o.cfg.Name {
+		if name != o.cfg.Name && (r.Stray.Machine != "" || !r.TellsStrays) {
 			o.strayed(r.Stray, r.TellsStrays, time.Now())
 		}
 		o.ask(o.ctx, func() { o.feed(name, &a, &r, sent) })
--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/hearing_test.go
@@ -258,6 +258,33 @@
 	})
 }
 
+// A machine that began anew, with numbers from the beginning, is asked once it was not heard for
+// two reports, and is known again by what it answers: not when its numbers have caught up.
+func TestAMachineThatBeganAnewIsAsked(t *testing.T) {
+	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, s *heldSlot) {
+		h.Report(report(3, 50, protocol.NewToken(7, 1)))
+		h.told()
+		w, begin := h.byID["host-000004"], time.Now()
+		for ticket := uint64(1); w.session == 3 && time.Since(begin) < c.WorkerLease(); ticket++ {
+			if status, _ := h.Report(report(1, ticket, 0)); status != http.StatusServiceUnavailable {
+				t.Fatal("it is taken at its word", status)
+			}
+			time.Sleep(time.Second)
+			h.told()
+			if w.probed.After(begin.Add(2 * c.ReportEvery())) {
+				w.busy, w.askedAfter = true, w.ticket
+				h.executed(w, protocol.Orders{Session: 3}, report(1, ticket+1, 0), false, nil)
+			}
+		}
+		if since := time.Since(begin); w.session != 1 || w.lapsed || since > h.silentAfter()+time.Second {
+			t.Errorf("after %v: %+v", since, w)
+		}
+		if status, _ := h.Report(report(1, 100, 0)); status != http.StatusOK {
+			t.Error("it is turned away", status)
+		}
+	})
+}
+
 // That a holder's machines report elsewhere is shown by messages that it has not heard, made since
 // it took the slot: not by copies of old ones. A version that doesn't tell is taken to have seen some.
 func TestStraysAreNoCopies(t *testing.T) {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -58,8 +58,8 @@
 	opinions     map[string]placement.Opinion // of jobs that failed somewhere
 	found        uint64                       // lots of machines that nobody had registered
 	finding      bool
-	// probing: most workers went silent together, so it is this controller
-	// that they can't reach.
+	// probing: most workers went silent together, and it is being found out whether it is
+	// this controller that they can't reach, or it is and waits for them.
 	probing bool
 	// strays are machines that reported here though others hold them, the newest of each
 	// holder; strayedAt is when one of this holder's own last did so elsewhere.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -18,15 +18,19 @@
 func (h *Holder) Report(rep *protocol.Report) (status int, body any) {
 	slot := h.slotOf(rep.Machine)
 	s := h.slots[slot]
-	if rec := h.records[slot]; s == nil && rec != nil && rec.Holder != "" && rec.Holder != h.cfg.Name {
-		h.strays[rec.Holder] = stray{rep.Machine, rep.Session, rep.Ticket, time.Now()}
+	holder := "" // the other that holds it
+	if rec := h.records[slot]; s == nil && rec != nil && rec.Holder != h.cfg.Name {
+		holder = rec.Holder
+	}
+	if holder != "" {
+		h.strays[holder] = stray{board.Stray{Machine: rep.Machine, Session: rep.Session, Ticket: rep.Ticket}, time.Now()}
 	}
 	if !h.mayAnswer() {
 		return http.StatusServiceUnavailable, nil
 	}
 	if s == nil {
-		if rec := h.records[slot]; rec != nil && rec.Holder != "" && rec.Holder != h.cfg.Name && h.members[rec.Holder] != nil {
-			return http.StatusMisdirectedRequest, protocol.Redirect{Node: rec.Holder}
+		if h.members[holder] != nil {
+			return http.StatusMisdirectedRequest, protocol.Redirect{Node: holder}
 		}
 		if h.latest != nil && slot < len(h.latest.Deal) && !h.wants(slot) && h.members[h.latest.Deal[slot]] != nil {
 			return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latest.Deal[slot]}
@@ -50,7 +54,7 @@
 	if !w.isNewer(rep) {
 		// An old message that was held up on its way, or a copy: it must not count as an
 		// answer, nor as news. Nor is it used if the worker began anew and counts from the
-		// beginning: that shows in its next session, a lease later at most.
+		// beginning: that shows once it is asked, or in its next session.
 		return http.StatusServiceUnavailable, nil
 	}
 	if was == rep.Session {
@@ -262,7 +266,7 @@
 	// They report elsewhere, or can't be reached themselves: else it is they who reach nobody,
 	// and handing them over helps none. (Once all controllers took themselves for deaf together,
 	// and all slots changed hands, as often as machines had been mute for a moment.)
-	strayed := now.Sub(h.strayedAt) < 2*h.cfg.ReportEvery()
+	strayed := now.Sub(h.strayedAt) < h.strayLately()
 	if total < 3 || 3*quiet <= 2*total || h.probing || !strayed && len(addrs) == 0 {
 		return
 	}
@@ -307,13 +311,15 @@
 	return reached
 }
 
-// stray is a report that came to a controller that does not hold its machine.
+// stray is a report that came here though another holds its machine.
 type stray struct {
-	machine         string
-	session, ticket uint64
-	at              time.Time
+	board.Stray
+	at time.Time
 }
 
+// strayLately is for how long a stray says something of whom its machine can reach.
+func (h *Holder) strayLately() time.Duration { return 2 * h.cfg.ReportEvery() }
+
 // strayed takes in what a sibling says of this holder's machines that reported to it. Only what
 // was not heard here says something: copies of old reports go anywhere.
 func (h *Holder) strayed(n board.Stray, told bool, heard time.Time) {
@@ -325,7 +331,8 @@
 	if n.Machine == "" || s == nil {
 		return
 	}
-	if w := h.byID[n.Machine]; w != nil && (n.Session < w.session || n.Session == w.session && n.Ticket <= w.ticket) {
+	rep := protocol.Report{Session: n.Session, Ticket: n.Ticket}
+	if w := h.byID[n.Machine]; w != nil && !rep.Newer(w.session, w.ticket) {
 		return
 	}
 	if at := heard.Add(-time.Duration(n.AgoMs) * time.Millisecond); at.After(s.adopted) && at.After(h.strayedAt) {
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -231,8 +231,9 @@
 		r.ServedMs = max(1, time.Since(h.served()).Milliseconds())
 	}
 	r.TellsStrays = true
-	if s := h.strays[a.Caller]; s.machine != "" {
-		r.Stray = board.Stray{Machine: s.machine, Session: s.session, Ticket: s.ticket, AgoMs: time.Since(s.at).Milliseconds()}
+	if s := h.strays[a.Caller]; time.Since(s.at) < h.strayLately() {
+		r.Stray = s.Stray
+		r.Stray.AgoMs = time.Since(s.at).Milliseconds()
 	}
 	if h.window != nil {
 		r.Window = h.window.Number
