--- a/internal/lab/hosts.go
+++ b/internal/lab/hosts.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -86,7 +88,8 @@
 	if h.own != "" {
 		args = append(args, "--settings", h.own)
 	}
-	log, err := os.OpenFile(filepath.Join(h.logs, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	said := filepath.Join(h.logs, name+".log")
+	log, err := os.OpenFile(said, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -101,14 +104,14 @@
 	p := &process{cmd: cmd, killed: make(chan struct{}), over: make(chan struct{})}
 	h.running[name] = p
 	go func() {
-		err := cmd.Wait()
+		cmd.Wait()
 		log.Close()
 		close(p.over)
 		select {
 		case <-p.killed:
 		default:
 			if h.ended != nil {
-				h.ended(name, err)
+				h.ended(name, fmt.Errorf("%v: %s", cmd.ProcessState, tail(said)))
 			}
 		}
 	}()
@@ -145,8 +148,12 @@
 	}
 }
 
-// freePorts gives addresses on loopback that nothing listens at now.
+// freePorts gives addresses on loopback that nothing listens at now, and nothing else on this
+// machine takes before a controller does, or while one is away: their host is drawn. Connections
+// go out from 127.0.0.1, by ports that the kernel draws from those that are free; once, one of
+// them had a controller's, which could not start.
 func freePorts(n int) (addrs []string, err error) {
+	host := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(254)), byte(rand.N(256)), byte(1 + rand.N(254))})
 	var open []net.Listener
 	defer func() {
 		for _, l := range open {
@@ -154,7 +161,7 @@
 		}
 	}()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 		if err != nil {
 			return nil, err
 		}
