--- a/regress.sh
+++ b/regress.sh
@@ -63,14 +63,16 @@
   return $status
 }
 
-# A day fails if less than half of any one class or team is served; below the second figure
-# it is worth a look. (Of a class's largest jobs the reports tell nothing: the lab does.)
+# A day fails if less than half of any one class, team or class's largest jobs is served; below
+# the second figure it is worth a look.
 least=0.5
 look=0.65
 
-# served REPORT...: for each day the class and the team that were served least. Of services
-# the share of replica time counts, of other jobs the smaller of those that began and those
-# that were done, of all that were not cancelled; of teams, jobs that began.
+# served REPORT...: for each day the class, the team and the class's largest jobs that were served
+# least. Of services the share of replica time counts, of other jobs the smaller of those that
+# began and those that were done, of all that were not cancelled; of teams and of largest jobs (to
+# begin within four minutes) those that began. Also a job that was left waiting though there was
+# room, a start after a confirmed cancellation and the like fail a day.
 served() {
   command -v jq >/dev/null || { echo "jq is needed to read the days' reports" >&2; return 2; }
   local status=0 report line
@@ -82,11 +84,14 @@
       (.classes | with_entries(.value |= (if .up != null then .up
         else ([share(.started; .jobs - .cancelled), share(.done; .jobs - .cancelled)] | min) end)) | worst) as $class
       | (.teams | with_entries(.value |= share(.started; .jobs)) | worst) as $team
-      | ([$class.value, $team.value] | min) as $low
-      | "\(.scenario) seed \(.seed), \(.machines) machines: class \($class.key) \($class.value | told), team \($team.key) \($team.value | told)"
-        + (if $low < $least then "  UNSERVED" elif $low < $look then "  (low)" else "" end)' "$report" 2>&1); then
+      | ((.largest // {}) | with_entries(.value |= share(.started; .jobs)) | worst // {key: "-", value: 1}) as $largest
+      | ([$class.value, $team.value, $largest.value] | min) as $low
+      | "\(.scenario) seed \(.seed), \(.machines) machines: class \($class.key) \($class.value | told), team \($team.key) \($team.value | told), largest \($largest.key) \($largest.value | told)"
+        + (if $low < $least then "  UNSERVED" elif $low < $look then "  (low)" else "" end)
+        + (if (.idle.neglected // 0) > 0 then "  NEGLECTED \(.idle.neglected)" else "" end)
+        + ((.idle.slips // {}) | if . != {} then "  SLIPS \(.)" else "" end)' "$report" 2>&1); then
       echo "$line"
-      [[ $line != *UNSERVED ]] || status=1
+      [[ ! $line =~ UNSERVED|NEGLECTED|SLIPS ]] || status=1
     else
       echo "$report: not a day's report: $line" >&2
       status=1
