Gangs keep their places while they assemble; a machine is asked about a command it left unanswered

Replayed: a gang's images take longer than its tasks wait for each other. The room of such a task is kept until its owner says what becomes of it, and as long as every other task of the gang has its place, the owner has it reserved for the same attempt.

A direct command without an answer left its machine unused until two reports had come; it is asked once, a second later.

--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -29,7 +29,7 @@
 	}
 	r := t.Room()
 	for _, e := range w.entries {
-		if !e.exited() && (queued || e.state != board.TaskQueued) {
+		if e.takesRoom() && (queued || e.state != board.TaskQueued) {
 			if h.jobs[e.job] == nil {
 				return protocol.Room{} // what it takes will be known soon
 			}
@@ -201,8 +201,10 @@
 	}
 	if err != nil {
 		// Unknown: the next answer's higher token fences what is in flight, and shows
-		// whether the machine hears.
+		// whether the machine hears. It is asked for one, once: that comes sooner than by reports,
+		// and until then nothing more is started there.
 		w.seq++
+		w.probe = len(o.Commands) > 0
 		w.holdOff = time.Now().Add(time.Second)
 		if w.silent { // many may be, and each attempt holds a connection until it is given up
 			w.holdOff = time.Now().Add(silentGap)
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -241,10 +241,18 @@
 	p := o.placingFor(js, "")
 	looked := 0
 	for index := 0; index < s.Tasks && looked < 32; index++ {
-		if len(o.board.Tasks[s.ID][index]) > 0 || js.pending[index] != nil {
+		there := o.board.Tasks[s.ID][index]
+		kept := len(there) == 1 && there[0].State == board.TaskReserved && there[0].Attempt == attempt
+		if len(there) > 0 && !kept || js.pending[index] != nil || now.Before(js.retryAt[index]) {
 			continue
 		}
 		looked++
+		if kept {
+			if o.teamRoom(js, 0) { // it counts already
+				o.start(js, index, attempt, placement.Choice{Machine: there[0].Machine}, false, rq)
+			}
+			continue
+		}
 		if !o.teamRoom(js, 1) {
 			break
 		}
--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/hearing_test.go
@@ -498,3 +498,37 @@
 		})
 	})
 }
+
+// A machine that left a command unanswered is asked once more soon after, so that what became of
+// the command is known before its next reports tell; one that leaves the question unanswered as
+// well is not asked over and over.
+func TestAnUnansweredCommandIsAskedAbout(t *testing.T) {
+	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, s *heldSlot) {
+		h.Report(report(1, 5, protocol.NewToken(7, 1)))
+		h.told()
+		w := h.byID["host-000004"]
+		lost := protocol.Orders{Token: protocol.NewToken(7, w.seq), Session: 1, Commands: []protocol.Command{{Verb: protocol.VerbStop, Task: "wk-1/0", Attempt: 1}}}
+		h.executed(w, lost, nil, false, errors.New("no answer"))
+		if !w.hearing.doubted() || !w.probe {
+			t.Fatalf("nothing is asked: %+v", w)
+		}
+		was := w.seq
+		for range 8 { // the rest is what the actor does
+			time.Sleep(250 * time.Millisecond)
+			h.told()
+		}
+		if w.seq == was || w.probe {
+			t.Errorf("it was not asked after 2 s: %+v", w)
+		}
+		w.busy = false
+		h.executed(w, protocol.Orders{Token: protocol.NewToken(7, w.seq), Session: 1}, nil, false, errors.New("no answer"))
+		if w.probe {
+			t.Error("it is asked at once again")
+		}
+		answer := report(1, 9, protocol.NewToken(7, w.seq))
+		h.executed(w, protocol.Orders{Session: 1}, answer, true, nil)
+		if w.hearing.doubted() {
+			t.Error("its answer does not count")
+		}
+	})
+}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -172,12 +172,13 @@
 	saved   bool
 	// token is that of the start command, as long as its outcome is open.
 	token protocol.Token
-	until time.Time // end of a reservation or of waiting for room
+	until time.Time // end of a reservation, of waiting for room, or of a place that is kept
 	ahead bool      // reserved before there is room for it
 	stop  bool
 	grace float64
 	sent  time.Time // when the last stop or forget was sent
 	reap  bool
+	keep  bool // once it is forgotten its place is reserved for the same attempt
 	// ran is since when it runs, if it was seen to begin; proven that it runs
 	// for long enough to show that it can.
 	ran    time.Time
@@ -188,6 +189,10 @@
 
 func (e *entry) exited() bool { return e.state == protocol.TaskExited }
 
+// takesRoom tells whether nothing else may have its room: it is or may be there, or its place is
+// kept.
+func (e *entry) takesRoom() bool { return !e.exited() || !e.until.IsZero() }
+
 // NewHolder makes the actor.
 func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
 	var siblings []string
@@ -317,6 +322,10 @@
 				delete(w.entries, name)
 				h.touch(w)
 			}
+			if e.exited() && !e.until.IsZero() && now.After(e.until) {
+				e.until = time.Time{}
+				h.touch(w)
+			}
 		}
 		if !w.settled {
 			h.pump(w)
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -44,6 +44,9 @@
 	Machine string
 	GraceS  float64
 	Forget  bool
+	// Keep has the room of a forgotten task kept for the same attempt for a moment: the others of
+	// its gang still get ready. The version before gives it up.
+	Keep bool
 }
 
 // AskArgs is a request of a job's owner to a holder.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -164,6 +164,11 @@
 			news = true
 			h.noteState(w, e, t)
 		}
+		if t.Cause == protocol.CauseIncomplete && e.state != "" && !e.exited() {
+			// Its owner says what becomes of its place. (Once others had it at once; it started
+			// elsewhere, fetched its image there, and the rest of the gang waited in vain in turn.)
+			e.until = time.Now().Add(askedFor)
+		}
 		e.state, e.cause, e.saved, e.token = t.State, t.Cause, t.Saved, 0
 		if e.state == protocol.TaskRunning && !e.proven && !e.ran.IsZero() && time.Since(e.ran) >= placement.ProvenAfter {
 			e.proven = true
@@ -178,11 +183,21 @@
 		default:
 			news = true
 			delete(w.entries, name)
+			if e.exited() && e.keep && !h.over(e.job) && h.startable(w) {
+				w.entries[name] = &entry{task: name, job: e.job, index: e.index, attempt: e.attempt, state: board.TaskReserved, until: time.Now().Add(reservedFor)}
+			}
 		}
 	}
 	return news
 }
 
+const (
+	// askedFor is for how long the place of a task that waited for its gang in vain is kept
+	// until its owner asks for it; reservedFor how long a reservation lasts.
+	askedFor    = 3 * time.Second
+	reservedFor = 6 * time.Second
+)
+
 // noteState learns from a task's new state: which images the machine has,
 // and whether it fails what it is given.
 func (h *Holder) noteState(w *worker, e *entry, t protocol.TaskReport) {
--- a/internal/coordination/review.go
+++ b/internal/coordination/review.go
@@ -8,6 +8,7 @@
 
 	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
+	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
@@ -234,7 +235,8 @@
 	}
 	i.Asked = now
 	a := o.to(rq, i.Machine)
-	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.Machine.ID, Forget: true})
+	keep := i.Cause == protocol.CauseIncomplete && o.account(js) == "" && placement.GangAssembles(o.board.Tasks[i.Job], js.job.Spec.Tasks, func(index int) bool { return js.pending[index] != nil })
+	a.Stops = append(a.Stops, Stop{Task: i.Task, Attempt: i.Attempt, Machine: i.Machine.ID, Forget: true, Keep: keep})
 }
 
 func (o *Owner) askStop(i *board.Instance, grace float64, now time.Time, rq requests) {
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -124,7 +124,7 @@
 	}
 	e := &entry{task: st.Task, job: jobID, index: index, attempt: st.Attempt, state: board.TaskQueued, until: now.Add(20 * time.Second)}
 	if st.Reserve {
-		e.state, e.until, e.ahead = board.TaskReserved, now.Add(6*time.Second), st.Ahead
+		e.state, e.until, e.ahead = board.TaskReserved, now.Add(reservedFor), st.Ahead
 	}
 	w.entries[st.Task] = e
 	return ""
@@ -154,7 +154,10 @@
 	}
 	switch {
 	case st.Forget:
-		e.reap = true
+		e.reap, e.keep = true, st.Keep && e.exited()
+		if !e.keep && e.exited() {
+			e.until = time.Time{}
+		}
 	case e.state == board.TaskReserved || e.state == board.TaskQueued:
 		delete(w.entries, st.Task)
 	default:
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -326,6 +326,16 @@
 		by, err := time.ParseDuration(args[0])
 		w.em.State.Late(by)
 		return err
+	case "state-unheard": // state-unheard SHARE: so many transactions are carried out and their answers lost, 0 for no more
+		share, err := strconv.ParseFloat(args[0], 64)
+		w.em.State.Unheard(share)
+		return err
+	case "late-commands": // late-commands SHARE: so many direct commands are held up for seconds, unanswered, 0 for no more
+		share, err := strconv.ParseFloat(args[0], 64)
+		w.em.HoldCommands(share)
+		return err
+	case "reports-kept": // reports-kept on|off: copies of reports are kept, and reach every controller at once when that ends
+		w.em.KeepReports(onOff(args))
 	case "state-refuses":
 		w.em.State.Refuse(args[0], onOff(args))
 	case "older-records": // as a version left them that kept no rosters
@@ -352,9 +362,9 @@
 		return err
 	case "machine": // machine TASK hangs|resumes|dies|sickens|leaves|deafens|holds|hears|mutes|speaks|reboots
 		return w.strike(args[0], args[1])
-	case "machines": // machines N deafens|holds|hears|mutes|speaks|reboots: as many of them, drawn by chance, or those that were; 0: all
+	case "machines": // machines N hangs|resumes|deafens|holds|hears|mutes|speaks|reboots: as many of them, drawn by chance, or those that were; 0: all
 		n, err := strconv.Atoi(args[0])
-		if ends := emulator.Trouble(args[1]); ends == emulator.Hears || ends == emulator.Speaks {
+		if ends := emulator.Trouble(args[1]); ends == emulator.Hears || ends == emulator.Speaks || ends == emulator.Resumes {
 			for _, id := range w.some {
 				w.em.Strike(id, ends) // it may have been returned meanwhile
 			}
@@ -413,6 +423,8 @@
 			s.EstimateS = number
 		case "apart": // each task runs so much longer than the one before
 			apart = protocol.Seconds(number)
+		case "gb": // an image of its own, so large
+			s.Image, s.ImageGB = "img-"+s.ID, number
 		case "cores":
 			s.Cores = number
 		case "ram":
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -315,8 +315,11 @@
 	}
 }
 
-// echo has a copy of a report come later, if that is the world's present trouble.
+// echo has a copy of a report come later, or kept, if that is the world's present trouble.
 func (m *machine) echo(rep protocol.Report) {
+	if _, kept := m.w.kept[m.id]; m.w.keeps && !kept {
+		m.w.kept[m.id] = rep
+	}
 	if m.w.echo <= 0 {
 		return
 	}
@@ -436,6 +439,20 @@
 		return
 	}
 	var rep protocol.Report
+	held := false
+	if m.w.loop.do(func() {
+		if held = m.w.held > 0 && m.w.rng.Float64() < m.w.held; held {
+			m.w.loop.after(time.Duration(m.w.spread(2, 16)*float64(time.Second)), func() {
+				if !m.hung && !m.deaf && !m.dead && o.Token >= m.token && o.Session == m.session {
+					m.token = o.Token
+					m.obey(o.Commands)
+				}
+			})
+		}
+	}); held {
+		Pause(r.Context(), time.Minute)
+		panic(http.ErrAbortHandler)
+	}
 	status := http.StatusOK
 	m.onLoop(func() {
 		if o.Token < m.token || o.Session != m.session {
--- a/internal/emulator/state.go
+++ b/internal/emulator/state.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,6 +32,8 @@
 	lags    map[string]time.Duration
 	slow    time.Duration
 	late    time.Duration
+	unheard float64 // share of transactions whose answers are lost
+	rng     *rand.Rand
 	page    int
 	counts  StateCounts
 	// unsaved are changes that go with the next commit, which closes next; current
@@ -50,7 +53,7 @@
 // NewState makes a state service that lives as long as ctx. With a directory it goes
 // on with the state that is kept there.
 func NewState(ctx context.Context, l Limits, dir string) (*State, error) {
-	s := &State{store: newStore(), changed: make(chan struct{}), refuses: map[string]bool{}, lags: map[string]time.Duration{}, page: pageKeys}
+	s := &State{store: newStore(), changed: make(chan struct{}), refuses: map[string]bool{}, lags: map[string]time.Duration{}, page: pageKeys, rng: rand.New(rand.NewPCG(0, 0x57a7e))}
 	if dir != "" {
 		var err error
 		if s.disk, err = openDisk(dir); err != nil {
@@ -112,6 +115,10 @@
 // ends it.
 func (s *State) Late(by time.Duration) { s.loop.do(func() { s.late = by }) }
 
+// Unheard has that share of transactions carried out at once, and their answers lost; 0 ends
+// it.
+func (s *State) Unheard(share float64) { s.loop.do(func() { s.unheard = share }) }
+
 // Pages bounds the keys on a page of a listing.
 func (s *State) Pages(most int) { s.loop.do(func() { s.page = most }) }
 
@@ -358,7 +365,8 @@
 	t := &txn{}
 	err := read(r, t)
 	var late time.Duration
-	s.loop.do(func() { late = s.late })
+	unheard := false
+	s.loop.do(func() { late, unheard = s.late, s.unheard > 0 && s.rng.Float64() < s.unheard })
 	if late > 0 && err == nil { // it is under way for so long, and its sender hears nothing
 		s.loop.do(func() {
 			s.loop.after(late, func() {
@@ -370,14 +378,27 @@
 		Pause(r.Context(), time.Minute)
 		panic(http.ErrAbortHandler)
 	}
+	if unheard {
+		w = deafWriter{w}
+	}
 	s.serve(w, r, func() (int, any) {
 		if err != nil {
 			return s.malformed(err)
 		}
 		return s.transact(t)
 	})
+	if unheard {
+		Pause(r.Context(), time.Minute)
+		panic(http.ErrAbortHandler)
+	}
 }
 
+// deafWriter takes an answer that its receiver never hears.
+type deafWriter struct{ http.ResponseWriter }
+
+func (deafWriter) WriteHeader(int)               {}
+func (deafWriter) Write(raw []byte) (int, error) { return len(raw), nil }
+
 // transact carries a transaction out, on the loop.
 func (s stateDoor) transact(t *txn) (int, any) {
 	if err := t.check(s.limits); err != nil {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -104,6 +104,11 @@
 	running     int
 	// echo is how much later copies of all reports come, 0 for none.
 	echo time.Duration
+	// held is the share of direct commands that are held up; keeps: copies of reports are kept,
+	// the first of each machine.
+	held  float64
+	keeps bool
+	kept  map[string]protocol.Report
 	// fronts are the addresses of the controllers' doors, by name.
 	fronts map[string]string
 	stops  []func()
@@ -235,6 +240,40 @@
 // whatever became of the machine meanwhile; 0 ends it, but for those under way.
 func (w *World) Echo(by time.Duration) { w.loop.do(func() { w.echo = by }) }
 
+// HoldCommands has that share of direct commands held up on their way: unanswered, and carried
+// out once, 2 to 16 s later, if token and session still match. 0 ends it, but for those under
+// way.
+func (w *World) HoldCommands(share float64) { w.loop.do(func() { w.held = share }) }
+
+// KeepReports has a copy kept of the next report of each machine; once it ends they reach every
+// controller at once.
+func (w *World) KeepReports(on bool) {
+	var all []protocol.Report
+	var to []string
+	w.loop.do(func() {
+		if w.keeps = on; on {
+			w.kept = map[string]protocol.Report{}
+			return
+		}
+		for _, m := range w.order {
+			if rep, kept := w.kept[m.id]; kept {
+				all = append(all, rep)
+			}
+		}
+		for _, name := range w.set.Controllers {
+			to = append(to, w.fronts[name])
+		}
+	})
+	go func() {
+		c := &http.Client{Transport: &http.Transport{DialContext: w.net.Dialer("copies"), DisableKeepAlives: true}}
+		for _, rep := range all {
+			for _, addr := range to {
+				request(w.loop.ctx, c, http.MethodPost, "http://"+addr+"/checkin", rep, reportAnswer) // nobody hears the answer
+			}
+		}
+	}()
+}
+
 // Made is how many machines were rented so far.
 func (w *World) Made() (n int) {
 	w.loop.do(func() { n = w.made })
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -19,6 +19,7 @@
 	"state-refuses": "TIME NODE",       // one controller gets 503
 	"state-slow":    "TIME BY",         // answers take so long
 	"state-late":    "TIME BY",         // transactions are applied so much later, unanswered
+	"state-unheard": "TIME SHARE",      // that share of transactions is carried out, and the answer lost
 	"state-lags":    "TIME NODE BY",    // one controller hears of changes late
 	"state-writes":  "TIME SHARE",      // its rate of changes falls to a share
 	"cloud-outage":  "TIME",            // the cloud is away
@@ -30,6 +31,8 @@
 	"cut":           "TIME NODE WHAT",  // from workers, siblings, services (the state service and siblings) or all (virtual time)
 	"cut-zone":      "TIME ZONE",       // what is in it from all else (virtual time)
 	"echoes":        "TIME BY",         // copies of reports come so much later
+	"late-commands": "TIME SHARE",      // that share of direct commands is held up for seconds, unanswered
+	"kept-reports":  "TIME",            // copies of reports are kept, and then reach every controller at once
 	"machines":      "TROUBLE N [FOR]", // N of them die, hang, deafen, hold or mute FOR, sicken, slow, reboot, leave or are taken
 	"spot-wave":     "SHARE",           // so many spot machines leave at once
 }
@@ -135,6 +138,12 @@
 		}
 		return 0
 	}
+	share := func(yes bool, v float64) float64 {
+		if yes {
+			return v
+		}
+		return 0
+	}
 	switch f.Verb {
 	case "state-outage":
 		during(f.Verb, state.Outage)
@@ -144,6 +153,12 @@
 		during(f.Verb, func(yes bool) { state.Slow(on(yes, long(1))) })
 	case "state-late":
 		during(f.Verb, func(yes bool) { state.Late(on(yes, long(1))) })
+	case "state-unheard":
+		during(f.Verb, func(yes bool) { state.Unheard(share(yes, number(1))) })
+	case "late-commands":
+		during(f.Verb, func(yes bool) { b.world.HoldCommands(share(yes, number(1))) })
+	case "kept-reports":
+		during(f.Verb, b.world.KeepReports)
 	case "state-lags":
 		during(f.Verb+f.Args[1], func(yes bool) { state.Lag(f.Args[1], on(yes, long(2))) })
 	case "state-writes":
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -93,7 +93,7 @@
 		return Fault{At: after(4 * time.Second), Verb: "crash", Args: []string{away, name}}
 	}
 	few := fmt.Sprint(2 + rng.IntN(8))
-	switch rng.IntN(7) {
+	switch rng.IntN(10) {
 	case 0: // the state service refuses one alone and then is away for all, and somebody may end
 		all := []Fault{{At: after(time.Second), Verb: "state-refuses", Args: []string{lasts(d.Lease / 2), node}},
 			{At: after(8 * time.Second), Verb: "state-outage", Args: []string{lasts(d.CancelWithin * 3 / 2)}}}
@@ -112,6 +112,13 @@
 		return []Fault{{At: after(time.Second), Verb: "crash", Args: []string{lasts(4 * time.Second), "all"}}, crash(node), crash(node)}
 	case 5: // transactions are carried out late while controllers end
 		return []Fault{{At: after(time.Second), Verb: "state-late", Args: []string{lasts(12 * time.Second), lasts(6 * time.Second)}}, crash(node), crash(other)}
+	case 6: // commands are held up while machines change hands, and some of them don't hear
+		return []Fault{{At: after(time.Second), Verb: "late-commands", Args: []string{lasts(d.Lease * 2), "0.5"}}, crash(node),
+			{At: after(5 * time.Second), Verb: "machines", Args: []string{[]string{"deafen", "hold", "hang", "mute"}[rng.IntN(4)], few, lasts(d.Lease)}}, crash(other)}
+	case 7: // what was done is not heard of, and whoever asked for it ends
+		return []Fault{{At: after(time.Second), Verb: "state-unheard", Args: []string{lasts(20 * time.Second), "0.4"}}, crash(node), crash(other)}
+	case 8: // copies of reports are kept, and come as somebody has just begun
+		return []Fault{{At: after(time.Second), Verb: "kept-reports", Args: []string{lasts(d.Lease / 2)}}, crash(node), crash(other)}
 	default: // copies of old reports come to who has just begun
 		return []Fault{{At: after(time.Second), Verb: "echoes", Args: []string{lasts(d.Lease * 2), lasts(d.Lease)}}, crash(node),
 			{At: after(5 * time.Second), Verb: "machines", Args: []string{"reboot", few}}}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -23,7 +23,7 @@
 	// GangYields: what is there can't become a whole gang, and has to go.
 	GangYields
 	// GangCompletes: it has not begun; a replacement with the same attempt
-	// number completes it.
+	// number completes it, at a place that is kept for it if there is one.
 	GangCompletes
 	// GangBroke: it ran and lacks a task; the rest notices by itself.
 	GangBroke
@@ -71,7 +71,7 @@
 		step = GangStarts
 	case reserved == live || !same:
 		step = GangYields
-	case live < tasks && begun == 0 && reserved == 0 && present == live:
+	case (live < tasks || reserved > 0) && begun == 0 && present == live:
 		step = GangCompletes
 	case live < tasks && begun > 0:
 		step = GangBroke
@@ -79,6 +79,23 @@
 	return GangState{step, attempt}
 }
 
+// GangAssembles tells whether every task of a gang that has not begun has its place, or is
+// about to (asked), though some waited in vain for those that are late: what has a place had
+// better keep it. A gang that lacks one gives up its others.
+func GangAssembles(there map[int][]*board.Instance, tasks int, asked func(index int) bool) bool {
+	for index := range tasks {
+		if len(there[index]) == 0 && !asked(index) {
+			return false
+		}
+		for _, i := range there[index] {
+			if i.Begun() || i.Exited() && i.Cause != protocol.CauseIncomplete {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // PickGang finds a machine for every task of a gang, nil if there are not
 // enough, and how long it takes until the last of them has its image. otherwise
 // is asked where no machine has room, if it is not nil.
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -27,6 +27,8 @@
 const (
 	CauseDone  = "done"
 	CauseError = "error"
+	// CauseIncomplete: a task of a gang waited for the others in vain.
+	CauseIncomplete = "incomplete"
 )
 
 // TaskReport is one task in a worker's report.
