--- a/internal/coordination/answers_test.go
+++ b/internal/coordination/answers_test.go
@@ -144,26 +144,27 @@
 		"news": func(_ *world, step func(string, ...string)) { step("lags", "c1", "2s"); step("lags", "c2", "700ms") },
 		"lost": func(_ *world, step func(string, ...string)) { step("state-unheard", "0.4") },
 		"late": func(_ *world, step func(string, ...string)) {
-			for n := range 5 {
-				time.AfterFunc(time.Duration(15+10*n)*time.Second, func() {
-					step("state-late", "4s")
-					time.Sleep(1500 * time.Millisecond)
-					step("state-late", "0s")
-				})
+			for range 5 {
+				time.Sleep(10 * time.Second)
+				step("state-late", "4s")
+				time.Sleep(1500 * time.Millisecond)
+				step("state-late", "0s")
 			}
 		},
 		"slow": func(_ *world, step func(string, ...string)) { step("state-slow", "300ms") },
 		"ends": func(w *world, step func(string, ...string)) {
 			step("lags", "c1", "1500ms")
 			for n := range 6 {
-				time.AfterFunc(time.Duration(20+13*n)*time.Second, func() {
-					step("crash", w.names[n%3])
-					time.Sleep(time.Duration(1+n) * 300 * time.Millisecond)
-					step("start", w.names[n%3])
-				})
+				time.Sleep(9 * time.Second)
+				step("crash", w.names[n%3])
+				time.Sleep(time.Duration(1+n) * 300 * time.Millisecond)
+				step("start", w.names[n%3])
+				if n == 3 {
+					step("state-refuses", "c2", "on")
+					time.Sleep(15 * time.Second)
+					step("state-refuses", "c2", "off")
+				}
 			}
-			time.AfterFunc(50*time.Second, func() { step("state-refuses", "c2", "on") })
-			time.AfterFunc(65*time.Second, func() { step("state-refuses", "c2", "off") })
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -178,13 +179,16 @@
 					}
 				}
 				time.Sleep(3 * time.Second)
-				troubles(w, func(verb string, args ...string) {
-					if err := w.step(verb, args); err != nil {
-						t.Error(err)
-					}
-				})
 				const users = 15
 				over := make(chan struct{})
+				go func() {
+					troubles(w, func(verb string, args ...string) {
+						if err := w.step(verb, args); err != nil {
+							t.Error(err)
+						}
+					})
+					over <- struct{}{}
+				}()
 				for n := range users {
 					run := 5 + float64(n%7)
 					s := &protocol.JobSpec{ID: fmt.Sprintf("wk-%d", n+1), Class: "batch", Team: "free", Shape: protocol.Array, Priority: "normal", Tasks: 1,
@@ -201,7 +205,7 @@
 						over <- struct{}{}
 					}()
 				}
-				for range users {
+				for range users + 1 {
 					<-over
 				}
 				time.Sleep(10 * time.Second) // the last answers
