--- a/internal/emulator/machine_test.go
+++ b/internal/emulator/machine_test.go
@@ -205,6 +205,10 @@
 		c := make(chan int, 1)
 		s.late[args[0]] = c
 		go func() { status, _ := s.command(args[0], args[1:], s.token); c <- status }()
+	case "hold-commands": // hold-commands SHARE
+		share, err := strconv.ParseFloat(args[0], 64)
+		s.HoldCommands(share)
+		return err
 	case "came":
 		select {
 		case status := <-s.late[args[1]]:
--- a/internal/emulator/state_test.go
+++ b/internal/emulator/state_test.go
@@ -110,13 +110,15 @@
 			}
 			for range 6 {
 				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
-				switch rng.IntN(4) {
+				switch rng.IntN(5) {
 				case 0:
 					w.State.Outage(true)
 				case 1:
 					w.State.Refuse("c1", true)
 				case 2:
 					w.State.Late(time.Duration(500+rng.IntN(4000)) * time.Millisecond)
+				case 3:
+					w.State.Unheard(0.6)
 				default:
 					w.State.Slow(time.Duration(rng.IntN(900)) * time.Millisecond)
 				}
@@ -124,6 +126,7 @@
 				w.State.Outage(false)
 				w.State.Refuse("c1", false)
 				w.State.Late(0)
+				w.State.Unheard(0)
 				w.State.Slow(0)
 			}
 			for range clients {
