--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -132,18 +132,6 @@
 	number := func(n int) float64 { v, _ := strconv.ParseFloat(f.Args[n], 64); return v }
 	long := func(n int) time.Duration { v, _ := time.ParseDuration(f.Args[n]); return v }
 	state := b.world.State
-	on := func(yes bool, v time.Duration) time.Duration {
-		if yes {
-			return v
-		}
-		return 0
-	}
-	share := func(yes bool, v float64) float64 {
-		if yes {
-			return v
-		}
-		return 0
-	}
 	switch f.Verb {
 	case "state-outage":
 		during(f.Verb, state.Outage)
@@ -154,9 +142,9 @@
 	case "state-late":
 		during(f.Verb, func(yes bool) { state.Late(on(yes, long(1))) })
 	case "state-unheard":
-		during(f.Verb, func(yes bool) { state.Unheard(share(yes, number(1))) })
+		during(f.Verb, func(yes bool) { state.Unheard(on(yes, number(1))) })
 	case "late-commands":
-		during(f.Verb, func(yes bool) { b.world.HoldCommands(share(yes, number(1))) })
+		during(f.Verb, func(yes bool) { b.world.HoldCommands(on(yes, number(1))) })
 	case "kept-reports":
 		during(f.Verb, b.world.KeepReports)
 	case "state-lags":
@@ -236,6 +224,14 @@
 	}
 }
 
+// on is a value while something lasts, and none once it is over.
+func on[T any](yes bool, v T) (now T) {
+	if yes {
+		now = v
+	}
+	return now
+}
+
 func (b *breaker) crash(name string, yes bool) {
 	kind, do := history.NodeUp, b.hosts.start
 	if yes {
