--- a/regress.sh
+++ b/regress.sh
@@ -2,9 +2,11 @@
 # The regression runs on the users' bench; CONTRIBUTING.md tells which before what.
 #
 #   ./regress.sh quick [WHY]    the two roughest days of each of the three smaller sites
-#   ./regress.sh fleet [WHY]    the same, and of the two fleet sites; all days of these and of
-#                               the harbour are played
-#   ./regress.sh full  [WHY]    all five in full, and a hunt on each; the same days as well
+#   ./regress.sh fleet [WHY]    the same, and of the two fleet and the two hunt sites; all days of
+#                               the fleet and of the harbour are played, our own days (docs/days)
+#                               with three seeds, and the hunt sites are hunted a little
+#   ./regress.sh full  [WHY]    all seven in full, and a hunt on each; the same days as well
+#   ./regress.sh days  [WHY]    our own days alone
 #   ./regress.sh served REPORT...  days' reports (fleetbench run --report): who was served least
 #   ./regress.sh compare FILE   what a run printed earlier, compared again
 #   ./regress.sh keep FILE      makes the figures in FILE the ones to compare with
@@ -15,13 +17,17 @@
 set -uo pipefail
 cd "$(dirname "$0")"
 given=../given/kit
-bench=$given/more/fleet/bin/fleetbench
+bench=$given/more/hunt/bin/fleetbench
 kept=docs/regression.txt
 harbour=$given/added/korvanel-havres.toml
 smaller=("$harbour" "$given/change/korvanel-ops-next.toml" "$given/change/lanyu-hosted-next.toml")
 fleet=("$given/more/fleet/korvanel-ops-fleet.toml" "$given/more/fleet/lanyu-hosted-fleet.toml")
+hunted=("$given/more/hunt/korvanel-ops-hunt.toml" "$given/more/hunt/lanyu-hosted-hunt.toml")
+seeds=(11 12 13)
+# What the bench prints where a rule broke, and we where nothing came of a day.
+broken='BROKEN|rules broken|NO FIGURE'
 
-usage() { sed -n '2,15s/^# \{0,1\}//p' "$0" >&2; exit 2; }
+usage() { sed -n '2,18s/^# \{0,1\}//p' "$0" >&2; exit 2; }
 
 # figures FILE: "site mode figure" for each site scored in what a run printed.
 figures() {
@@ -50,7 +56,7 @@
   fi
   # The bench names broken rules, and counts a day that failed as 0.00; "0 with a
   # rule broken" is a hunt's all-clear.
-  if grep -nE 'BROKEN|[1-9][0-9]* with a rule broken|missed (rules|node_restarts)|^[^ ].* [0-9]+ +0\.00 +[0-9]+/[0-9]+' "$1"; then
+  if grep -nE "$broken"'|[1-9][0-9]* with a rule broken|missed (rules|node_restarts)|^[^ ].* [0-9]+ +0\.00 +[0-9]+/[0-9]+' "$1"; then
     echo "a rule broke or a day failed: see above" >&2
     status=1
   fi
@@ -103,6 +109,27 @@
   return $status
 }
 
+# own: the days in docs/days/SITE, with several seeds; what a day was worth and what broke on
+# it goes to the run's output, which compare reads.
+own() {
+  local printed site day seed status=0
+  printed=$(mktemp -d -t regress.XXXXXX)
+  for site in "${hunted[@]}"; do
+    for day in docs/days/"$(basename "$site" .toml)"/*.toml; do
+      for seed in "${seeds[@]}"; do
+        printf '%s\0%s\0%s\0' "$site" "$day" "$seed"
+      done
+    done
+  done | xargs -0 -n 3 -P 6 bash -c '"$0" run "$3" "$4" --seed "$5" --why "$2" >"$1/$(basename "$3" .toml)-$(basename "$4" .toml)-$5" 2>&1' "$bench" "$printed" "$why" ||
+    { echo "a day of our own could not be played" >&2; status=1; }
+  for day in "$printed"/*; do
+    echo "== $(basename "$day")"
+    grep -hE '^[^ ].* [0-9]+ +[01]\.[0-9]+ +[0-9]+/[0-9]+|rules broken|^ +[0-9.]+ s [a-z_]+:|^  fleet:' "$day" ||
+      echo "NO FIGURE was printed"
+  done | tee -a "$out"
+  return $status
+}
+
 keep() {
   local new site mode now
   new=$(figures "$1")
@@ -115,7 +142,7 @@
 
 why=${2:-}
 case "${1:-}" in
-  quick | fleet | full) ;;
+  quick | fleet | full | days) ;;
   compare | keep)
     [ -r "$why" ] || usage
     "$1" "$why"
@@ -134,10 +161,15 @@
   exit 2
 fi
 sites=("${smaller[@]}")
-[ "$1" = quick ] || sites+=("${fleet[@]}")
+[ "$1" = quick ] || sites+=("${fleet[@]}" "${hunted[@]}")
 why=${why:-regression run, $1}
 out=$(mktemp -t regress.XXXXXX)
 failed=0
+if [ "$1" = days ]; then
+  own || failed=1
+  if grep -nE "$broken" "$out"; then failed=1; fi
+  exit $failed
+fi
 if [ "$1" = full ]; then
   "$bench" score "${sites[@]}" --why "$why" | tee "$out" || failed=1
   for site in "${sites[@]}"; do
@@ -146,6 +178,10 @@
 else
   "$bench" score "${sites[@]}" --quick --why "$why" | tee "$out" || failed=1
 fi
+[ "$1" = quick ] || { echo "== days of our own"; own || failed=1; }
+[ "$1" != fleet ] || for site in "${hunted[@]}"; do
+  "$bench" hunt "$site" --days 2 --why "$why" | tee -a "$out" || failed=1
+done
 [ "$1" = quick ] || { echo "== who was served least"; play "${fleet[@]}" "$harbour" || failed=1; }
 echo "== compared with $kept (printed: $out)"
 compare "$out" || failed=1
