Cancelled jobs are measured by how long their tasks remain, not only by the bound

Change: history.Cancellations gives for each job that was told cancelled the time until the last task was gone, starts after the answer and which of them were sent after it (events tell when a command was sent).

--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -99,6 +99,10 @@
 			t.Errorf("line %d: %s: %v", number, lines.Text(), err)
 		}
 	}
+	if c, any := w.slowest(); any {
+		t.Logf("the tasks of cancelled jobs were gone within %.2f of their time; last %s, %v after its user was told, %d starts after that",
+			float64(c.Lasted())/float64(cancelWithin), c.Job, c.Lasted().Round(time.Millisecond), c.StartedAfter)
+	}
 }
 
 // storm has many users ask every controller at once: all must be answered in
@@ -222,6 +226,16 @@
 			err = fmt.Errorf("took %v", time.Since(began))
 		}
 		return err
+	case "cancelled-gone": // cancelled-gone TIME: no task of a cancelled job was on a machine, or started, later than so long after its user was told
+		most, err := time.ParseDuration(args[0])
+		c, any := w.slowest()
+		switch {
+		case !any:
+			err = errors.New("nothing was cancelled")
+		case err == nil && c.Lasted() > most:
+			err = fmt.Errorf("%+v", c)
+		}
+		return err
 	case "begins-cancel": // begins-cancel JOB: its user goes on asking, and the trace goes on meanwhile
 		w.meanwhile("cancel", args)
 	case "window": // window CONTROLLER N: it goes by the window of this number, or a later one
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -38,6 +38,21 @@
 	accounts string
 	// watch is told of events, on the emulator's goroutine; it may be nil.
 	watch func(history.Event)
+	// cancelled follows what becomes of cancelled jobs, on the emulator's goroutine.
+	cancelled history.Cancellations
+}
+
+// cancelWithin is that of the settings below: how long tasks of a cancelled job may remain.
+const cancelWithin = 40 * time.Second
+
+// slowest is the cancelled job whose tasks remained longest so far, if users were told of any.
+func (w *world) slowest() (c history.Cancellation, any bool) {
+	w.em.Rules(func(*history.Checker) {
+		if all := w.cancelled.At(w.em.Since()); len(all) > 0 {
+			c, any = all[0], true
+		}
+	})
+	return c, any
 }
 
 // stateLimits are those of the settings below.
@@ -55,12 +70,13 @@
 	var err error
 	w.em, err = emulator.New(ctx, w.net, emulator.Setup{Controllers: w.names, Capacity: 30, State: stateLimits,
 		Record: func(e history.Event) {
+			w.cancelled.Note(e)
 			if w.watch != nil {
 				w.watch(e)
 			}
 		},
 		Teams:       []config.Team{{Name: "free"}, {Name: "bound", CoresMax: 8}, {Name: "gpus", Accels: 1, AccelsMax: 2}},
-		ReportEvery: 3 * time.Second, Lease: 20 * time.Second, GangWait: 30 * time.Second, GangPeer: 5 * time.Second, CancelWithin: 40 * time.Second,
+		ReportEvery: 3 * time.Second, Lease: 20 * time.Second, GangWait: 30 * time.Second, GangPeer: 5 * time.Second, CancelWithin: cancelWithin,
 		Types: []protocol.MachineType{
 			{Name: "small", Cores: 8, Accels: 2, RAM: 64, CacheGB: 50, FetchRate: 1, Price: 2, SpotPrice: 0.5, BootS: 10, Zones: []string{"a", "b"}},
 			{Name: "large", Cores: 32, Accels: 8, RAM: 256, CacheGB: 50, FetchRate: 1, Price: 9, SpotPrice: 2, BootS: 20, Zones: []string{"a", "b"}}}})
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -365,7 +365,7 @@
 				m.say()
 			}
 			m.token, m.renewed = a.Token, sent
-			m.obey(a.Commands)
+			m.obey(a.Commands, m.w.Since())
 			return
 		case http.StatusMisdirectedRequest:
 			var red protocol.Redirect
@@ -439,13 +439,14 @@
 		return
 	}
 	var rep protocol.Report
+	sent := m.w.Since() // the network takes no time
 	held := false
 	if m.w.loop.do(func() {
 		if held = m.w.held > 0 && m.w.rng.Float64() < m.w.held; held {
 			m.w.loop.after(time.Duration(m.w.spread(2, 16)*float64(time.Second)), func() {
 				if !m.hung && !m.deaf && !m.dead && o.Token >= m.token && o.Session == m.session {
 					m.token = o.Token
-					m.obey(o.Commands)
+					m.obey(o.Commands, sent)
 				}
 			})
 		}
@@ -459,20 +460,20 @@
 			status = http.StatusConflict
 		} else {
 			m.token = o.Token
-			m.obey(o.Commands)
+			m.obey(o.Commands, sent)
 		}
 		rep = m.snapshot()
 	})
 	answer(w, status, rep)
 }
 
-// obey carries commands out in their order.
-func (m *machine) obey(commands []protocol.Command) {
+// obey carries commands out in their order; sent is when they were sent.
+func (m *machine) obey(commands []protocol.Command, sent time.Duration) {
 	for _, c := range commands {
 		t := m.tasks[c.Task]
 		switch {
 		case c.Verb == protocol.VerbStart && (t == nil || t.Attempt != c.Attempt):
-			m.start(c, t)
+			m.start(c, t, sent)
 		case t == nil || t.Attempt != c.Attempt:
 		case c.Verb == protocol.VerbStop:
 			t.halt(c.GraceS)
--- a/internal/emulator/task.go
+++ b/internal/emulator/task.go
@@ -68,10 +68,10 @@
 }
 
 // start carries a command to start out, or refuses it; t is the task with another
-// attempt that is here, if any.
-func (m *machine) start(c protocol.Command, t *task) {
+// attempt that is here, if any, and sent is when the command was sent.
+func (m *machine) start(c protocol.Command, t *task, sent time.Duration) {
 	if t != nil && t.State != protocol.TaskExited {
-		m.w.note(history.Event{Kind: history.Told, Task: c.Task, Machine: m.id, Attempt: c.Attempt, Cause: causeInUse})
+		m.w.note(history.Event{Kind: history.Told, Task: c.Task, Machine: m.id, Attempt: c.Attempt, Sent: sent, Cause: causeInUse})
 		return // the report goes on telling of the attempt that is here
 	}
 	id, index, _ := protocol.SplitTask(c.Task)
@@ -82,7 +82,7 @@
 		t.State, t.Cause = protocol.TaskExited, causeUnknown
 		return
 	}
-	m.w.note(history.Event{Kind: history.Told, Task: c.Task, Machine: m.id, Attempt: c.Attempt})
+	m.w.note(history.Event{Kind: history.Told, Task: c.Task, Machine: m.id, Attempt: c.Attempt, Sent: sent})
 	if !m.free.Fits(k.spec.Need()) {
 		t.State, t.Cause = protocol.TaskExited, causeNoRoom
 		return
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -19,7 +19,7 @@
 	Polled      Kind = "polled"       // Job, Code, Status: an answer to a question about a job
 	CancelAsked Kind = "cancel-asked" // Job
 	CancelTold  Kind = "cancel-told"  // Job, Code, Status
-	Told        Kind = "told"         // Task, Machine, Attempt: a worker takes a command to start
+	Told        Kind = "told"         // Task, Machine, Attempt, Sent: a worker takes a command to start
 	On          Kind = "on"           // Task, Machine, Attempt, Type, Zone, Spot: it has its image
 	Off         Kind = "off"          // Task, Machine, Cause: it is not on the machine any more
 	Rented      Kind = "rented"       // Machine, Type, Zone, Spot
@@ -36,21 +36,24 @@
 // Event is one thing that happened.
 type Event struct {
 	// At counts from the world's beginning, in nanoseconds.
-	At      time.Duration     `json:"at"`
-	Kind    Kind              `json:"kind"`
-	Job     string            `json:"job,omitempty"`
-	Task    string            `json:"task,omitempty"`
-	Machine string            `json:"machine,omitempty"`
-	Node    string            `json:"node,omitempty"`
-	Type    string            `json:"type,omitempty"`
-	Zone    string            `json:"zone,omitempty"`
-	Spot    bool              `json:"spot,omitempty"`
-	Attempt uint64            `json:"attempt,omitempty"`
-	Code    int               `json:"code,omitempty"`
-	Status  string            `json:"status,omitempty"`
-	Cause   string            `json:"cause,omitempty"`
-	Spec    *protocol.JobSpec `json:"spec,omitempty"`
-	Sample  *Sample           `json:"sample,omitempty"`
+	At      time.Duration `json:"at"`
+	Kind    Kind          `json:"kind"`
+	Job     string        `json:"job,omitempty"`
+	Task    string        `json:"task,omitempty"`
+	Machine string        `json:"machine,omitempty"`
+	Node    string        `json:"node,omitempty"`
+	Type    string        `json:"type,omitempty"`
+	Zone    string        `json:"zone,omitempty"`
+	Spot    bool          `json:"spot,omitempty"`
+	Attempt uint64        `json:"attempt,omitempty"`
+	// Sent is when a command was sent that was carried out now, counted as At is; 0 if it is not
+	// known.
+	Sent   time.Duration     `json:"sent,omitempty"`
+	Code   int               `json:"code,omitempty"`
+	Status string            `json:"status,omitempty"`
+	Cause  string            `json:"cause,omitempty"`
+	Spec   *protocol.JobSpec `json:"spec,omitempty"`
+	Sample *Sample           `json:"sample,omitempty"`
 }
 
 // Sample is the state of a world at one moment. Counts run from the beginning.
--- a/internal/history/rules.go
+++ b/internal/history/rules.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -140,6 +141,19 @@
 	return on
 }
 
+// Running are the accepted jobs with tasks on machines that no user asked to cancel, by their ids
+// in order.
+func (c *Checker) Running() []string {
+	var ids []string
+	for id, j := range c.jobs {
+		if j.accepted && !j.asked && len(j.on) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Waiting is how many jobs were accepted, have not ended and have no task on a machine.
 func (c *Checker) Waiting() (n int) {
 	for _, j := range c.jobs {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,6 +37,7 @@
 	"kept-reports":  "TIME",            // copies of reports are kept, and then reach every controller at once
 	"machines":      "TROUBLE N [FOR]", // N of them die, hang, deafen, hold or mute FOR, sicken, slow, reboot, leave or are taken
 	"spot-wave":     "SHARE",           // so many spot machines leave at once
+	"cancel-now":    "N [FOR]",         // users cancel N jobs that run; up to eight of their machines hang FOR
 }
 
 var troubles = map[string]emulator.Trouble{"die": emulator.Dies, "hang": emulator.Hangs, "sicken": emulator.Sickens, "slow": emulator.Slows,
@@ -109,6 +112,9 @@
 	cuts  map[string]func(from, to string) bool
 	note  func(history.Event)
 	fail  func(error)
+	// cancel has the user of a job cancel it; draw draws what is chosen by chance.
+	cancel func(job string)
+	draw   *rand.Rand
 }
 
 // begin has a fault happen; after runs something later on the same goroutine.
@@ -221,7 +227,54 @@
 		})
 		b.world.StrikeSome(int(number(0)*float64(spot)+0.5), emulator.Leaves, func(_ string, s bool) bool { return s })
 		over()
+	case "cancel-now":
+		n, _ := strconv.Atoi(f.Args[0])
+		hung := b.cancelNow(n, len(f.Args) > 1, after)
+		if len(f.Args) < 2 {
+			over()
+			return
+		}
+		after(long(1), func() {
+			for _, id := range hung {
+				b.world.Strike(id, emulator.Resumes) // it may be gone meanwhile
+			}
+			over()
+		})
+	}
+}
+
+// Users who cancel at once do so within cancelSpread; of the machines of their jobs at most
+// mostHung hang.
+const (
+	cancelSpread = 200 * time.Millisecond
+	mostHung     = 8
+)
+
+// cancelNow has users cancel n of the jobs that run; it gives the machines of theirs that hang
+// from now on, none unless hang is set.
+func (b *breaker) cancelNow(n int, hang bool, after func(time.Duration, func())) (hung []string) {
+	var jobs, machines []string
+	b.world.Rules(func(r *history.Checker) {
+		jobs = r.Running()
+		b.draw.Shuffle(len(jobs), func(i, k int) { jobs[i], jobs[k] = jobs[k], jobs[i] })
+		jobs = jobs[:min(n, len(jobs))]
+		for _, id := range jobs {
+			machines = append(machines, slices.Sorted(maps.Values(r.Machines(id)))...)
+		}
+	})
+	for _, id := range jobs {
+		after(time.Duration(b.draw.Int64N(int64(cancelSpread))), func() { b.cancel(id) })
+	}
+	if !hang {
+		return nil
+	}
+	b.draw.Shuffle(len(machines), func(i, k int) { machines[i], machines[k] = machines[k], machines[i] })
+	for _, id := range machines {
+		if len(hung) < mostHung && !slices.Contains(hung, id) && b.world.Strike(id, emulator.Hangs) == nil {
+			hung = append(hung, id)
+		}
 	}
+	return hung
 }
 
 // on is a value while something lasts, and none once it is over.
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -51,7 +51,11 @@
 	}
 	// Two or three meetings, which may meet each other: rules break where troubles do.
 	for range rng.IntN(4) {
-		e.Faults = append(e.Faults, meeting(rng, &d, length)...)
+		met := meeting(rng, &d, length)
+		e.Faults = append(e.Faults, met...)
+		if rng.IntN(4) > 0 {
+			e.Faults = append(e.Faults, cancelledNear(rng, &d, met[0].At))
+		}
 	}
 	slices.SortFunc(e.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return e
@@ -75,6 +79,20 @@
 	}
 }
 
+// cancelledNear has users cancel what runs within some seconds of a time. Some of the machines hang
+// from then on: for less than a lease, about one, or longer than cancelled work may remain.
+func cancelledNear(rng *rand.Rand, d *Deployment, at time.Duration) Fault {
+	const spread = 6 * time.Second
+	at += time.Duration(rng.Int64N(int64(2*spread))) - spread/2
+	hang := []time.Duration{0, d.Lease/4 + time.Duration(rng.Int64N(int64(d.Lease/2))), d.Lease - time.Duration(rng.Int64N(int64(3*time.Second))),
+		d.CancelWithin + time.Duration(rng.Int64N(int64(20*time.Second)))}[rng.IntN(4)]
+	f := Fault{At: max(0, at).Round(100 * time.Millisecond), Verb: "cancel-now", Args: []string{fmt.Sprint(2 + rng.IntN(10))}}
+	if hang > 0 {
+		f.Args = append(f.Args, hang.Round(100*time.Millisecond).String())
+	}
+	return f
+}
+
 // meeting are troubles that come in one moment, of the kinds of which each alone does no harm:
 // who hears of something, who may act and who is told are then not the same.
 func meeting(rng *rand.Rand, d *Deployment, length time.Duration) []Fault {
@@ -252,19 +270,25 @@
 	File       string
 }
 
-// Hunt plays random experiments, and makes each that breaks a rule smaller. What is found
-// is saved as files in the runner's directory.
+// Hunt plays random experiments, every other one a variation of those in which the tasks of a
+// cancelled job remained longest, and makes each that breaks a rule smaller. What is found is saved
+// as files in the runner's directory.
 func Hunt(ctx context.Context, r *Runner, o HuntOptions) (found []Found, err error) {
 	dir := r.Dir
+	var near closest
 	for n := range o.Runs {
 		seed := o.Seed*1_000_003 + uint64(n)
 		e := Random(seed, o.Length)
-		broken, err := r.breaks(ctx, e, filepath.Join(dir, e.Name))
+		if like := near.draw(source(seed, "like")); like != nil && n%2 == 1 {
+			e = Mutated(like, seed)
+		}
+		broken, share, err := r.breaks(ctx, e, filepath.Join(dir, e.Name))
 		if err != nil {
 			return found, err
 		}
 		if len(broken) == 0 {
-			o.Say("%s: sound (%d controllers, %d machines; %s)", e.Name, e.Controllers, e.Machines, faultList(e))
+			near.add(e, share)
+			o.Say("%s: sound, cancelled work gone within %.2f of its time (%d controllers, %d machines; %s)", e.Name, share, e.Controllers, e.Machines, faultList(e))
 			if err := os.RemoveAll(filepath.Join(dir, e.Name)); err != nil {
 				return found, err
 			}
@@ -277,7 +301,7 @@
 			tried++
 			at := filepath.Join(dir, fmt.Sprintf("%s-try%d", e.Name, tried))
 			defer os.RemoveAll(at)
-			now, err := r.breaks(ctx, c, at)
+			now, _, err := r.breaks(ctx, c, at)
 			still := slices.ContainsFunc(now, func(v history.Violation) bool { return v.Rule == rule })
 			if still {
 				last = now
@@ -307,17 +331,18 @@
 	return strings.Join(all, ", ")
 }
 
-// breaks plays an experiment and gives the rules that it broke.
-func (r *Runner) breaks(ctx context.Context, e *Experiment, dir string) ([]history.Violation, error) {
+// breaks plays an experiment; it gives the rules that were broken, and the largest share of the time
+// allowed that the tasks of a cancelled job took to be gone.
+func (r *Runner) breaks(ctx context.Context, e *Experiment, dir string) (broken []history.Violation, share float64, err error) {
 	one := *r
 	one.Dir, one.Progress = dir, nil
 	res, err := one.Run(ctx, e)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	var all []history.Violation
 	for _, s := range res.Runs {
-		all = append(all, s.Broken...)
+		broken = append(broken, s.Broken...)
+		share = max(share, s.Cancelled.WorstShare)
 	}
-	return all, nil
+	return broken, share, nil
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -9,6 +9,8 @@
 	"math"
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -81,7 +83,7 @@
 			t.Errorf("%s: %v %+v %+v %+v", s.Run, s.Broken, s, *s.Classes["learn"], *s.Classes["render"])
 		}
 		c := history.NewChecker(history.Deployment{CancelWithin: 45 * time.Second})
-		m := NewMeter(nil)
+		m := NewMeter(nil, 45*time.Second)
 		kinds := map[history.Kind]int{}
 		err := history.Read(filepath.Join(dir, "runs", s.Run, eventsFile), func(e history.Event) error {
 			c.Note(e)
@@ -90,7 +92,7 @@
 			return nil
 		})
 		again, merr := m.Summary()
-		if err = errors.Join(err, merr); err != nil || len(c.Violations()) > 0 || again.Starts != s.Starts || again.Used != s.Used {
+		if err = errors.Join(err, merr); err != nil || len(c.Violations()) > 0 || again.Starts != s.Starts || again.Used != s.Used || !reflect.DeepEqual(again.Cancelled, s.Cancelled) {
 			t.Errorf("read again: %v, %v; %d starts of %d", err, c.Violations(), again.Starts, s.Starts)
 		}
 		if kinds[history.FaultBegins] != 5 || kinds[history.FaultEnds] != 5 || kinds[history.NodeUp] != 4 || kinds[history.Sampled] < 40 {
@@ -101,8 +103,14 @@
 	if err := Report(dir, page); err != nil {
 		t.Fatal(err)
 	}
+	charts := 6
+	for _, s := range res.Runs {
+		if len(s.Cancelled.Worst) > 0 {
+			charts = 7 // one more, of when the tasks of cancelled jobs were gone
+		}
+	}
 	raw, err := os.ReadFile(page)
-	if err != nil || strings.Count(string(raw), "<svg") != 6 || !strings.Contains(string(raw), "learn: wait, 90%, s") {
+	if err != nil || strings.Count(string(raw), "<svg") != charts || !strings.Contains(string(raw), "learn: wait, 90%, s") {
 		t.Errorf("a page of %d bytes, %v", len(raw), err)
 	}
 	if _, err := r.Run(t.Context(), e); !errors.Is(err, ErrNotEmpty) {
@@ -280,6 +288,8 @@
 		"(experiment \"x\"" + class + "\n(at \"1m\" (flood \"1m\")))":                          "flood: there is no such fault",
 		"(experiment \"x\"" + class + "\n(at \"1m\" (crash \"1m\" \"press-7\")))":              "no controller press-7",
 		"(experiment \"x\"" + class + "\n(at \"1m\" (state-outage)))":                          "it takes TIME",
+		"(experiment \"x\"" + class + "\n(at \"1m\" (cancel-now 0)))":                          "cancel-now: \"0\" is no whole number",
+		"(experiment \"x\"" + class + "\n(at \"1m\" (cancel-now 2 soon)))":                     "cancel-now: \"soon\" is no time",
 		"(experiment \"x\"" + class + "\n(at \"1m\" (hangs \"1m\" \"press-0\")))":              "real time alone",
 		"(experiment \"x\" (clock real)" + class + "\n(at \"1m\" (cut-zone \"1m\" \"west\")))": "virtual time alone",
 		"(experiment \"x\"" + class + "\n(at soon (state-outage \"1m\")))":                     "line 3: at: \"soon\" is no time",
@@ -357,6 +367,81 @@
 	}
 }
 
+// A hunt varies the experiments in which cancelled work remained longest: here runs with more faults
+// are told to come closer to the bound, and every other experiment has those of one that came close.
+func TestHuntVariesWhatCameClose(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "hunt")
+	fake := filepath.Join(t.TempDir(), "fake.sh")
+	script := `N=$(grep -o '(at ' "$1/run.json" | wc -l)
+echo '{"run":"x","broken":[],"cancelled":{"jobs":1,"worstShare":0.'"$(printf %02d $N)"'}}' > "$1/summary.json"; echo 0.5`
+	if err := os.WriteFile(fake, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	faults := map[int][]string{}
+	_, err := Hunt(t.Context(), &Runner{Dir: dir, Play: []string{"/bin/sh", fake}}, HuntOptions{Seed: 4, Runs: 12, Length: 4 * time.Minute,
+		Say: func(format string, args ...any) {
+			if len(args) == 5 {
+				faults[len(faults)] = strings.Split(args[4].(string), ", ")
+			}
+		}})
+	if err != nil || len(faults) != 12 {
+		t.Fatalf("%v, %d experiments", err, len(faults))
+	}
+	for n := 1; n < 12; n += 2 {
+		most := 0
+		for before := range n {
+			same := 0
+			for _, f := range faults[n] {
+				if slices.Contains(faults[before], f) {
+					same++
+				}
+			}
+			most = max(most, same)
+		}
+		if most < len(faults[n])-6 || most == 0 {
+			t.Errorf("experiment %d shares %d of its %d faults with one before it", n, most, len(faults[n]))
+		}
+	}
+}
+
+// Mutated experiments can be played, are written as they are read, and differ from what they come from.
+func TestMutatedExperimentsAreSound(t *testing.T) {
+	for seed := range uint64(60) {
+		e := Random(seed%7, 5*time.Minute)
+		was := e.String()
+		m := Mutated(e, 1000+seed)
+		again, err := Parse([]byte(m.String()))
+		if err != nil || again.String() != m.String() || m.String() == was {
+			t.Fatalf("seed %d: %v\n%s", seed, err, m)
+		}
+		if e.String() != was {
+			t.Fatalf("seed %d: what was mutated has changed", seed)
+		}
+	}
+}
+
+// Users who cancel at once are told so, and what ran for them on machines that hang meanwhile is
+// measured: it lasts for about a lease where the machines can't be returned meanwhile.
+func TestCancelNowIsMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, err := Parse([]byte(`(experiment "called-off" (controllers 3) (machines 12) (length "2m") (rest "1m")
+			(class "proof" (shape service) (priority critical) (arrivals (start 6)) (tasks 4) (cores 4) (image "proof" 1))
+			(at "69s" (cloud-outage "60s")) (at "70s" (cancel-now 4 "60s")))`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := play(context.Background(), e, "", 1, t.TempDir(), func(history.Event) {}, func(float64) {})
+		if err != nil || len(s.Broken) > 0 {
+			t.Fatal(err, s.Broken)
+		}
+		c := s.Cancelled
+		lease := e.deployment().Lease
+		if c.Jobs != 4 || len(c.Worst) != 4 || c.Worst[0].Cause != "killed" || c.Worst[0].Took < lease/2 || c.Worst[0].Took > lease || c.WorstShare != float64(c.Worst[0].Lasted())/float64(c.Within) || c.StartedAfter != 0 {
+			t.Errorf("%+v", c)
+		}
+	})
+}
+
 // Intervals are those of Student's t, and a version is compared seed by seed.
 func TestComparison(t *testing.T) {
 	if e := estimate([]float64{4, 6, 8, math.NaN()}); e.Mean != 6 || math.Abs(e.Half-4.968) > 0.01 || e.N != 3 {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -219,6 +219,12 @@
 	}
 }
 
+// cancel has its job cancelled.
+func (u *user) cancel(ctx context.Context) {
+	u.world.Note(history.Event{Kind: history.CancelAsked, Job: u.spec.ID})
+	u.insist(ctx, history.CancelTold, "/v1/jobs/"+u.spec.ID+"/cancel", []byte("{}"))
+}
+
 // live is the life of a user, until the job is over or the experiment is.
 func (u *user) live(ctx context.Context) {
 	body, err := json.Marshal(u.spec)
@@ -237,8 +243,7 @@
 	for emulator.Pause(ctx, pollEvery) {
 		if u.cancelAt > 0 && time.Since(began) >= u.cancelAt {
 			u.cancelAt = 0
-			u.world.Note(history.Event{Kind: history.CancelAsked, Job: u.spec.ID})
-			u.insist(ctx, history.CancelTold, "/v1/jobs/"+u.spec.ID+"/cancel", []byte("{}"))
+			u.cancel(ctx)
 			continue
 		}
 		code, status, _ := u.ask(ctx, http.MethodGet, "/v1/jobs/"+u.spec.ID, nil, pollWait)
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -31,6 +31,8 @@
 	// Unanswered is the longest time for which questions about one accepted job went
 	// unanswered after the last trouble's end.
 	Unanswered time.Duration `json:"unanswered"`
+	// Cancelled is how fast the tasks of cancelled jobs were gone.
+	Cancelled CancelSummary `json:"cancelled"`
 	// Used is the mean share of the machines' CPUs that tasks had.
 	Used float64 `json:"used"`
 	// Money was spent; Useful is the run time of tasks that completed and of services, in
@@ -80,17 +82,19 @@
 
 // Meter sums up events that come in their order.
 type Meter struct {
-	jobs    map[string]*metered
-	classes map[string]*ClassSummary
-	times   map[string]*times
-	s       Summary
-	samples int
-	newest  history.Sample
-	used    float64
-	busy    int // samples with machines
-	last    time.Duration
-	served  history.Served
-	starts  map[uint64]int // by the term in the attempt's number, which is its owner's
+	jobs      map[string]*metered
+	classes   map[string]*ClassSummary
+	times     map[string]*times
+	s         Summary
+	samples   int
+	newest    history.Sample
+	used      float64
+	busy      int // samples with machines
+	last      time.Duration
+	served    history.Served
+	within    time.Duration // for the tasks of cancelled jobs to be gone
+	cancelled history.Cancellations
+	starts    map[uint64]int // by the term in the attempt's number, which is its owner's
 }
 
 // metered is a job as the meter knows it.
@@ -104,9 +108,10 @@
 	refused  bool
 }
 
-// NewMeter makes a meter of a deployment whose teams have these limits.
-func NewMeter(limits map[string]protocol.Room) *Meter {
-	return &Meter{served: history.Served{Limits: limits}, jobs: map[string]*metered{}, classes: map[string]*ClassSummary{}, times: map[string]*times{}, starts: map[uint64]int{}}
+// NewMeter makes a meter of a deployment whose teams have these limits and whose cancelled jobs
+// must be gone within a time.
+func NewMeter(limits map[string]protocol.Room, cancelWithin time.Duration) *Meter {
+	return &Meter{served: history.Served{Limits: limits}, within: cancelWithin, jobs: map[string]*metered{}, classes: map[string]*ClassSummary{}, times: map[string]*times{}, starts: map[uint64]int{}}
 }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
@@ -118,6 +123,7 @@
 	m.s.Events++
 	m.last = e.At
 	m.served.Note(e)
+	m.cancelled.Note(e)
 	switch e.Kind {
 	case history.Submitted:
 		if m.jobs[e.Job] != nil {
@@ -207,6 +213,11 @@
 func (m *Meter) Summary() (Summary, error) {
 	s := m.s
 	s.Length = m.last
+	cancelled, err := summarizeCancelled(m.cancelled.At(m.last), m.within)
+	if err != nil {
+		return s, err
+	}
+	s.Cancelled = cancelled
 	for _, n := range m.starts {
 		s.Uneven = max(s.Uneven, float64(n)*float64(len(m.starts))/float64(s.Starts))
 	}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -27,6 +27,7 @@
 	Groups           []*Group
 	Rows             []pageRow
 	Broken           []string
+	Slowest          []string // of the cancelled jobs, how long their tasks remained
 	Charts           []pageCharts
 	Made             time.Time
 }
@@ -60,6 +61,7 @@
 <div class="scroll"><table><tr><th></th>{{range .Groups}}<th>{{.Name}}</th>{{end}}</tr>
 {{range .Rows}}<tr><td>{{.Name}}</td>{{range .Cells}}<td>{{.Value}}{{if .Difference}}<br><small{{if .Differs}} class="differs"{{end}}>{{.Difference}}</small>{{end}}</td>{{end}}</tr>
 {{end}}</table></div>
+{{if .Slowest}}<h2>Slowest to be gone after a cancellation was told</h2><ul>{{range .Slowest}}<li>{{.}}</li>{{end}}</ul>{{end}}
 {{range .Charts}}<h2>{{.Title}}</h2>{{range .Charts}}<p>{{.}}</p>{{end}}{{end}}
 <h2>Experiment</h2><pre>{{.Experiment}}</pre>
 <p><small>Made {{.Made.Format "2006-01-02 15:04"}}. Grey: while something failed.</small></p>
@@ -93,6 +95,9 @@
 		for _, v := range s.Broken[:min(10, len(s.Broken))] {
 			p.Broken = append(p.Broken, s.Run+": "+v.String())
 		}
+		for k := range s.Cancelled.Worst {
+			p.Slowest = append(p.Slowest, s.Run+": "+describe(&s.Cancelled.Worst[k], s.Cancelled.Within))
+		}
 	}
 	for _, g := range p.Groups {
 		c, err := g.charts(filepath.Join(dir, "runs", g.Runs[0].Run, eventsFile))
@@ -212,10 +217,47 @@
 		return p, err
 	}
 	svg, err := draw("Waits by class, all seeds", "seconds", "% of jobs begun", waits, nil)
+	if err != nil {
+		return p, err
+	}
+	p.Charts = append(p.Charts, svg)
+	gone, err := g.gone()
+	if err != nil || len(gone.points) == 0 {
+		return p, err
+	}
+	svg, err = draw("Until the tasks of cancelled jobs were gone, all seeds", "seconds", "% of those that had any", []line{gone}, nil)
 	p.Charts = append(p.Charts, svg)
 	return p, err
 }
 
+// gone is the share of cancelled jobs whose tasks were gone within a time.
+func (g *Group) gone() (l line, err error) {
+	merged := newHistogram()
+	for _, s := range g.Runs {
+		if len(s.Cancelled.Took) == 0 {
+			continue // kept by a version that did not measure it
+		}
+		h, err := hdrhistogram.Decode(s.Cancelled.Took)
+		if err != nil {
+			return l, fmt.Errorf("%s: cancelled jobs: %w", s.Run, err)
+		}
+		merged.Merge(h)
+	}
+	return quantiles("cancelled jobs", merged), nil
+}
+
+// quantiles is a line over the quantiles of a histogram of milliseconds; no points if it is empty.
+func quantiles(name string, h *hdrhistogram.Histogram) line {
+	l := line{name: name}
+	if h.TotalCount() == 0 {
+		return l
+	}
+	for q := 0.0; q <= 99.5; q += 0.5 {
+		l.points = append(l.points, plotter.XY{X: float64(h.ValueAtQuantile(q)) / 1000, Y: q})
+	}
+	return l
+}
+
 // waits are the shares of jobs that began within a time, by class.
 func (g *Group) waits() (lines []line, err error) {
 	merged := map[string]*hdrhistogram.Histogram{}
@@ -232,14 +274,9 @@
 		}
 	}
 	for _, class := range slices.Sorted(maps.Keys(merged)) {
-		if merged[class].TotalCount() == 0 {
-			continue
-		}
-		l := line{name: class}
-		for q := 0.0; q <= 99.5; q += 0.5 {
-			l.points = append(l.points, plotter.XY{X: float64(merged[class].ValueAtQuantile(q)) / 1000, Y: q})
+		if l := quantiles(class, merged[class]); len(l.points) > 0 {
+			lines = append(lines, l)
 		}
-		lines = append(lines, l)
 	}
 	return lines, nil
 }
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -18,6 +18,7 @@
 
 	"daledyke/internal/emulator"
 	"daledyke/internal/history"
+	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
 
@@ -159,7 +160,7 @@
 	over := false
 	d := e.deployment()
 	set := d.Setup(seed, true)
-	meter := NewMeter(set.Limits())
+	meter := NewMeter(set.Limits(), d.CancelWithin)
 	set.Record = func(ev history.Event) {
 		if !over { // on the world's goroutine
 			meter.Note(ev)
@@ -277,7 +278,11 @@
 	}
 	var failed error
 	b := &breaker{d: st.d, world: st.world, net: st.pipes, hosts: st.hosts, depth: map[string]int{}, cuts: map[string]func(string, string) bool{},
-		note: st.world.Note, fail: func(err error) { failed = errors.Join(failed, err) }}
+		note: st.world.Note, fail: func(err error) { failed = errors.Join(failed, err) }, draw: source(seed, "faults"),
+		cancel: func(job string) {
+			u := &user{order: order{spec: &protocol.JobSpec{ID: job}}, http: client, world: st.world, rng: source(seed, "cancels "+job)}
+			go u.cancel(ctx)
+		}}
 	began := time.Now()
 	for _, f := range e.Faults {
 		if f.At < e.Length {
