Cancellations are announced to siblings before users are told

Cause: a holder that hears of no cancellation goes on renewing its tasks for up to cancel_s less a lease, so that most of the time that they may remain was used up by design: 10.7 s of 40 s for a controller that is cut off, up to all but a second of it in the gap.

Change: before a user is told that a job is cancelled every sibling that has a session acknowledges it (new call Announce; generation 8 in the session's record, others are not waited for), or was waited for for half of that time. Who acknowledged stops the job's tasks and renews none.

--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -82,13 +82,15 @@
 // jobs, which a process of the first would run at once, 3 with jobs that are held, 4
 // (GenerationBlocks) with large jobs that several owners place, 5 (GenerationApart) with jobs
 // of limited teams that stand apart since they take nothing that is limited, 6
-// (GenerationPromises) with promises not to take slots, 7 (GenerationLonger) with longer ones.
+// (GenerationPromises) with promises not to take slots, 7 (GenerationLonger) with longer ones, 8
+// (GenerationAnnounced) with cancellations that are announced to siblings.
 const (
-	Generation         = GenerationLonger
-	GenerationBlocks   = 4
-	GenerationApart    = 5
-	GenerationPromises = 6
-	GenerationLonger   = 7
+	Generation          = GenerationAnnounced
+	GenerationBlocks    = 4
+	GenerationApart     = 5
+	GenerationPromises  = 6
+	GenerationLonger    = 7
+	GenerationAnnounced = 8
 )
 
 // Leader names the controller that leads.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -227,6 +227,12 @@
 	return SurelyWithin(protocol.Seconds(c.Deployment.Workers.CancelS)) - Surely(c.WorkerLease())
 }
 
+// AnnounceFor is for how long, from when a cancellation is known, siblings that don't acknowledge it
+// are waited for before its user is told: what one that has not heard of it renews or starts in that
+// time takes nothing from the time that tasks may remain. It is half of RenewFor, so that users are
+// held up for seconds and not for as long as a controller may be cut off.
+func (c *Config) AnnounceFor() time.Duration { return c.RenewFor() / 2 }
+
 // leastRenew is the least of that with which daledyke can serve: it is told of changes within
 // a third of it.
 const leastRenew = 3 * time.Second
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -84,7 +84,9 @@
 			lenders[s.Name] = lendPeer{transport.NewPeer(ctx, dial, s.Addr)}
 		}
 		holders[s.Name] = sibling{transport.NewPeer(ctx, dial, s.Addr), transport.NewPeer(ctx, dial, s.Addr)}
-		k.holder.promisers = append(k.holder.promisers, promisePeer{transport.NewPeer(ctx, dial, s.Addr)})
+		peer := promisePeer{transport.NewPeer(ctx, dial, s.Addr)}
+		k.holder.promisers = append(k.holder.promisers, peer)
+		k.holder.announcers = append(k.holder.announcers, peer)
 	}
 	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.foundOver,
 		func(job string, op placement.Opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) }, lenders)
@@ -139,12 +141,11 @@
 
 func (k *Controller) MemberChanged(name string, m *bookkeeping.Member) {
 	k.owner.tell(func() { k.owner.memberChanged(name, m) })
+	k.holder.tell(func() { k.holder.memberChanged(name, m) })
 	if m == nil {
-		k.holder.tell(func() { delete(k.holder.members, name) })
 		k.leader.tell(func() { delete(k.leader.members, name) })
 		return
 	}
-	k.holder.tell(func() { k.holder.members[name] = m })
 	k.leader.tell(func() { k.leader.members[name] = m })
 }
 
@@ -288,7 +289,7 @@
 // they are and whoever knows of it.
 func (k *Controller) confirm(ctx context.Context, s *standing) (*protocol.JobStatus, error) {
 	if s.job.State == protocol.Cancelled {
-		if may, ok := askFor(ctx, &k.holder.actor, func() bool { return k.holder.mayConfirm(s.job.Spec.ID) }); !ok || !may {
+		if !k.holder.confirmCancelled(ctx, s.job.Spec.ID) {
 			return nil, ErrLater
 		}
 	}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -84,6 +84,12 @@
 	cancelled membership.Cancellations
 	horizon   membership.Horizon
 	invalid   time.Time // when reports were last seen not to be answered
+	// announcements are cancellations that siblings are asked to acknowledge, by announcers in the
+	// order of the settings; acknowledged is closed and renewed when one did.
+	announcements membership.Announcements
+	announcers    []AnnounceCaller
+	announcing    map[string]announcing
+	acknowledged  chan struct{}
 }
 
 type goneMachine struct {
@@ -200,7 +206,7 @@
 		siblings = append(siblings, s.Name)
 	}
 	now := time.Now()
-	return &Holder{started: now, bound: now.Add(membership.YoungFor), giving: map[string]membership.Giving{}, strays: map[string]stray{}, horizon: membership.NewHorizon(siblings), actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
+	return &Holder{started: now, bound: now.Add(membership.YoungFor), giving: map[string]membership.Giving{}, announcing: map[string]announcing{}, acknowledged: make(chan struct{}), strays: map[string]stray{}, horizon: membership.NewHorizon(siblings), actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
 		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]placement.Opinion{}, releasing: map[int]*heldSlot{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
@@ -268,6 +274,7 @@
 		h.obey(h.latest)
 	}
 	h.consult(now)
+	h.reviewAnnouncements(now)
 	h.adopt()
 	h.release()
 	h.enroll()
--- a/internal/coordination/promises.go
+++ b/internal/coordination/promises.go
@@ -227,11 +227,7 @@
 // session since.)
 func (h *Holder) hearWord(name string, r *PromiseReply, asked time.Time, lasts time.Duration) {
 	now := time.Now()
-	for _, job := range r.Cancelled {
-		if h.cancelled.Learn(job, now) {
-			h.changedJobs[job] = true
-		}
-	}
+	h.learnCancelled(r.Cancelled, now)
 	h.horizon.Hear(name, r.word(lasts), asked, now)
 }
 
