--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -209,6 +209,20 @@
 			})
 		}
 		return errors.Join(err1, err2, err3)
+	case "stream-cancelled": // stream-cancelled FIRST LAST RUN EVERY AFTER LONG: as stream, but every fourth would run for LONG and is cancelled so long after
+		first, err1 := strconv.Atoi(args[0])
+		last, err2 := strconv.Atoi(args[1])
+		every, err3 := time.ParseDuration(args[3])
+		after, err4 := time.ParseDuration(args[4])
+		for n := first; n <= last; n++ {
+			id, run := strconv.Itoa(n), args[2]
+			if (n-first)%4 == 0 {
+				run = args[5]
+				time.AfterFunc(time.Duration(n-first)*every+after, func() { w.meanwhile("cancel", []string{"wk-" + id}) })
+			}
+			time.AfterFunc(time.Duration(n-first)*every, func() { w.meanwhile("swarm", []string{id, id, run}) })
+		}
+		return errors.Join(err1, err2, err3, err4)
 	case "stream-bound", "stream-free": // the same, of jobs of that team that take half of what the bound one may use
 		first, err1 := strconv.Atoi(args[0])
 		last, err2 := strconv.Atoi(args[1])
@@ -236,6 +250,8 @@
 			err = fmt.Errorf("%+v", c)
 		}
 		return err
+	case "begins-submit": // the same as submit, and the trace goes on meanwhile
+		w.meanwhile("submit", args)
 	case "begins-cancel": // begins-cancel JOB: its user goes on asking, and the trace goes on meanwhile
 		w.meanwhile("cancel", args)
 	case "window": // window CONTROLLER N: it goes by the window of this number, or a later one
@@ -360,12 +376,18 @@
 		return w.rewrite("z/", "end", "with")
 	case "archived": // archived JOB STATE: its record stands with those long over
 		return w.archive(args[0], args[1])
+	case "boots": // boots FACTOR: machines rented from now on boot so much slower; 0: at once
+		factor, err := strconv.ParseFloat(args[0], 64)
+		w.em.Boots(factor)
+		return err
 	case "cloud-outage":
 		w.em.CloudOutage(onOff(args))
 	case "capacity":
 		n, err := strconv.Atoi(args[0])
 		w.em.Capacity(n)
 		return err
+	case "cut-zone": // cut-zone ZONE CONTROLLER: the machines of a zone and this controller from all else; cut off ends it
+		w.cutZone(args[0], args[1])
 	case "cut": // cut CONTROLLER from workers|siblings|state+siblings|all, or cut off
 		w.cut(args)
 	case "rented": // rented N: no more machines than that so far
@@ -376,9 +398,9 @@
 		return err
 	case "machine": // machine TASK hangs|resumes|dies|sickens|leaves|deafens|holds|hears|mutes|speaks|reboots
 		return w.strike(args[0], args[1])
-	case "machines": // machines N hangs|resumes|deafens|holds|hears|mutes|speaks|reboots: as many of them, drawn by chance, or those that were; 0: all
+	case "machines": // machines N hangs|resumes|deafens|holds|hears|mutes|speaks|isolates|rejoins|reboots: as many of them, drawn by chance, or those that were; 0: all
 		n, err := strconv.Atoi(args[0])
-		if ends := emulator.Trouble(args[1]); ends == emulator.Hears || ends == emulator.Speaks || ends == emulator.Resumes {
+		if ends := emulator.Trouble(args[1]); ends == emulator.Hears || ends == emulator.Speaks || ends == emulator.Resumes || ends == emulator.Rejoins {
 			for _, id := range w.some {
 				w.em.Strike(id, ends) // it may have been returned meanwhile
 			}
@@ -416,6 +438,20 @@
 	})
 }
 
+// cutZone cuts the machines of a zone, and one controller with them, from all that is not there.
+func (w *world) cutZone(zone, controller string) {
+	isInside := func(host string) bool {
+		return host == controller || strings.HasPrefix(host, "host-") && w.em.ZoneOf(host) == zone
+	}
+	w.net.Sever(func(from, to string) bool {
+		name := strings.TrimSuffix(to, ":1")
+		for _, role := range []string{"front-", "inner-", "worker-"} { // of the services none belongs to a zone
+			name = strings.TrimPrefix(name, role)
+		}
+		return isInside(from) != isInside(name)
+	})
+}
+
 // submit JOB SHAPE TASKS [key=value ...]
 func (w *world) submit(args []string) error {
 	tasks, err := strconv.Atoi(args[2])
@@ -537,8 +573,8 @@
 	job, index, _ := protocol.SplitTask(task)
 	id := ""
 	w.em.Rules(func(r *history.Checker) { id = r.Machines(job)[index] })
-	if how == string(emulator.Resumes) {
-		w.em.Strike(w.struck[task], emulator.Resumes) // it may have been returned meanwhile
+	if ends := emulator.Trouble(how); ends == emulator.Resumes || ends == emulator.Rejoins {
+		w.em.Strike(w.struck[task], ends) // it may have been returned meanwhile
 		return nil
 	}
 	w.struck[task] = id
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -285,19 +285,21 @@
 
 // The troubles of machines.
 const (
-	Hangs   Trouble = "hangs"   // it does nothing, until it resumes
-	Resumes Trouble = "resumes" // it goes on, if its lease still lives
-	Dies    Trouble = "dies"    // it stops on its own
-	Sickens Trouble = "sickens" // all tasks on it fail
-	Slows   Trouble = "slows"   // it runs at a quarter of its speed
-	Leaves  Trouble = "leaves"  // the cloud takes it after a notice of 20 s
-	Taken   Trouble = "taken"   // the cloud takes it without a notice
-	Deafens Trouble = "deafens" // its reports arrive, but answers and commands don't reach it
-	Holds   Trouble = "holds"   // the same, and commands are held and arrive once it hears
-	Hears   Trouble = "hears"   // it hears again
-	Mutes   Trouble = "mutes"   // it can't open connections to any controller; direct commands reach it
-	Speaks  Trouble = "speaks"  // it can again
-	Reboots Trouble = "reboots" // it is back at once, without its tasks, and its worker begins anew
+	Hangs    Trouble = "hangs"    // it does nothing, until it resumes
+	Resumes  Trouble = "resumes"  // it goes on, if its lease still lives
+	Dies     Trouble = "dies"     // it stops on its own
+	Sickens  Trouble = "sickens"  // all tasks on it fail
+	Slows    Trouble = "slows"    // it runs at a quarter of its speed
+	Leaves   Trouble = "leaves"   // the cloud takes it after a notice of 20 s
+	Taken    Trouble = "taken"    // the cloud takes it without a notice
+	Deafens  Trouble = "deafens"  // its reports arrive, but answers and commands don't reach it
+	Holds    Trouble = "holds"    // the same, and commands are held and arrive once it hears
+	Hears    Trouble = "hears"    // it hears again
+	Mutes    Trouble = "mutes"    // it can't open connections to any controller; direct commands reach it
+	Speaks   Trouble = "speaks"   // it can again
+	Isolates Trouble = "isolates" // nothing leaves it; commands are held, and arrive once it rejoins
+	Rejoins  Trouble = "rejoins"  // it is reached, and reaches others, again
+	Reboots  Trouble = "reboots"  // it is back at once, without its tasks, and its worker begins anew
 )
 
 // notice is how long a spot notice is.
@@ -362,6 +364,12 @@
 		m.hear()
 	case Mutes, Speaks:
 		m.mute = t == Mutes
+	case Isolates:
+		m.mute = true
+		m.deafen(true)
+	case Rejoins:
+		m.mute = false
+		m.hear()
 	case Reboots:
 		m.reboot()
 	default:
