Slots taken by a transaction whose answer was lost are given up when they are dealt elsewhere

Cause: a controller takes slots, the transaction is carried out and its answer lost. Before it asks again the slots are dealt to another, who waits for the holder by the record, since its session lives. That one does not know that it holds them, and gives up only what it knows: the slots' machines are unused, and no owner places anything, for good.

Change: what the records say this process holds, it does not act for and is dealt to another living controller is given up (releaseUnheard). The emulator can lose the answer to one chosen transaction.

--- a/internal/coordination/slots.go
+++ b/internal/coordination/slots.go
@@ -193,6 +193,7 @@
 		h.bump()
 		h.releasing[slot] = s
 	}
+	h.releaseUnheard()
 	if len(h.releasing) == 0 || h.writingSlots {
 		return
 	}
@@ -208,6 +209,25 @@
 	h.changeSlots(transport.Vital, changes, nil)
 }
 
+// releaseUnheard gives up slots that this process holds by their records and does not act for, when
+// they are dealt to another living controller: the answer to the transaction that took them was lost.
+// One that is dealt to this controller is taken anew (adopt).
+func (h *Holder) releaseUnheard() {
+	if h.adopting || !h.session.Valid() {
+		return
+	}
+	for slot, holder := range h.latest.Deal {
+		rec := h.records[slot]
+		if holder == h.cfg.Name || h.members[holder] == nil || h.slots[slot] != nil || h.releasing[slot] != nil {
+			continue
+		}
+		if rec != nil && rec.Holder == h.cfg.Name && rec.Incarnation == h.session.Term() {
+			slog.Info("gives up a slot that it did not know it had taken", "slot", slot, "term", rec.Term)
+			h.releasing[slot] = &heldSlot{slot: slot, term: rec.Term}
+		}
+	}
+}
+
 // changeSlots writes slots' records, one transaction at a time. What was
 // written for certain is passed on; anything else is tried again by the loop,
 // once the replica shows the records as they are.
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -360,6 +360,8 @@
 		share, err := strconv.ParseFloat(args[0], 64)
 		w.em.State.Unheard(share)
 		return err
+	case "loses-answer": // loses-answer CONTROLLER PREFIX: its next change of such a record is carried out, and the answer lost
+		w.em.State.LoseNext(args[0], bookkeeping.Root+args[1])
 	case "late-commands": // late-commands SHARE: so many direct commands are held up for seconds, unanswered, 0 for no more
 		share, err := strconv.ParseFloat(args[0], 64)
 		w.em.HoldCommands(share)
--- a/internal/emulator/state.go
+++ b/internal/emulator/state.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,9 +34,12 @@
 	slow    time.Duration
 	late    time.Duration
 	unheard float64 // share of transactions whose answers are lost
-	rng     *rand.Rand
-	page    int
-	counts  StateCounts
+	// losesNext are the prefixes of keys of which a controller's next change is carried out and its
+	// answer lost.
+	losesNext map[string]string
+	rng       *rand.Rand
+	page      int
+	counts    StateCounts
 	// unsaved are changes that go with the next commit, which closes next; current
 	// is closed by the commit under way. Each is nil if there is none.
 	unsaved       []record
@@ -53,7 +57,7 @@
 // NewState makes a state service that lives as long as ctx. With a directory it goes
 // on with the state that is kept there.
 func NewState(ctx context.Context, l Limits, dir string) (*State, error) {
-	s := &State{store: newStore(), changed: make(chan struct{}), refuses: map[string]bool{}, lags: map[string]time.Duration{}, page: pageKeys, rng: rand.New(rand.NewPCG(0, 0x57a7e))}
+	s := &State{store: newStore(), changed: make(chan struct{}), refuses: map[string]bool{}, losesNext: map[string]string{}, lags: map[string]time.Duration{}, page: pageKeys, rng: rand.New(rand.NewPCG(0, 0x57a7e))}
 	if dir != "" {
 		var err error
 		if s.disk, err = openDisk(dir); err != nil {
@@ -119,6 +123,19 @@
 // it.
 func (s *State) Unheard(share float64) { s.loop.do(func() { s.unheard = share }) }
 
+// LoseNext has the next transaction of a controller that changes a key with the prefix carried out at
+// once, and its answer lost.
+func (s *State) LoseNext(node, prefix string) { s.loop.do(func() { s.losesNext[node] = prefix }) }
+
+// losesAnswer tells whether the answer to a transaction is lost, on the loop.
+func (s stateDoor) losesAnswer(t *txn) bool {
+	if prefix, next := s.losesNext[s.node]; next && slices.ContainsFunc(t.Then, func(c put) bool { return strings.HasPrefix(c.Set, prefix) && prefix != "" }) {
+		delete(s.losesNext, s.node)
+		return true
+	}
+	return s.unheard > 0 && s.rng.Float64() < s.unheard
+}
+
 // Pages bounds the keys on a page of a listing.
 func (s *State) Pages(most int) { s.loop.do(func() { s.page = most }) }
 
@@ -366,7 +383,7 @@
 	err := read(r, t)
 	var late time.Duration
 	unheard := false
-	s.loop.do(func() { late, unheard = s.late, s.unheard > 0 && s.rng.Float64() < s.unheard })
+	s.loop.do(func() { late, unheard = s.late, s.losesAnswer(t) })
 	if late > 0 && err == nil { // it is under way for so long, and its sender hears nothing
 		s.loop.do(func() {
 			s.loop.after(late, func() {
