Linters in the one test command: gofmt, go vet, staticcheck with all checks

Change: the 18 findings mended: comments on exported names, a deprecated name, a constant of the emulator that nothing used (its requests are bounded where they are read).

--- a/internal/board/news.go
+++ b/internal/board/news.go
@@ -4,6 +4,7 @@
 
 // What holders tell of their machines. These types travel between controllers
 // by net/rpc: fields may be added, none may change its name or meaning.
+
 // TaskView is a task as its machine's holder knows it.
 type TaskView struct {
 	Task    string
@@ -27,13 +28,13 @@
 	return state == TaskReserved || state == TaskQueued || state == TaskStarting
 }
 
-// Exited: it ended, in whatever way, and its worker still remembers it.
+// Exited tells whether it ended, in whatever way, and its worker still remembers it.
 func (t *TaskView) Exited() bool { return t.State == protocol.TaskExited }
 
-// Running: it makes progress, or is seen to.
+// Running tells whether it makes progress, or is seen to.
 func (t *TaskView) Running() bool { return t.State == protocol.TaskRunning }
 
-// Begun: it runs, or did so until it was told to stop.
+// Begun tells whether it runs, or did so until it was told to stop.
 func (t *TaskView) Begun() bool { return t.Running() || t.State == protocol.TaskFlushing }
 
 // MachineView is a machine as its holder sums it up.
--- a/internal/bookkeeping/reader.go
+++ b/internal/bookkeeping/reader.go
@@ -59,7 +59,7 @@
 	maxWaiting = 4096
 )
 
-// ErrBusy: too many questions wait already.
+// ErrBusy says that too many questions wait already.
 var ErrBusy = errors.New("too many questions at a time")
 
 // NewReader makes a reader.
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -13,7 +13,7 @@
 	"daledyke/internal/transport"
 )
 
-// ErrConflict: the records are no longer what the change was based on.
+// ErrConflict says that the records are no longer what the change was based on.
 var ErrConflict = errors.New("record changed meanwhile")
 
 // Store writes and reads records in the state service. It keeps nothing.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -213,12 +213,20 @@
 	return names
 }
 
-// Durations of the workers' settings.
+// ReportEvery is how often a worker reports.
 func (c *Config) ReportEvery() time.Duration { return protocol.Seconds(c.Deployment.Workers.ReportS) }
+
+// WorkerLease is for how long a worker's tasks live after the last report that was answered.
 func (c *Config) WorkerLease() time.Duration { return protocol.Seconds(c.Deployment.Workers.LeaseS) }
-func (c *Config) GangWait() time.Duration    { return protocol.Seconds(c.Deployment.Workers.GangWaitS) }
-func (c *Config) GangPeer() time.Duration    { return protocol.Seconds(c.Deployment.Workers.GangPeerS) }
-func (c *Config) ListLag() time.Duration     { return protocol.Seconds(c.Deployment.Cloud.ListLagS) }
+
+// GangWait is for how long a gang's task waits for the others.
+func (c *Config) GangWait() time.Duration { return protocol.Seconds(c.Deployment.Workers.GangWaitS) }
+
+// GangPeer is within what time a gang's tasks notice that another is gone.
+func (c *Config) GangPeer() time.Duration { return protocol.Seconds(c.Deployment.Workers.GangPeerS) }
+
+// ListLag is by how much the cloud's list of machines lags.
+func (c *Config) ListLag() time.Duration { return protocol.Seconds(c.Deployment.Cloud.ListLagS) }
 
 // RenewFor is for how long after a moment a report may still be answered without knowing
 // whether a job was cancelled since: what the answer renews lives for a lease at most, and ends
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -358,7 +358,7 @@
 	return v, nil
 }
 
-// ErrLater: it cannot be decided now; the user should come again.
+// ErrLater says that it cannot be decided now; the user should come again.
 var ErrLater = errors.New("cannot be decided now")
 
 // Submit takes a submission: its status code and answer. An id that is known
--- a/internal/emulator/durable.go
+++ b/internal/emulator/durable.go
@@ -11,6 +11,7 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 
 	"daledyke/internal/protocol"
 )
@@ -46,7 +47,7 @@
 		return nil, fmt.Errorf("state directory: %w", err)
 	}
 	db, err := bolt.Open(filepath.Join(dir, "state.db"), 0o600, &bolt.Options{Timeout: time.Second})
-	if errors.Is(err, bolt.ErrTimeout) {
+	if errors.Is(err, berrors.ErrTimeout) {
 		err = errors.New("in use by another process")
 	}
 	if err != nil {
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -30,9 +30,6 @@
 	TxnOps  int
 }
 
-// txnBytes bounds a transaction as a whole.
-const txnBytes = 64 << 10
-
 var (
 	errNoLease   = errors.New("no such lease")
 	errMalformed = errors.New("malformed")
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -331,7 +331,7 @@
 	Progress func(share float64)
 }
 
-// ErrNotEmpty: a result's directory holds something already.
+// ErrNotEmpty says that a result's directory holds something already.
 var ErrNotEmpty = errors.New("the directory for results is not empty")
 
 // Run plays all runs of an experiment.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -18,13 +18,13 @@
 	"golang.org/x/time/rate"
 )
 
-// ErrRefused: the other side answered that it did not do it.
+// ErrRefused says that the other side answered that it did not do it.
 var ErrRefused = errors.New("refused, not executed")
 
-// ErrUnknown: no answer; it may have been done, or may yet be done later.
+// ErrUnknown says that no answer came: the request may have been done, or may yet be done later.
 var ErrUnknown = errors.New("no answer, outcome unknown")
 
-// ErrInvalid: the other side calls the request malformed; it will never be
+// ErrInvalid says that the other side calls the request malformed; it will never be
 // carried out as it is.
 var ErrInvalid = errors.New("refused as malformed")
 
--- a/internal/transport/cloud.go
+++ b/internal/transport/cloud.go
@@ -11,7 +11,7 @@
 	"daledyke/internal/protocol"
 )
 
-// ErrNoCapacity: the cloud has none of what was asked for.
+// ErrNoCapacity says that the cloud has none of what was asked for.
 var ErrNoCapacity = errors.New("no capacity")
 
 // Cloud is the client of the cloud's interface.
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -168,7 +168,7 @@
 	return &Operators{http: newHTTPClient(dial, 1, time.Second), base: "http://" + addr}
 }
 
-// ErrNoSuchJob: the controller knows nothing of the job.
+// ErrNoSuchJob says that the controller knows nothing of the job.
 var ErrNoSuchJob = errors.New("no such job is known to this controller")
 
 // Overview asks for what the controller knows.
--- a/internal/transport/state.go
+++ b/internal/transport/state.go
@@ -13,10 +13,10 @@
 	"daledyke/internal/protocol"
 )
 
-// ErrTooOld: the watch asked for changes that are no longer kept.
+// ErrTooOld says that the watch asked for changes that are no longer kept.
 var ErrTooOld = errors.New("changes no longer kept")
 
-// ErrNoLease: the lease has ended.
+// ErrNoLease says that the lease has ended.
 var ErrNoLease = errors.New("no such lease")
 
 // State is the client of the state service.
--- a/test.sh
+++ b/test.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# The one test command: vet, build as a deployment does, and all tests but those that
+# The one test command: the linters, a build as a deployment does, and all tests but those that
 # KNOWN-RED.txt names, which are told.
 set -euo pipefail
 cd "$(dirname "$0")"
-go vet ./...
+bash ./lint.sh
 eval "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/service.toml)"
 red=$(bash ./known-red.sh)
 go test -race ${red:+-skip "$red"} ./...
