--- a/internal/coordination/hearing_test.go
+++ b/internal/coordination/acks_test.go
@@ -111,7 +111,7 @@
 		time.Sleep(3 * c.WorkerLease())
 		h.told()
 		w := h.byID["host-000004"]
-		h.executed(w, protocol.Orders{}, report(2, 9, protocol.NewToken(7, 1)), false, nil)
+		h.commandAnswered(w, protocol.Orders{}, report(2, 9, protocol.NewToken(7, 1)), false, nil)
 		if h.told(); w.lapsed || w.session != 2 {
 			t.Errorf("%+v", w)
 		}
@@ -131,11 +131,11 @@
 		h.told()
 		w := h.byID["host-000004"]
 		time.Sleep(7 * time.Second)
-		w.busy, w.askedAfter, w.hearing = true, w.ticket, hearing{}
+		w.busy, w.askedAfter, w.ack = true, w.ticket, ackState{}
 		o := protocol.Orders{Token: protocol.NewToken(7, 9), Session: 2, Commands: []protocol.Command{{Verb: protocol.VerbStart, Task: "wk-1/0", Attempt: 3}}}
 		w.seq = 9
 		// Refused, since its session is another: the next one is sent to that.
-		h.executed(w, o, report(1, 2, 0), false, nil)
+		h.commandAnswered(w, o, report(1, 2, 0), false, nil)
 		if w.session != 1 || h.startable(w) {
 			t.Errorf("it is used before it showed that it hears: %+v", w)
 		}
@@ -145,7 +145,7 @@
 		w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 3, state: board.TaskStarting, token: o.Token}
 		running := report(1, 3, o.Token)
 		running.Tasks = []protocol.TaskReport{{Task: "wk-1/0", Attempt: 3, State: protocol.TaskRunning}}
-		h.executed(w, o, running, true, nil)
+		h.commandAnswered(w, o, running, true, nil)
 		time.Sleep(c.WorkerLease() - time.Second)
 		if h.told(); w.lapsed || w.entries["wk-1/0"] == nil {
 			t.Errorf("taken for gone: %+v", w)
@@ -165,18 +165,18 @@
 		h.Report(report(1, 5, protocol.NewToken(7, 1)))
 		h.told()
 		w := h.byID["host-000004"]
-		w.hearing, w.busy = hearing{}, true
+		w.ack, w.busy = ackState{}, true
 		o := protocol.Orders{Token: protocol.NewToken(7, 9), Commands: []protocol.Command{{Verb: protocol.VerbStart, Task: "wk-1/0", Attempt: 3}}}
 		w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 3, state: board.TaskStarting, token: o.Token}
-		h.executed(w, o, nil, false, fmt.Errorf("%w: no connection", transport.ErrRefused))
-		if e := w.entries["wk-1/0"]; e == nil || e.state != board.TaskQueued || w.hearing.doubted() || w.busy {
+		h.commandAnswered(w, o, nil, false, fmt.Errorf("%w: no connection", transport.ErrRefused))
+		if e := w.entries["wk-1/0"]; e == nil || e.state != board.TaskQueued || w.ack.awaitsAck() || w.busy {
 			t.Errorf("never sent: %+v of %+v", e, w)
 		}
 		h.Report(report(1, 6, protocol.NewToken(7, 1)))
 		w.busy, w.seq = true, 9
 		w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 3, state: board.TaskStarting, token: o.Token}
-		h.executed(w, o, nil, false, fmt.Errorf("%w: no answer", transport.ErrUnknown))
-		if e := w.entries["wk-1/0"]; e == nil || e.state != board.TaskStarting || !w.hearing.doubted() {
+		h.commandAnswered(w, o, nil, false, fmt.Errorf("%w: no answer", transport.ErrUnknown))
+		if e := w.entries["wk-1/0"]; e == nil || e.state != board.TaskStarting || !w.ack.awaitsAck() {
 			t.Errorf("unanswered: %+v of %+v", e, w)
 		}
 		// It may be carried out late, until the machine has heard of a higher token.
@@ -238,9 +238,9 @@
 		ticket, asked := uint64(5), 0
 		for begin := time.Now(); time.Since(begin) < c.WorkerLease()-time.Second; time.Sleep(250 * time.Millisecond) {
 			h.told()
-			if w.probed.After(begin.Add(2*c.ReportEvery())) && time.Since(w.probed) < 250*time.Millisecond {
+			if w.probedAt.After(begin.Add(2*c.ReportEvery())) && time.Since(w.probedAt) < 250*time.Millisecond {
 				ticket, asked = ticket+1, asked+1
-				h.executed(w, protocol.Orders{Session: 1}, report(1, ticket, protocol.NewToken(7, w.seq)), true, nil)
+				h.commandAnswered(w, protocol.Orders{Session: 1}, report(1, ticket, protocol.NewToken(7, w.seq)), true, nil)
 			}
 			if since := time.Since(begin); w.silent || h.view(w).Silent || since > h.silentAfter()+time.Second && h.startable(w) {
 				t.Fatalf("after %v: silent %v, usable %v", since, w.silent, h.startable(w))
@@ -271,9 +271,9 @@
 			}
 			time.Sleep(time.Second)
 			h.told()
-			if w.probed.After(begin.Add(2 * c.ReportEvery())) {
+			if w.probedAt.After(begin.Add(2 * c.ReportEvery())) {
 				w.busy, w.askedAfter = true, w.ticket
-				h.executed(w, protocol.Orders{Session: 3}, report(1, ticket+1, 0), false, nil)
+				h.commandAnswered(w, protocol.Orders{Session: 3}, report(1, ticket+1, 0), false, nil)
 			}
 		}
 		if since := time.Since(begin); w.session != 1 || w.lapsed || since > h.silentAfter()+time.Second {
@@ -304,14 +304,14 @@
 			{"one that is news", board.Stray{Machine: "host-000004", Session: 2, Ticket: 6, AgoMs: 1000}, true, true},
 			{"the version before", board.Stray{}, false, true},
 		} {
-			h.strayedAt = time.Time{}
-			if h.strayed(c.stray, c.told, time.Now()); !h.strayedAt.IsZero() != c.news {
-				t.Errorf("%s: %v", c.say, h.strayedAt)
+			h.reportedElsewhereAt = time.Time{}
+			if h.noteMisrouted(c.stray, c.told, time.Now()); !h.reportedElsewhereAt.IsZero() != c.news {
+				t.Errorf("%s: %v", c.say, h.reportedElsewhereAt)
 			}
 		}
-		h.strayedAt = time.Time{}
+		h.reportedElsewhereAt = time.Time{}
 		delete(h.slots, s.slot)
-		if h.strayed(board.Stray{Machine: "host-000004", Session: 2, Ticket: 6}, true, time.Now()); !h.strayedAt.IsZero() {
+		if h.noteMisrouted(board.Stray{Machine: "host-000004", Session: 2, Ticket: 6}, true, time.Now()); !h.reportedElsewhereAt.IsZero() {
 			t.Error("of a slot that is held no more")
 		}
 	})
@@ -478,9 +478,9 @@
 					m.token, m.running, m.next = o.Token, true, time.Now()
 					rep := m.snapshot()
 					if m.again || rapid.Bool().Draw(rt, "answered") {
-						h.executed(w, o, &rep, true, nil)
+						h.commandAnswered(w, o, &rep, true, nil)
 					} else {
-						h.executed(w, o, nil, false, transport.ErrUnknown)
+						h.commandAnswered(w, o, nil, false, transport.ErrUnknown)
 					}
 				},
 			})
@@ -508,8 +508,8 @@
 		h.told()
 		w := h.byID["host-000004"]
 		lost := protocol.Orders{Token: protocol.NewToken(7, w.seq), Session: 1, Commands: []protocol.Command{{Verb: protocol.VerbStop, Task: "wk-1/0", Attempt: 1}}}
-		h.executed(w, lost, nil, false, errors.New("no answer"))
-		if !w.hearing.doubted() || !w.probe {
+		h.commandAnswered(w, lost, nil, false, errors.New("no answer"))
+		if !w.ack.awaitsAck() || !w.probeDue {
 			t.Fatalf("nothing is asked: %+v", w)
 		}
 		was := w.seq
@@ -517,17 +517,17 @@
 			time.Sleep(250 * time.Millisecond)
 			h.told()
 		}
-		if w.seq == was || w.probe {
+		if w.seq == was || w.probeDue {
 			t.Errorf("it was not asked after 2 s: %+v", w)
 		}
 		w.busy = false
-		h.executed(w, protocol.Orders{Token: protocol.NewToken(7, w.seq), Session: 1}, nil, false, errors.New("no answer"))
-		if w.probe {
+		h.commandAnswered(w, protocol.Orders{Token: protocol.NewToken(7, w.seq), Session: 1}, nil, false, errors.New("no answer"))
+		if w.probeDue {
 			t.Error("it is asked at once again")
 		}
 		answer := report(1, 9, protocol.NewToken(7, w.seq))
-		h.executed(w, protocol.Orders{Session: 1}, answer, true, nil)
-		if w.hearing.doubted() {
+		h.commandAnswered(w, protocol.Orders{Session: 1}, answer, true, nil)
+		if w.ack.awaitsAck() {
 			t.Error("its answer does not count")
 		}
 	})
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -39,11 +39,11 @@
 	return r
 }
 
-// wanted works out which commands lead from what is on a machine to what should be. A holder
+// desiredCommands works out which commands lead from what is on a machine to what should be. A holder
 // that may not act as usual stops what nobody is to run any more, and no more: whoever is
 // entitled to a machine may, since such commands are fenced by the slot's term as all are, and
 // undo no others.
-func (h *Holder) wanted(w *worker, now time.Time, acts bool) []protocol.Command {
+func (h *Holder) desiredCommands(w *worker, now time.Time, acts bool) []protocol.Command {
 	var out []protocol.Command
 	for _, e := range w.entries {
 		j := h.jobs[e.job]
@@ -88,9 +88,9 @@
 	return out
 }
 
-// atRest tells whether no command to the worker is due, or will be before
+// isSettled tells whether no command to the worker is due, or will be before
 // something changes.
-func (h *Holder) atRest(w *worker) bool {
+func (h *Holder) isSettled(w *worker) bool {
 	for _, e := range w.entries {
 		if e.stop || e.unconfirmed() || e.exited() || h.over(e.job) {
 			return false
@@ -139,10 +139,10 @@
 	return stops, true
 }
 
-// pump sends a worker the commands it needs. One direct command is under way
+// sendCommands sends a worker the commands it needs. One direct command is under way
 // at a time; each has a token of its own, so that a report with a higher one
 // proves that it was carried out or never will be.
-func (h *Holder) pump(w *worker) {
+func (h *Holder) sendCommands(w *worker) {
 	now := time.Now()
 	if w.busy || w.lapsed || w.session == 0 || now.Before(w.holdOff) || !h.entitled() || h.slots[w.slot.slot] != w.slot {
 		return
@@ -150,8 +150,8 @@
 	acts := h.session.Valid() && h.mayAnswer()
 	var cmds []protocol.Command
 	if w.verified {
-		if cmds = h.wanted(w, now, acts); len(cmds) == 0 && !(acts && w.probe) {
-			w.settled = acts && h.atRest(w)
+		if cmds = h.desiredCommands(w, now, acts); len(cmds) == 0 && !(acts && w.probeDue) {
+			w.settled = acts && h.isSettled(w)
 			return
 		}
 	} else if !acts {
@@ -164,12 +164,12 @@
 			w.entries[c.Task].token = orders.Token
 		}
 	}
-	w.busy, w.askedAfter, w.probe, w.probed = true, w.ticket, false, now
+	w.busy, w.askedAfter, w.probeDue, w.probedAt = true, w.ticket, false, now
 	h.touch(w)
 	addr := w.addr
 	go func() {
 		rep, executed, err := h.workers.Do(h.ctx, addr, orders)
-		h.tell(func() { h.executed(w, orders, rep, executed, err) })
+		h.tell(func() { h.commandAnswered(w, orders, rep, executed, err) })
 	}()
 }
 
@@ -186,7 +186,7 @@
 // silentGap is how long a machine that is silent is left alone after a command in vain.
 const silentGap = 8 * time.Second
 
-func (h *Holder) executed(w *worker, o protocol.Orders, rep *protocol.Report, executed bool, err error) {
+func (h *Holder) commandAnswered(w *worker, o protocol.Orders, rep *protocol.Report, executed bool, err error) {
 	w.busy = false
 	if h.byID[w.id] != w || h.slots[w.slot.slot] != w.slot {
 		return
@@ -204,12 +204,12 @@
 		// whether the machine hears. It is asked for one, once: that comes sooner than by reports,
 		// and until then nothing more is started there.
 		w.seq++
-		w.probe = len(o.Commands) > 0
+		w.probeDue = len(o.Commands) > 0
 		w.holdOff = time.Now().Add(time.Second)
 		if w.silent { // many may be, and each attempt holds a connection until it is given up
 			w.holdOff = time.Now().Add(silentGap)
 		}
-		if w.hearing.doubt(protocol.NewToken(w.slot.term, w.seq), time.Now()) {
+		if w.ack.requireAck(protocol.NewToken(w.slot.term, w.seq), time.Now()) {
 			h.touch(w)
 		}
 		slog.Debug("direct command unanswered", "machine", w.id, "err", err)
@@ -223,12 +223,12 @@
 		w.holdOff = time.Now().Add(500 * time.Millisecond)
 	}
 	if rep.Machine == w.id && rep.Token.Term() <= w.slot.term {
-		w.hearing = hearing{} // it answered
+		w.ack = ackState{} // it answered
 		if !w.isNewer(rep) && w.session == o.Session && w.ticket == w.askedAfter {
-			h.beganAnew(w, rep)
+			h.noteRestart(w, rep)
 		}
 		h.hear(w, rep)
 	}
 	h.touch(w)
-	h.pump(w)
+	h.sendCommands(w)
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -90,8 +90,8 @@
 	}
 	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.foundOver,
 		func(job string, op placement.Opinion) { k.holder.tell(func() { k.holder.hearOpinion(job, op) }) }, lenders)
-	k.owner.strayed = func(s board.Stray, told bool, heard time.Time) {
-		k.holder.tell(func() { k.holder.strayed(s, told, heard) })
+	k.owner.misrouted = func(s board.Stray, told bool, heard time.Time) {
+		k.holder.tell(func() { k.holder.noteMisrouted(s, told, heard) })
 	}
 	k.leader = NewLeader(ctx, c, k.session, k.store, transport.NewCloud(dial, c.Services.Cloud, d.Cloud.RPS*0.8), k.owner, holders)
 	if c.Quotas != nil {
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -37,7 +37,7 @@
 		}
 		inc, since = r.Incarnation, r.Version
 		if name != o.cfg.Name && (r.Stray.Machine != "" || !r.TellsStrays) {
-			o.strayed(r.Stray, r.TellsStrays, time.Now())
+			o.misrouted(r.Stray, r.TellsStrays, time.Now())
 		}
 		o.ask(o.ctx, func() { o.feed(name, &a, &r, sent) })
 		pause(o.ctx, 20*time.Millisecond)
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -61,10 +61,10 @@
 	// probing: most workers went silent together, and it is being found out whether it is
 	// this controller that they can't reach, or it is and waits for them.
 	probing bool
-	// strays are machines that reported here though others hold them, the newest of each
-	// holder; strayedAt is when one of this holder's own last did so elsewhere.
-	strays    map[string]stray
-	strayedAt time.Time
+	// misrouted are machines that reported here though others hold them, the newest of each
+	// holder; reportedElsewhereAt is when one of this holder's own last did so elsewhere.
+	misrouted           map[string]misroutedReport
+	reportedElsewhereAt time.Time
 	// served is when the state service last did what this controller asked; nil if nobody
 	// knows.
 	served func() time.Time
@@ -133,13 +133,13 @@
 	reported   time.Time // when its last report came: direct answers count as heard, too
 	// lastAnswer is when the last 200 was given that it may have heard: all later ones are
 	// known not to have reached it. answered is that of the newest, with its token, of which
-	// nothing is known yet; see heeds.
+	// nothing is known yet; see noteAck.
 	lastAnswer, answered time.Time
 	answeredWith         protocol.Token
-	hearing              hearing
-	// probe: it is to be asked, whatever is wanted of it; probed is when it last was.
-	probe  bool
-	probed time.Time
+	ack                  ackState
+	// probeDue: it is to be asked, whatever is wanted of it; probed is when it last was.
+	probeDue bool
+	probedAt time.Time
 	// lapsed: the lease of session lapsedIn and all before surely ended.
 	lapsedIn  uint64
 	lapsed    bool
@@ -206,7 +206,7 @@
 		siblings = append(siblings, s.Name)
 	}
 	now := time.Now()
-	return &Holder{started: now, bound: now.Add(membership.YoungFor), giving: map[string]membership.Giving{}, announcing: map[string]announcing{}, acknowledged: make(chan struct{}), strays: map[string]stray{}, horizon: membership.NewHorizon(siblings), actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
+	return &Holder{started: now, bound: now.Add(membership.YoungFor), giving: map[string]membership.Giving{}, announcing: map[string]announcing{}, acknowledged: make(chan struct{}), misrouted: map[string]misroutedReport{}, horizon: membership.NewHorizon(siblings), actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
 		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
 		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
 		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]placement.Opinion{}, releasing: map[int]*heldSlot{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
@@ -309,14 +309,14 @@
 		// state service, a small fleet's machines were given back as lost, with their results.
 		answers := min(now.Sub(w.slot.adopted), now.Sub(h.invalid))
 		unheard := min(now.Sub(w.lastHeard), answers)
-		quiet := unheard > h.silentAfter() || w.hearing.lost(now, h.silentAfter())
+		quiet := unheard > h.silentAfter() || w.ack.isOverdue(now, h.silentAfter())
 		mute := !quiet && min(now.Sub(w.reported), answers) > h.silentAfter()
 		if quiet != w.silent || mute != w.mute {
 			w.silent, w.mute = quiet, mute
 			h.touch(w)
 		}
 		if !quiet && !w.lapsed && unheard > 2*h.cfg.ReportEvery() {
-			h.askItself(w) // it may be that its reports alone don't come
+			h.probeWorker(w) // it may be that its reports alone don't come
 		}
 		if w.settled && len(h.changedJobs) == 0 {
 			continue
@@ -335,7 +335,7 @@
 			}
 		}
 		if !w.settled {
-			h.pump(w)
+			h.sendCommands(w)
 		}
 	}
 	clear(h.changedJobs)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -58,8 +58,8 @@
 	seq      uint64
 	inFlight map[string]bool // holders with a request under way
 	peers    map[string]*peerState
-	// strayed is told what siblings say of this controller's machines that reported to them.
-	strayed func(s board.Stray, told bool, heard time.Time)
+	// misrouted is told what siblings say of this controller's machines that reported to them.
+	misrouted func(s board.Stray, told bool, heard time.Time)
 	// failing are active jobs of which tasks failed; think is told what is
 	// thought of them.
 	failing map[string]*jobState
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -23,7 +23,7 @@
 		holder = rec.Holder
 	}
 	if holder != "" {
-		h.strays[holder] = stray{board.Stray{Machine: rep.Machine, Session: rep.Session, Ticket: rep.Ticket}, time.Now()}
+		h.misrouted[holder] = misroutedReport{board.Stray{Machine: rep.Machine, Session: rep.Session, Ticket: rep.Ticket}, time.Now()}
 	}
 	if !h.mayAnswer() {
 		return http.StatusServiceUnavailable, nil
@@ -58,7 +58,7 @@
 		return http.StatusServiceUnavailable, nil
 	}
 	if was == rep.Session {
-		h.heeds(w, rep.Token)
+		h.noteAck(w, rep.Token)
 	}
 	if !h.hear(w, rep) {
 		return http.StatusServiceUnavailable, nil
@@ -66,13 +66,13 @@
 	w.reported = w.lastHeard
 	if late && was != 0 {
 		w.seq++ // does it hear? Its next report shows
-		w.hearing.doubt(protocol.NewToken(s.term, w.seq), time.Now())
+		w.ack.requireAck(protocol.NewToken(s.term, w.seq), time.Now())
 		h.touch(w)
 	}
-	h.pump(w)
-	if w.hearing.vain() {
+	h.sendCommands(w)
+	if w.ack.ignoresAnswers() {
 		// It takes nothing in, so that answers only make it seem to live. It is asked directly.
-		h.askItself(w)
+		h.probeWorker(w)
 		return http.StatusServiceUnavailable, nil
 	}
 	stops, known := h.stopsCancelled(w, rep)
@@ -106,7 +106,7 @@
 	if rep.Session > w.session && w.session != 0 && !w.lapsed && now.Sub(w.entitled()) < h.cfg.WorkerLease() {
 		// Its lease ended though we answered: it has to show that it hears before it is used.
 		w.seq++
-		w.hearing.doubt(protocol.NewToken(w.slot.term, w.seq), now)
+		w.ack.requireAck(protocol.NewToken(w.slot.term, w.seq), now)
 		slog.Info("machine didn't hear", "machine", w.id)
 	}
 	if rep.Session > w.session {
@@ -116,7 +116,7 @@
 		w.lastAnswer, w.answered = now, time.Time{}
 	}
 	w.session, w.ticket = rep.Session, rep.Ticket
-	if w.hearing.shows(rep.Token) {
+	if w.ack.observe(rep.Token) {
 		news = true
 	}
 	w.addr, w.rig, w.zone, w.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
@@ -281,13 +281,13 @@
 	// They report elsewhere, or can't be reached themselves: else it is they who reach nobody,
 	// and handing them over helps none. (Once all controllers took themselves for deaf together,
 	// and all slots changed hands, as often as machines had been mute for a moment.)
-	strayed := now.Sub(h.strayedAt) < h.strayLately()
-	if total < 3 || 3*quiet <= 2*total || h.probing || !strayed && len(addrs) == 0 {
+	elsewhere := now.Sub(h.reportedElsewhereAt) < h.misroutedRecently()
+	if total < 3 || 3*quiet <= 2*total || h.probing || !elsewhere && len(addrs) == 0 {
 		return
 	}
 	h.probing = true
 	go func() {
-		if !strayed && h.reachable(addrs) {
+		if !elsewhere && h.reachable(addrs) {
 			slog.Info("machines can't reach any controller", "silent", quiet, "of", total)
 			pause(h.ctx, probeEvery)
 			h.tell(func() { h.probing = false })
@@ -326,20 +326,20 @@
 	return reached
 }
 
-// stray is a report that came here though another holds its machine.
-type stray struct {
+// misroutedReport is a report that came here though another holds its machine.
+type misroutedReport struct {
 	board.Stray
 	at time.Time
 }
 
-// strayLately is for how long a stray says something of whom its machine can reach.
-func (h *Holder) strayLately() time.Duration { return 2 * h.cfg.ReportEvery() }
+// misroutedRecently is for how long a misrouted report says something of whom its machine can reach.
+func (h *Holder) misroutedRecently() time.Duration { return 2 * h.cfg.ReportEvery() }
 
-// strayed takes in what a sibling says of this holder's machines that reported to it. Only what
+// noteMisrouted takes in what a sibling says of this holder's machines that reported to it. Only what
 // was not heard here says something: copies of old reports go anywhere.
-func (h *Holder) strayed(n board.Stray, told bool, heard time.Time) {
+func (h *Holder) noteMisrouted(n board.Stray, told bool, heard time.Time) {
 	if !told {
-		h.strayedAt = heard // the version before doesn't tell: as if they did
+		h.reportedElsewhereAt = heard // the version before doesn't tell: as if they did
 		return
 	}
 	s := h.slots[h.slotOf(n.Machine)]
@@ -350,7 +350,7 @@
 	if w := h.byID[n.Machine]; w != nil && !rep.Newer(w.session, w.ticket) {
 		return
 	}
-	if at := heard.Add(-time.Duration(n.AgoMs) * time.Millisecond); at.After(s.adopted) && at.After(h.strayedAt) {
-		h.strayedAt = at
+	if at := heard.Add(-time.Duration(n.AgoMs) * time.Millisecond); at.After(s.adopted) && at.After(h.reportedElsewhereAt) {
+		h.reportedElsewhereAt = at
 	}
 }
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -15,7 +15,7 @@
 
 // startable tells whether tasks may be started on a machine.
 func (h *Holder) startable(w *worker) bool {
-	return w.verified && w.slot.ready && !w.lapsed && !w.silent && !w.mute && !w.hearing.doubted() && !w.notice && w.doubted.IsZero() && !w.suspect && h.registry[w.id] != nil &&
+	return w.verified && w.slot.ready && !w.lapsed && !w.silent && !w.mute && !w.ack.awaitsAck() && !w.notice && w.doubted.IsZero() && !w.suspect && h.registry[w.id] != nil &&
 		w.slot.roster[protocol.MachineNumber(w.id)] && time.Now().After(w.drainTill)
 }
 
@@ -56,7 +56,7 @@
 	for id := range touched {
 		if w := h.byID[id]; w != nil {
 			h.touch(w)
-			h.pump(w)
+			h.sendCommands(w)
 		}
 	}
 	r.Incarnation, r.Version = h.session.Term(), h.version
@@ -234,7 +234,7 @@
 		r.ServedMs = max(1, time.Since(h.served()).Milliseconds())
 	}
 	r.TellsStrays = true
-	if s := h.strays[a.Caller]; time.Since(s.at) < h.strayLately() {
+	if s := h.misrouted[a.Caller]; time.Since(s.at) < h.misroutedRecently() {
 		r.Stray = s.Stray
 		r.Stray.AgoMs = time.Since(s.at).Milliseconds()
 	}
