--- /dev/null
+++ b/internal/emulator/machine_commands.go
@@ -0,0 +1,101 @@
+package emulator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"daledyke/internal/protocol"
+)
+
+// What a worker is told directly, and how commands are carried out.
+
+// onLoop does f on the loop once the machine does not hang: what came meanwhile is
+// carried out late. A machine that is gone answers nothing.
+func (m *machine) onLoop(f func()) {
+	for {
+		var resumed chan struct{}
+		lost := false
+		gone := !m.w.loop.do(func() {
+			resumed, lost = m.resumed, m.deaf && !m.held
+			if !m.hung && !m.deaf && !m.dead {
+				f()
+				resumed = nil
+			}
+		})
+		if resumed == nil && !gone {
+			return
+		}
+		if lost { // it never arrives, and no answer comes
+			Pause(m.ctx, reportAnswer)
+		}
+		if gone || lost || m.ctx.Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-resumed:
+		case <-m.ctx.Done():
+		}
+	}
+}
+
+func (m *machine) inspect(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	var rep protocol.Report
+	m.onLoop(func() { rep = m.snapshot() })
+	answer(w, http.StatusOK, rep)
+}
+
+func (m *machine) do(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var o protocol.Orders
+	if read(r, &o) != nil || o.Session == 0 {
+		answer(w, http.StatusBadRequest, problem("baton or shift is missing"))
+		return
+	}
+	var rep protocol.Report
+	sent := m.w.Since() // the network takes no time
+	held := false
+	if m.w.loop.do(func() {
+		if held = m.w.held > 0 && m.w.rng.Float64() < m.w.held; held {
+			m.w.loop.after(time.Duration(m.w.spread(2, 16)*float64(time.Second)), func() {
+				if !m.hung && !m.deaf && !m.dead && o.Token >= m.token && o.Session == m.session {
+					m.token = o.Token
+					m.obey(o.Commands, sent)
+				}
+			})
+		}
+	}); held {
+		Pause(r.Context(), time.Minute)
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	m.onLoop(func() {
+		if o.Token < m.token || o.Session != m.session {
+			status = http.StatusConflict
+		} else {
+			m.token = o.Token
+			m.obey(o.Commands, sent)
+		}
+		rep = m.snapshot()
+	})
+	answer(w, status, rep)
+}
+
+// obey carries commands out in their order; sent is when they were sent.
+func (m *machine) obey(commands []protocol.Command, sent time.Duration) {
+	for _, c := range commands {
+		t := m.tasks[c.Task]
+		switch {
+		case c.Verb == protocol.VerbStart && (t == nil || t.Attempt != c.Attempt):
+			m.start(c, t, sent)
+		case t == nil || t.Attempt != c.Attempt:
+		case c.Verb == protocol.VerbStop:
+			t.halt(c.GraceS)
+		case c.Verb == protocol.VerbForget && t.State == protocol.TaskExited:
+			delete(m.tasks, c.Task)
+		}
+	}
+	if len(commands) > 0 {
+		m.say()
+	}
+}
--- /dev/null
+++ b/internal/emulator/machine_images.go
@@ -0,0 +1,100 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+
+	"daledyke/internal/protocol"
+)
+
+// The images that a machine fetches and caches.
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// fetch is an image on its way.
+type fetch struct {
+	image
+	left float64 // GB
+}
+
+// fetchOn takes the fetches on to now, and looks again when the next one ends. Images
+// that are fetched together share the rate; one that no task waits for is given up.
+func (m *machine) fetchOn() {
+	now := time.Now()
+	rate := m.typ.FetchRate * m.fetchSpeed
+	if n := len(m.fetches); n > 0 && rate > 0 && !m.fetchedTo.IsZero() {
+		for _, f := range m.fetches {
+			f.left -= now.Sub(m.fetchedTo).Seconds() * rate / float64(n)
+		}
+	}
+	m.fetchedTo = now
+	m.fetchTimer.stop()
+	wanted := map[string][]*task{}
+	for _, t := range m.sorted() {
+		if t.State == protocol.TaskPulling {
+			wanted[t.work.spec.Image] = append(wanted[t.work.spec.Image], t)
+		}
+	}
+	var here []string
+	const least = 1e-6
+	m.fetches = slices.DeleteFunc(m.fetches, func(f *fetch) bool {
+		if len(wanted[f.name]) > 0 && (f.left <= least || rate <= 0) {
+			m.cache(f.image)
+			here = append(here, f.name)
+			return true
+		}
+		return len(wanted[f.name]) == 0
+	})
+	for _, name := range here {
+		for _, t := range wanted[name] {
+			t.begin()
+		}
+		m.say()
+	}
+	if len(m.fetches) == 0 || m.hung {
+		return
+	}
+	left := slices.MinFunc(m.fetches, func(a, b *fetch) int {
+		if a.left < b.left {
+			return -1
+		}
+		return 1
+	}).left
+	m.fetchTimer = m.w.loop.after(protocol.Seconds(left*float64(len(m.fetches))/rate)+time.Millisecond, m.fetchOn)
+}
+
+// cache keeps an image, and drops the least recently used that no task uses.
+func (m *machine) cache(i image) {
+	size := i.gb
+	for _, other := range m.images {
+		size += other.gb
+	}
+	used := map[string]bool{}
+	for _, t := range m.tasks {
+		if t.State != protocol.TaskExited {
+			used[t.work.spec.Image] = true
+		}
+	}
+	m.images = slices.DeleteFunc(m.images, func(other image) bool {
+		if size <= m.typ.CacheGB || used[other.name] {
+			return false
+		}
+		size -= other.gb
+		return true
+	})
+	m.images = append(m.images, i)
+}
+
+// has tells whether an image is here; it is the most recently used then.
+func (m *machine) has(name string) bool {
+	at := slices.IndexFunc(m.images, func(i image) bool { return i.name == name })
+	if at < 0 {
+		return false
+	}
+	i := m.images[at]
+	m.images = append(slices.Delete(m.images, at, at+1), i)
+	return true
+}
--- /dev/null
+++ b/internal/lab/experiment_parse.go
@@ -0,0 +1,392 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"olympos.io/encoding/edn"
+
+	"daledyke/internal/forms"
+	"daledyke/internal/protocol"
+)
+
+// Experiments as they are read from their S-expressions.
+
+// Load reads an experiment from a file. An error tells the line.
+func Load(file string) (*Experiment, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	e, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return e, nil
+}
+
+// Parse reads an experiment.
+func Parse(raw []byte) (*Experiment, error) {
+	e := &Experiment{Controllers: 3, Machines: 40, Length: 10 * time.Minute, Rest: 3 * time.Minute, Seeds: []uint64{1}, Scale: 1}
+	var form []edn.RawMessage
+	if err := edn.Unmarshal(raw, &form); err != nil {
+		return nil, fmt.Errorf("not one list: %w", err)
+	}
+	list, ok := forms.Items(raw, "experiment", 1)
+	if !ok || len(list) == 0 || edn.Unmarshal(list[0].Raw, &e.Name) != nil || !plainName(e.Name) {
+		return nil, errors.New(`line 1: it must begin with (experiment "name", of letters, digits and dashes`)
+	}
+	seen := map[string]bool{}
+	for _, item := range list[1:] {
+		if err := e.set(item, seen); err != nil {
+			return nil, fmt.Errorf("line %d: %w", item.Line, err)
+		}
+	}
+	return e, e.check()
+}
+
+func plainName(s string) bool {
+	return s != "" && len(s) < 80 && strings.Trim(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-.") == ""
+}
+
+// words reads a list into a symbol and its values as text.
+func words(raw []byte) (head string, rest []string, err error) {
+	var form []edn.RawMessage
+	var symbol edn.Symbol
+	if edn.Unmarshal(raw, &form) != nil || len(form) == 0 || edn.Unmarshal(form[0], &symbol) != nil {
+		return "", nil, fmt.Errorf("not a list that begins with a name: %.60s", raw)
+	}
+	rest, err = texts(form[1:])
+	return string(symbol), rest, err
+}
+
+// texts are values as text, all of it printable.
+func texts(raw []edn.RawMessage) (values []string, err error) {
+	for _, r := range raw {
+		v := text(r)
+		if strings.ContainsFunc(v, func(c rune) bool { return !unicode.IsPrint(c) && c != '\n' && c != '\t' }) {
+			return nil, fmt.Errorf("%q can't be printed", v)
+		}
+		values = append(values, v)
+	}
+	return values, nil
+}
+
+// text is a value as text: a string's, or as it is written.
+func text(raw []byte) string {
+	var s string
+	if edn.Unmarshal(raw, &s) == nil {
+		return s
+	}
+	return strings.TrimSpace(string(raw))
+}
+
+func duration(s string) (time.Duration, error) {
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 || d > 48*time.Hour {
+		return 0, fmt.Errorf("%q is no time from 0s to 48h", s)
+	}
+	return d, nil
+}
+
+func decimal(s string, least, most float64) (float64, error) {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= least && v <= most) {
+		return 0, fmt.Errorf("%q is no number from %v to %v", s, least, most)
+	}
+	return v, nil
+}
+
+func whole(s string, least, most int) (int, error) {
+	v, err := strconv.Atoi(s)
+	if err != nil || v < least || v > most {
+		return 0, fmt.Errorf("%q is no whole number from %d to %d", s, least, most)
+	}
+	return v, nil
+}
+
+// one is the only value of an entry.
+func one(values []string) (string, error) {
+	if len(values) != 1 {
+		return "", fmt.Errorf("one value is needed, not %d", len(values))
+	}
+	return values[0], nil
+}
+
+func parseClass(raw []byte) (c Class, err error) {
+	c = Class{Teams: []string{"desk"}, Shape: protocol.Array, Priority: "normal", Tasks: Draw{Kind: "const", A: 1}, Run: Draw{Kind: "const", A: 30},
+		Cores: 4, RAM: 8, Image: "tools", ImageGB: 2}
+	name, entries, err := forms.Named(raw, "class")
+	if err != nil {
+		return c, err
+	}
+	if c.Name = name; !plainName(name) {
+		return c, fmt.Errorf("%q: its name must be of letters, digits, dots and dashes", name)
+	}
+	for _, entry := range entries {
+		values, err := texts(entry.Values)
+		if err != nil {
+			return c, fmt.Errorf("%q: %s: %w", name, entry.Name, err)
+		}
+		if err := c.set(entry.Name, values, entry.Values); err != nil {
+			return c, fmt.Errorf("%q: %s: %w", name, entry.Name, err)
+		}
+	}
+	if c.Arrivals == nil {
+		return c, fmt.Errorf("%q: arrivals are missing", name)
+	}
+	return c, nil
+}
+
+func parseArrivals(raw []byte) (a Arrivals, err error) {
+	head, values, err := words(raw)
+	if err != nil {
+		return a, err
+	}
+	a.Kind = head
+	need := map[string]int{"start": 1, "poisson": 1, "burst": 2, "swing": 3}[head]
+	if need == 0 || len(values) != need {
+		return a, fmt.Errorf("(start COUNT), (poisson GAP), (burst AT COUNT) or (swing GAP PERIOD DEPTH), not %s", raw)
+	}
+	switch head {
+	case "start":
+		a.Count, err = whole(values[0], 1, 100000)
+	case "burst":
+		if a.At, err = duration(values[0]); err == nil {
+			a.Count, err = whole(values[1], 1, 100000)
+		}
+	default:
+		if a.Gap, err = duration(values[0]); err == nil && a.Gap < time.Millisecond {
+			err = fmt.Errorf("%v is too small a gap", a.Gap)
+		}
+		if err == nil && head == "swing" {
+			if a.Period, err = duration(values[1]); err == nil {
+				a.Depth, err = decimal(values[2], 0, 1)
+			}
+		}
+	}
+	return a, err
+}
+
+func parseDraw(raw []byte) (d Draw, err error) {
+	if v, ok := forms.Number(raw); ok {
+		return Draw{Kind: "const", A: v}, nil
+	}
+	head, values, err := words(raw)
+	if err != nil {
+		return d, err
+	}
+	if head == "choice" && len(values) >= 2 && len(values)%2 == 0 {
+		d.Kind = head
+		sum := 0.0
+		for n, value := range values {
+			v, err := decimal(value, 0, 1e6)
+			if err != nil {
+				return d, err
+			}
+			d.Values = append(d.Values, v)
+			sum += v * float64(n%2)
+		}
+		if sum <= 0 {
+			return d, errors.New("its weights come to nothing")
+		}
+		return d, nil
+	}
+	need := map[string]int{"uniform": 2, "lognormal": 2, "exponential": 1, "pareto": 2}[head]
+	if need == 0 || len(values) != need {
+		return d, fmt.Errorf("a number, (uniform A B), (lognormal MEDIAN SIGMA), (exponential MEAN), (pareto LEAST INDEX) or (choice VALUE WEIGHT ...), not %s", raw)
+	}
+	d.Kind = head
+	if d.A, err = decimal(values[0], 0, 1e6); err == nil && need == 2 {
+		d.B, err = decimal(values[1], 0, 1e6)
+	}
+	if err == nil && (head == "uniform" && d.B < d.A || head == "pareto" && (d.A <= 0 || d.B <= 0)) {
+		err = fmt.Errorf("%s has no such values", head)
+	}
+	return d, err
+}
+
+// set takes one entry of an experiment.
+func (e *Experiment) set(item forms.Item, seen map[string]bool) (err error) {
+	head, values, err := words(item.Raw)
+	if err != nil {
+		return err
+	}
+	if seen[head] && head != "class" && head != "at" && head != "version" && head != "vary" && head != "type" && head != "team" && head != "aim" {
+		return fmt.Errorf("%s is there twice", head)
+	}
+	seen[head] = true
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s: %w", head, err)
+		}
+	}()
+	value := ""
+	switch head {
+	case "clock", "controllers", "machines", "length", "rest", "scale", "served":
+		if value, err = one(values); err != nil {
+			return err
+		}
+	}
+	switch head {
+	case "clock":
+		if value != "virtual" && value != "real" {
+			return fmt.Errorf("it is virtual or real, not %q", value)
+		}
+		e.Real = value == "real"
+	case "controllers":
+		e.Controllers, err = whole(value, 1, 15)
+	case "machines":
+		e.Machines, err = whole(value, 1, 20000)
+	case "length":
+		e.Length, err = duration(value)
+	case "rest":
+		e.Rest, err = duration(value)
+	case "scale":
+		e.Scale, err = decimal(value, 0.001, 1000)
+	case "served":
+		e.Served, err = decimal(value, 0, 1)
+	case "seeds":
+		e.Seeds = nil
+		for _, v := range values {
+			n, err := strconv.ParseUint(v, 10, 64)
+			if err != nil || slices.Contains(e.Seeds, n) {
+				return fmt.Errorf("%q is no seed, or there twice", v)
+			}
+			e.Seeds = append(e.Seeds, n)
+		}
+		if len(e.Seeds) == 0 || len(e.Seeds) > 1000 {
+			return errors.New("1 to 1000 seeds are needed")
+		}
+	case "version":
+		if len(values) != 2 || !plainName(values[0]) {
+			return errors.New("a name and a path are needed")
+		}
+		e.Versions = append(e.Versions, Version{values[0], values[1]})
+	case "vary":
+		if len(values) < 2 {
+			return errors.New("a setting and its values are needed")
+		}
+		v := Variable{Name: values[0]}
+		if !slices.Contains([]string{"controllers", "machines", "scale", "size"}, v.Name) {
+			return fmt.Errorf("controllers, machines, scale and size can vary, not %s", v.Name)
+		}
+		for _, s := range values[1:] {
+			n, err := decimal(s, 0.001, 20000)
+			if err != nil {
+				return err
+			}
+			v.Values = append(v.Values, n)
+		}
+		e.Vary = append(e.Vary, v)
+	case "at":
+		var form []edn.RawMessage
+		if edn.Unmarshal(item.Raw, &form) != nil || len(form) != 3 {
+			return errors.New("a time and one fault are needed")
+		}
+		var f Fault
+		if f.At, err = duration(text(form[1])); err != nil {
+			return err
+		}
+		if f.Verb, f.Args, err = words(form[2]); err != nil {
+			return err
+		}
+		e.Faults = append(e.Faults, f)
+	case "class":
+		c, err := parseClass(item.Raw)
+		if err != nil {
+			return err
+		}
+		e.Classes = append(e.Classes, c)
+	default:
+		return e.Own.set(head, values, item.Raw)
+	}
+	return err
+}
+
+func (c *Class) set(name string, values []string, raw []edn.RawMessage) (err error) {
+	value := values[0]
+	if len(values) != 1 && name != "image" && name != "saves" && name != "arrivals" && name != "types" && name != "team" {
+		return fmt.Errorf("one value is needed, not %d", len(values))
+	}
+	share := func(into *float64) { *into, err = decimal(value, 0, 1) }
+	yes := func(into *bool) {
+		if *into = value == "true"; value != "true" && value != "false" {
+			err = fmt.Errorf("true or false, not %q", value)
+		}
+	}
+	switch name {
+	case "team":
+		c.Teams = values
+	case "shape":
+		shapes := map[string]protocol.Shape{"array": protocol.Array, "gang": protocol.Gang, "service": protocol.Service}
+		if c.Shape = shapes[value]; c.Shape == "" {
+			err = fmt.Errorf("array, gang or service, not %q", value)
+		}
+	case "priority":
+		c.Priority = protocol.Priority(value)
+		if !slices.Contains([]string{"idle", "normal", "high", "critical"}, value) {
+			err = fmt.Errorf("idle, normal, high or critical, not %q", value)
+		}
+	case "arrivals":
+		for _, r := range raw {
+			a, err := parseArrivals(r)
+			if err != nil {
+				return err
+			}
+			c.Arrivals = append(c.Arrivals, a)
+		}
+	case "tasks":
+		c.Tasks, err = parseDraw(raw[0])
+	case "run":
+		c.Run, err = parseDraw(raw[0])
+	case "error":
+		c.Error, err = decimal(value, 0, 3)
+	case "cores":
+		c.Cores, err = decimal(value, 0, 1000)
+	case "accels":
+		c.Accels, err = decimal(value, 0, 100)
+	case "ram":
+		c.RAM, err = decimal(value, 0, 10000)
+	case "image":
+		if len(values) != 2 {
+			return errors.New("a name and its GB are needed")
+		}
+		c.Image = value
+		c.ImageGB, err = decimal(values[1], 0, 1000)
+	case "images":
+		c.Images, err = whole(value, 1, 10000)
+	case "types":
+		c.Types = values
+	case "saves":
+		if len(values) != 2 {
+			return errors.New("how often and for how long are needed")
+		}
+		if c.SaveEvery, err = duration(values[0]); err == nil {
+			c.Save, err = duration(values[1])
+		}
+	case "spot":
+		yes(&c.Spot)
+	case "one-zone":
+		yes(&c.OneZone)
+	case "scatter":
+		yes(&c.Scatter)
+	case "due":
+		c.Due, err = decimal(value, 1, 1000)
+	case "cancelled":
+		share(&c.Cancelled)
+	case "chained":
+		share(&c.Chained)
+	case "mistaken":
+		share(&c.Mistaken)
+	default:
+		err = errors.New("there is no such entry")
+	}
+	return err
+}
--- /dev/null
+++ b/internal/lab/experiment_write.go
@@ -0,0 +1,105 @@
+package lab
+
+import (
+	"fmt"
+	"strings"
+
+	"daledyke/internal/protocol"
+)
+
+// Experiments as they are written: read again, they are the same.
+
+// String writes an experiment as Parse reads it.
+func (e *Experiment) String() string {
+	var b strings.Builder
+	p := func(format string, args ...any) { fmt.Fprintf(&b, "\n  "+format, args...) }
+	fmt.Fprintf(&b, "(experiment %q", e.Name)
+	clock := "virtual"
+	if e.Real {
+		clock = "real"
+	}
+	p("(clock %s) (controllers %d) (machines %d) (length %q) (rest %q) (scale %v)", clock, e.Controllers, e.Machines, e.Length, e.Rest, e.Scale)
+	p("(seeds%s)", joined(e.Seeds))
+	if e.Served > 0 {
+		p("(served %v)", e.Served)
+	}
+	for _, v := range e.Versions {
+		p("(version %q %q)", v.Name, v.Path)
+	}
+	for _, v := range e.Vary {
+		p("(vary %s%s)", v.Name, joined(v.Values))
+	}
+	for _, line := range e.Own.lines() {
+		p("%s", line)
+	}
+	for _, c := range e.Classes {
+		p("%s", c)
+	}
+	for _, f := range e.Faults {
+		args := ""
+		for _, a := range f.Args {
+			args += fmt.Sprintf(" %q", a)
+		}
+		p("(at %q (%s%s))", f.At, f.Verb, args)
+	}
+	b.WriteString(")\n")
+	return b.String()
+}
+
+func joined[T any](values []T) (s string) {
+	for _, v := range values {
+		s += fmt.Sprint(" ", v)
+	}
+	return s
+}
+
+func (c Class) String() string {
+	shape := map[protocol.Shape]string{protocol.Array: "array", protocol.Gang: "gang", protocol.Service: "service"}[c.Shape]
+	s := fmt.Sprintf("(class %q (team%s) (shape %s) (priority %s) (arrivals%s) (tasks %s) (run %s) (error %v)\n    (cores %v) (accels %v) (ram %v) (image %q %v)",
+		c.Name, quoted(c.Teams), shape, c.Priority, joined(c.Arrivals), c.Tasks, c.Run, c.Error, c.Cores, c.Accels, c.RAM, c.Image, c.ImageGB)
+	if c.Images > 0 {
+		s += fmt.Sprintf(" (images %d)", c.Images)
+	}
+	if c.Types != nil {
+		s += " (types" + quoted(c.Types) + ")"
+	}
+	if c.SaveEvery > 0 {
+		s += fmt.Sprintf(" (saves %q %q)", c.SaveEvery, c.Save)
+	}
+	for _, flag := range []struct {
+		name string
+		set  bool
+	}{{"spot", c.Spot}, {"one-zone", c.OneZone}, {"scatter", c.Scatter}} {
+		if flag.set {
+			s += " (" + flag.name + " true)"
+		}
+	}
+	if c.Due > 0 {
+		s += fmt.Sprintf(" (due %v)", c.Due)
+	}
+	return s + fmt.Sprintf(" (cancelled %v) (chained %v) (mistaken %v))", c.Cancelled, c.Chained, c.Mistaken)
+}
+
+func (a Arrivals) String() string {
+	switch a.Kind {
+	case "start":
+		return fmt.Sprintf("(start %d)", a.Count)
+	case "burst":
+		return fmt.Sprintf("(burst %q %d)", a.At, a.Count)
+	case "swing":
+		return fmt.Sprintf("(swing %q %q %v)", a.Gap, a.Period, a.Depth)
+	}
+	return fmt.Sprintf("(%s %q)", a.Kind, a.Gap)
+}
+
+func (d Draw) String() string {
+	switch d.Kind {
+	case "const":
+		return fmt.Sprint(d.A)
+	case "exponential":
+		return fmt.Sprintf("(exponential %v)", d.A)
+	case "choice":
+		return "(choice" + joined(d.Values) + ")"
+	}
+	return fmt.Sprintf("(%s %v %v)", d.Kind, d.A, d.B)
+}
