A controller that workers can't reach writes that until it is known to be recorded

Cause: with the answer to that write lost it took it for not done and forgot it; its record went on saying so, and it was dealt no slots for as long as its session lived.

Change: SetDeaf says whether the others were told for certain, and awaitWorkers repeats it, both ways.

--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -294,21 +294,31 @@
 			return
 		}
 		slog.Info("workers can't reach this controller", "silent", quiet, "of", total)
-		h.session.SetDeaf(h.ctx, true)
-		for end := now.Add(mostDeaf); h.ctx.Err() == nil && time.Now().Before(end); {
-			pause(h.ctx, probeEvery)
-			if len(addrs) > 0 && h.workers.Reachable(h.ctx, addrs[rand.IntN(len(addrs))]) {
-				break
-			}
-		}
-		for h.session.Deaf() && h.ctx.Err() == nil {
-			h.session.SetDeaf(h.ctx, false)
-			pause(h.ctx, time.Second)
-		}
+		h.awaitWorkers(addrs, now.Add(mostDeaf))
 		h.tell(func() { h.probing = false })
 	}()
 }
 
+// awaitWorkers has the others take over while workers can't reach this controller, until one of them
+// answers again or the time is over. What the record says of it is written again until it is known to be
+// there: once the answer was lost, and the record went on saying that no worker can reach a controller
+// which had forgotten that it had said so, for as long as its session lived.
+func (h *Holder) awaitWorkers(addrs []string, until time.Time) {
+	told := h.session.SetDeaf(h.ctx, true)
+	for h.ctx.Err() == nil && time.Now().Before(until) {
+		pause(h.ctx, probeEvery)
+		if len(addrs) > 0 && h.workers.Reachable(h.ctx, addrs[rand.IntN(len(addrs))]) {
+			break
+		}
+		if told != nil {
+			told = h.session.SetDeaf(h.ctx, true)
+		}
+	}
+	for h.ctx.Err() == nil && h.session.SetDeaf(h.ctx, false) != nil {
+		pause(h.ctx, time.Second)
+	}
+}
+
 // mostAsked is how many of the machines that went silent are asked whether they can be reached.
 const mostAsked = 3
 
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -94,15 +94,18 @@
 	}
 }
 
-// Deaf tells what the others were told.
+// Deaf tells whether the others were last to be told that workers can't reach this controller.
 func (s *Session) Deaf() bool { return s.deaf.Load() }
 
-// SetDeaf tells the others whether workers can reach this controller.
-func (s *Session) SetDeaf(ctx context.Context, deaf bool) {
-	if !s.Valid() || !s.deaf.CompareAndSwap(!deaf, deaf) {
-		return
-	}
-	if err := s.store.UpdateMember(ctx, s.name, bookkeeping.Member{Term: s.Term(), Deaf: deaf}, s.Lease()); err != nil {
-		s.deaf.Store(!deaf)
+// SetDeaf tells the others whether workers can reach this controller. An error means that they may not
+// have been told, or may have been all the same: it is to be tried again.
+func (s *Session) SetDeaf(ctx context.Context, deaf bool) error {
+	if !s.Valid() {
+		return errNoSession
 	}
+	s.deaf.Store(deaf)
+	return s.store.UpdateMember(ctx, s.name, bookkeeping.Member{Term: s.Term(), Deaf: deaf}, s.Lease())
 }
+
+// errNoSession says that the controller has no session in which it could act.
+var errNoSession = errors.New("no session")
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -331,6 +331,18 @@
 		if most, bad := strconv.Atoi(args[1]); err != nil || bad != nil || n > most {
 			return fmt.Errorf("%d slots are incomplete, %v", n, err)
 		}
+	case "holds-slots": // holds-slots CONTROLLER N: it holds so many slots at least
+		v, err := w.overview(args[0])
+		held := 0
+		for _, s := range v.Slots {
+			if s.Holder == args[0] {
+				held++
+			}
+		}
+		if least, bad := strconv.Atoi(args[1]); err != nil || bad != nil || held < least {
+			return fmt.Errorf("it holds %d slots, %v", held, err)
+		}
+		return err
 	case "limits": // limits VALUE_KB TXN_OPS WRITE_RPS: the state service has these from now on
 		var l emulator.Limits
 		_, err := fmt.Sscan(strings.Join(args, " "), &l.ValueKB, &l.TxnOps, &l.WriteRPS)
