--- /dev/null
+++ b/internal/coordination/standing.go
@@ -0,0 +1,62 @@
+package coordination
+
+import (
+	"context"
+	"time"
+
+	"daledyke/internal/bookkeeping"
+)
+
+// How jobs stand, as their owner tells users and other parts of the controller.
+
+// standing is what a controller knows of a job.
+type standing struct {
+	job     *bookkeeping.Job
+	running int
+	// reason and startsIn tell why no task runs and until when, if known.
+	reason   string
+	startsIn *float64
+}
+
+// Known is the job as this controller knows it, nil if it doesn't.
+func (o *Owner) Known(ctx context.Context, id string) *bookkeeping.Job {
+	j, _ := askFor(ctx, &o.actor, func() *bookkeeping.Job {
+		if js := o.jobs[id]; js != nil {
+			return js.job
+		}
+		return nil
+	})
+	return j
+}
+
+// Status is what this controller knows of a job, nil if nothing.
+func (o *Owner) Status(ctx context.Context, id string) *standing {
+	st, _ := askFor(ctx, &o.actor, func() *standing {
+		js := o.jobs[id]
+		if js == nil {
+			return nil
+		}
+		st := &standing{job: js.job}
+		if _, st.running = o.placed(id); st.running == 0 && !js.job.Final() {
+			reason, in := o.why(js, time.Now())
+			st.reason, st.startsIn = reason, seconds(in)
+		}
+		return st
+	})
+	return st
+}
+
+// placed is how many of a job's tasks are on machines, and run.
+func (o *Owner) placed(id string) (placed, running int) {
+	for _, list := range o.board.Tasks[id] {
+		for _, i := range list {
+			if !i.Exited() {
+				placed++
+			}
+			if i.Running() {
+				running++
+			}
+		}
+	}
+	return placed, running
+}
--- /dev/null
+++ b/internal/lab/runner.go
@@ -0,0 +1,173 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+)
+
+// Runs are played by processes of their own, whose results are read back.
+
+// Runner has runs played, each by a process of its own, and keeps their results.
+type Runner struct {
+	// Dir is the result's directory.
+	Dir string
+	// Play is the command line that plays the run in the directory that is added to it,
+	// and prints its progress as shares, a line each.
+	Play []string
+	// AtOnce is how many runs play at the same time; 0: as many as fit.
+	AtOnce int
+	// Progress is told of the share that is done of all; it may be nil.
+	Progress func(share float64)
+}
+
+// ErrNotEmpty says that a result's directory holds something already.
+var ErrNotEmpty = errors.New("the directory for results is not empty")
+
+// Run plays all runs of an experiment.
+func (r *Runner) Run(ctx context.Context, e *Experiment) (*Result, error) {
+	if found, err := os.ReadDir(r.Dir); err == nil && len(found) > 0 {
+		return nil, fmt.Errorf("%s: %w", r.Dir, ErrNotEmpty)
+	}
+	if err := os.MkdirAll(r.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(filepath.Join(r.Dir, "experiment.edn"), []byte(e.String()), 0o600); err != nil {
+		return nil, err
+	}
+	runs := e.Runs()
+	atOnce := r.AtOnce
+	if atOnce <= 0 {
+		// In real time runs would disturb each other; in virtual time they use one or two
+		// cores each.
+		if atOnce = max(1, runtime.NumCPU()/2); e.Real {
+			atOnce = 1
+		}
+	}
+	type news struct {
+		n     int
+		share float64
+		sum   *Summary
+		err   error
+		over  bool
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	told := make(chan news)
+	slots := make(chan struct{}, atOnce)
+	for n, run := range runs {
+		go func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			sum, err := r.play(ctx, run, func(share float64) { told <- news{n: n, share: share} })
+			told <- news{n: n, sum: sum, err: err, over: true}
+		}()
+	}
+	shares := make([]float64, len(runs))
+	res := &Result{Experiment: e.String(), Runs: make([]Summary, len(runs))}
+	var failed error
+	for left := len(runs); left > 0; {
+		t := <-told
+		switch {
+		case t.err != nil:
+			if failed == nil {
+				cancel() // the first fault ends all
+			}
+			if failed == nil || !errors.Is(t.err, context.Canceled) {
+				failed = errors.Join(failed, fmt.Errorf("run %s: %w", runs[t.n].Name, t.err))
+			}
+		case t.over:
+			res.Runs[t.n], shares[t.n] = *t.sum, 1
+		default:
+			shares[t.n] = t.share
+		}
+		if t.over {
+			left--
+		}
+		if r.Progress != nil {
+			done := 0.0
+			for _, s := range shares {
+				done += s
+			}
+			r.Progress(done / float64(len(runs)))
+		}
+	}
+	if failed != nil {
+		return nil, failed
+	}
+	return res, writeJSON(filepath.Join(r.Dir, resultFile), res)
+}
+
+// play has one run played.
+func (r *Runner) play(ctx context.Context, run Run, progress func(float64)) (*Summary, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	dir := filepath.Join(r.Dir, "runs", run.Name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	if err := writeJSON(filepath.Join(dir, runFile), run); err != nil {
+		return nil, err
+	}
+	took, memory, err := child(ctx, append(r.Play[:len(r.Play):len(r.Play)], dir), filepath.Join(dir, logFile), progress)
+	if err != nil {
+		return nil, err
+	}
+	sum, err := readSummary(dir)
+	if err != nil {
+		return nil, err
+	}
+	sum.Took, sum.MemMB = took, memory
+	return sum, writeJSON(filepath.Join(dir, summaryFile), sum)
+}
+
+func readSummary(dir string) (*Summary, error) {
+	return readJSON[Summary](filepath.Join(dir, summaryFile))
+}
+
+func readRun(dir string) (*Run, error) { return readJSON[Run](filepath.Join(dir, runFile)) }
+
+// ReadResult reads the result in a directory. One that was cut short has no result.json
+// and is refused, and so is one whose runs have changed.
+func ReadResult(dir string) (*Result, error) {
+	r, err := readJSON[Result](filepath.Join(dir, resultFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("%s holds no whole result: %s is missing", dir, resultFile)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if _, err := Parse([]byte(r.Experiment)); err != nil {
+		return nil, fmt.Errorf("%s: its experiment: %w", filepath.Join(dir, resultFile), err)
+	}
+	for _, s := range r.Runs {
+		if strings.ContainsAny(s.Run, "/\\") || s.Run == "" {
+			return nil, fmt.Errorf("%s: a run is called %q", filepath.Join(dir, resultFile), s.Run)
+		}
+	}
+	return r, nil
+}
+
+func readJSON[T any](name string) (*T, error) {
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	v := new(T)
+	if err := json.Unmarshal(raw, v); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return v, nil
+}
+
+// Result is what all runs of an experiment came to.
+type Result struct {
+	Experiment string    `json:"experiment"`
+	Runs       []Summary `json:"runs"`
+}
