--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -253,33 +253,14 @@
 	return v
 }
 
+// apply takes in a change of a record.
 func (r *Replica) apply(key string, dropped bool, raw json.RawMessage, version uint64) {
-	id, ok := under(key, jobPrefix)
-	archived := false
-	if !ok {
-		id, archived = under(key, overPrefix)
+	if id, ok := under(key, jobPrefix); ok {
+		r.applyJob(key, id, false, parse[jobRecord](key, raw, dropped), version)
+		return
 	}
-	if ok || archived {
-		// A dropped record of a job says nothing: it is over, and the record
-		// that says so came with it.
-		rec := parse[jobRecord](key, raw, dropped)
-		switch {
-		case rec == nil:
-		case rec.Spec == nil && r.jobs[id] == nil:
-			if rec.Parts > 0 {
-				r.divided[id] = true
-			} else {
-				slog.Error("senseless record", "key", key)
-			}
-		default:
-			delete(r.divided, id)
-			j := r.jobs[id].withRecord(rec, version)
-			if archived && !j.Archived {
-				moved := *j
-				moved.Archived, j = true, &moved
-			}
-			r.put(id, j)
-		}
+	if id, ok := under(key, overPrefix); ok {
+		r.applyJob(key, id, true, parse[jobRecord](key, raw, dropped), version)
 		return
 	}
 	if id, i, ok := splitResult(key); ok {
@@ -293,6 +274,32 @@
 	} else {
 		r.known[key] = true
 	}
+	r.applyShared(key, dropped, raw, version)
+}
+
+// applyJob takes in a job's record, nil if it was dropped: that says nothing, since the job is over
+// and the record that says so came with it.
+func (r *Replica) applyJob(key, id string, archived bool, rec *jobRecord, version uint64) {
+	switch {
+	case rec == nil:
+	case rec.Spec == nil && r.jobs[id] == nil && rec.Parts > 0:
+		r.divided[id] = true
+	case rec.Spec == nil && r.jobs[id] == nil:
+		slog.Error("senseless record", "key", key)
+	default:
+		delete(r.divided, id)
+		j := r.jobs[id].withRecord(rec, version)
+		if archived && !j.Archived {
+			moved := *j
+			moved.Archived, j = true, &moved
+		}
+		r.put(id, j)
+	}
+}
+
+// applyShared takes in a record that all controllers go by: sessions, slots, lots, the leader, the
+// window, accounts and the catalogue.
+func (r *Replica) applyShared(key string, dropped bool, raw json.RawMessage, version uint64) {
 	if name, ok := under(key, memberPrefix); ok {
 		m := parse[Member](key, raw, dropped)
 		if m != nil {
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
-	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
 	"daledyke/internal/membership"
@@ -116,89 +114,6 @@
 	issued uint64
 }
 
-type worker struct {
-	id, addr, rig, zone string
-	spot                bool
-	slot                *heldSlot
-	session, ticket     uint64
-	seq                 uint64
-	// shown is the highest token that it reported since its lease last surely ended; askedAfter
-	// the ticket last heard when the direct command under way was sent.
-	shown      protocol.Token
-	askedAfter uint64
-	// verified: a report under this slot's term has come (invariant 3).
-	verified   bool
-	firstHeard time.Time
-	lastHeard  time.Time
-	reported   time.Time // when its last report came: direct answers count as heard, too
-	// lastAnswer is when the last 200 was given that it may have heard: all later ones are
-	// known not to have reached it. answered is that of the newest, with its token, of which
-	// nothing is known yet; see noteAck.
-	lastAnswer, answered time.Time
-	answeredWith         protocol.Token
-	ack                  ackState
-	// probeDue: it is to be asked, whatever is wanted of it; probed is when it last was.
-	probeDue bool
-	probedAt time.Time
-	// lapsed: the lease of session lapsedIn and all before surely ended.
-	lapsedIn  uint64
-	lapsed    bool
-	notice    bool
-	entries   map[string]*entry
-	images    []image // most recently used last
-	ready     map[string]bool
-	busy      bool // a direct command is under way
-	settled   bool // nothing is wanted of it until something changes
-	holdOff   time.Time
-	drainTill time.Time
-	drainWish uint64 // since which it is kept free without a break
-	vacates   bool   // what is on it is to be moved elsewhere
-	silent    bool
-	mute      bool            // it answers directly, but its reports don't come
-	errorsBy  map[string]bool // jobs that failed here since the last success
-	soundAt   time.Time       // when something last succeeded
-	doubted   time.Time       // since when it is left alone, not to be told yet why
-	suspect   bool
-	version   uint64
-}
-
-type image struct {
-	name string
-	gb   float64
-}
-
-// entry is a task that is, or may be, on a machine.
-type entry struct {
-	task    string
-	job     string
-	index   int
-	attempt uint64
-	state   string
-	cause   string
-	saved   bool
-	// token is that of the start command, as long as its outcome is open.
-	token protocol.Token
-	until time.Time // end of a reservation, of waiting for room, or of a place that is kept
-	ahead bool      // reserved before there is room for it
-	stop  bool
-	grace float64
-	sent  time.Time // when the last stop or forget was sent
-	reap  bool
-	keep  bool // once it is forgotten its place is reserved for the same attempt
-	// ran is since when it runs, if it was seen to begin; proven that it runs
-	// for long enough to show that it can.
-	ran    time.Time
-	proven bool
-}
-
-func (e *entry) unconfirmed() bool { return board.Unconfirmed(e.state) }
-
-func (e *entry) exited() bool { return e.state == protocol.TaskExited }
-
-// takesRoom tells whether nothing else may have its room: it is or may be there, or its place is
-// kept.
-func (e *entry) takesRoom() bool { return !e.exited() || !e.until.IsZero() }
-
 // NewHolder makes the actor.
 func NewHolder(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, workers *transport.Workers) *Holder {
 	var siblings []string
@@ -231,14 +146,6 @@
 
 func (h *Holder) touch(w *worker) { w.version, w.settled = h.bump(), false }
 
-// silentAfter is when a worker's silence tells of trouble: two regular reports
-// and the time to find another controller have passed.
-func (h *Holder) silentAfter() time.Duration {
-	return min(h.cfg.ReportEvery()*8/3, h.cfg.WorkerLease()/2)
-}
-
-// ---- windows
-
 func (h *Holder) learnWindow(w *bookkeeping.Window) {
 	if w != nil && (h.latest == nil || w.Number > h.latest.Number) {
 		h.latest = w
@@ -266,8 +173,6 @@
 	}
 }
 
-// ---- the loop
-
 func (h *Holder) tick() {
 	now := time.Now()
 	if h.latest != nil && (h.window == nil || h.latest.Number > h.window.Number) && now.UnixMilli() >= h.latest.StartMs {
@@ -288,55 +193,7 @@
 		}
 	}
 	for _, w := range h.byID {
-		if !w.lapsed && now.Sub(w.entitled()) > lease {
-			w.lapsed, w.lapsedIn = true, w.session
-			// Should it have begun anew: whatever it shows from now on is newer than all before.
-			w.shown, w.seq = 0, w.seq+1
-			clear(w.entries)
-			h.touch(w)
-			slog.Info("lease lapsed", "machine", w.id)
-		}
-		if w.lapsed && !w.verified && w.slot.ready && h.registry[w.id] == nil {
-			// Nobody registered it, and it never took a word of ours: mostly an old message
-			// of a machine that was returned. It was shown as silent for ever.
-			h.drop(w.id)
-			continue
-		}
-		if !w.doubted.IsZero() {
-			h.judge(w)
-		}
-		// While this controller answers nobody, nobody is silent: after an outage of the
-		// state service, a small fleet's machines were given back as lost, with their results.
-		answers := min(now.Sub(w.slot.adopted), now.Sub(h.invalid))
-		unheard := min(now.Sub(w.lastHeard), answers)
-		quiet := unheard > h.silentAfter() || w.ack.isOverdue(now, h.silentAfter())
-		mute := !quiet && min(now.Sub(w.reported), answers) > h.silentAfter()
-		if quiet != w.silent || mute != w.mute {
-			w.silent, w.mute = quiet, mute
-			h.touch(w)
-		}
-		if !quiet && !w.lapsed && unheard > 2*h.cfg.ReportEvery() {
-			h.probeWorker(w) // it may be that its reports alone don't come
-		}
-		if w.settled && len(h.changedJobs) == 0 {
-			continue
-		}
-		for name, e := range w.entries {
-			if h.changedJobs[e.job] {
-				e.sent, w.settled = time.Time{}, false // what was sent may no longer be what is wanted
-			}
-			if (e.state == board.TaskReserved || e.state == board.TaskQueued) && now.After(e.until) {
-				delete(w.entries, name)
-				h.touch(w)
-			}
-			if e.exited() && !e.until.IsZero() && now.After(e.until) {
-				e.until = time.Time{}
-				h.touch(w)
-			}
-		}
-		if !w.settled {
-			h.sendCommands(w)
-		}
+		h.reviewWorker(w, now, lease)
 	}
 	clear(h.changedJobs)
 }
@@ -369,8 +226,6 @@
 	h.gone = append(h.gone, goneMachine{id, h.bump()})
 }
 
-// ---- the records
-
 func (h *Holder) jobChanged(j *bookkeeping.Job) {
 	old := h.jobs[j.Spec.ID]
 	h.jobs[j.Spec.ID] = j
--- /dev/null
+++ b/internal/coordination/worker.go
@@ -0,0 +1,169 @@
+package coordination
+
+import (
+	"log/slog"
+	"time"
+
+	"daledyke/internal/board"
+	"daledyke/internal/protocol"
+)
+
+// What a holder knows of a machine, its worker and the tasks on it, and what time changes about them.
+
+type worker struct {
+	id, addr, rig, zone string
+	spot                bool
+	slot                *heldSlot
+	session, ticket     uint64
+	seq                 uint64
+	// shown is the highest token that it reported since its lease last surely ended; askedAfter
+	// the ticket last heard when the direct command under way was sent.
+	shown      protocol.Token
+	askedAfter uint64
+	// verified: a report under this slot's term has come (invariant 3).
+	verified   bool
+	firstHeard time.Time
+	lastHeard  time.Time
+	reported   time.Time // when its last report came: direct answers count as heard, too
+	// lastAnswer is when the last 200 was given that it may have heard: all later ones are
+	// known not to have reached it. answered is that of the newest, with its token, of which
+	// nothing is known yet; see noteAck.
+	lastAnswer, answered time.Time
+	answeredWith         protocol.Token
+	ack                  ackState
+	// probeDue: it is to be asked, whatever is wanted of it; probed is when it last was.
+	probeDue bool
+	probedAt time.Time
+	// lapsed: the lease of session lapsedIn and all before surely ended.
+	lapsedIn  uint64
+	lapsed    bool
+	notice    bool
+	entries   map[string]*entry
+	images    []image // most recently used last
+	ready     map[string]bool
+	busy      bool // a direct command is under way
+	settled   bool // nothing is wanted of it until something changes
+	holdOff   time.Time
+	drainTill time.Time
+	drainWish uint64 // since which it is kept free without a break
+	vacates   bool   // what is on it is to be moved elsewhere
+	silent    bool
+	mute      bool            // it answers directly, but its reports don't come
+	errorsBy  map[string]bool // jobs that failed here since the last success
+	soundAt   time.Time       // when something last succeeded
+	doubted   time.Time       // since when it is left alone, not to be told yet why
+	suspect   bool
+	version   uint64
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// entry is a task that is, or may be, on a machine.
+type entry struct {
+	task    string
+	job     string
+	index   int
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+	// token is that of the start command, as long as its outcome is open.
+	token protocol.Token
+	until time.Time // end of a reservation, of waiting for room, or of a place that is kept
+	ahead bool      // reserved before there is room for it
+	stop  bool
+	grace float64
+	sent  time.Time // when the last stop or forget was sent
+	reap  bool
+	keep  bool // once it is forgotten its place is reserved for the same attempt
+	// ran is since when it runs, if it was seen to begin; proven that it runs
+	// for long enough to show that it can.
+	ran    time.Time
+	proven bool
+}
+
+func (e *entry) unconfirmed() bool { return board.Unconfirmed(e.state) }
+
+func (e *entry) exited() bool { return e.state == protocol.TaskExited }
+
+// takesRoom tells whether nothing else may have its room: it is or may be there, or its place is
+// kept.
+func (e *entry) takesRoom() bool { return !e.exited() || !e.until.IsZero() }
+
+// silentAfter is when a worker's silence tells of trouble: two regular reports
+// and the time to find another controller have passed.
+func (h *Holder) silentAfter() time.Duration {
+	return min(h.cfg.ReportEvery()*8/3, h.cfg.WorkerLease()/2)
+}
+
+// reviewWorker finds out what time has changed about a worker, and has it do what is wanted.
+func (h *Holder) reviewWorker(w *worker, now time.Time, lease time.Duration) {
+	if !w.lapsed && now.Sub(w.entitled()) > lease {
+		h.lapse(w)
+	}
+	if w.lapsed && !w.verified && w.slot.ready && h.registry[w.id] == nil {
+		// Nobody registered it, and it never took a word of ours: mostly an old message
+		// of a machine that was returned. It was shown as silent for ever.
+		h.drop(w.id)
+		return
+	}
+	if !w.doubted.IsZero() {
+		h.judge(w)
+	}
+	h.reviewSilence(w, now)
+	if w.settled && len(h.changedJobs) == 0 {
+		return
+	}
+	h.reviewEntries(w, now)
+	if !w.settled {
+		h.sendCommands(w)
+	}
+}
+
+// lapse takes in that a worker's lease surely ended, and with it all that was on its machine.
+func (h *Holder) lapse(w *worker) {
+	w.lapsed, w.lapsedIn = true, w.session
+	// Should it have begun anew: whatever it shows from now on is newer than all before.
+	w.shown, w.seq = 0, w.seq+1
+	clear(w.entries)
+	h.touch(w)
+	slog.Info("lease lapsed", "machine", w.id)
+}
+
+// reviewSilence finds out whether a worker is silent, or answers directly while its reports don't come.
+func (h *Holder) reviewSilence(w *worker, now time.Time) {
+	// While this controller answers nobody, nobody is silent: after an outage of the
+	// state service, a small fleet's machines were given back as lost, with their results.
+	answers := min(now.Sub(w.slot.adopted), now.Sub(h.invalid))
+	unheard := min(now.Sub(w.lastHeard), answers)
+	quiet := unheard > h.silentAfter() || w.ack.isOverdue(now, h.silentAfter())
+	mute := !quiet && min(now.Sub(w.reported), answers) > h.silentAfter()
+	if quiet != w.silent || mute != w.mute {
+		w.silent, w.mute = quiet, mute
+		h.touch(w)
+	}
+	if !quiet && !w.lapsed && unheard > 2*h.cfg.ReportEvery() {
+		h.probeWorker(w) // it may be that its reports alone don't come
+	}
+}
+
+// reviewEntries drops reservations and kept places whose time is over, and has commands repeated
+// for jobs that changed.
+func (h *Holder) reviewEntries(w *worker, now time.Time) {
+	for name, e := range w.entries {
+		if h.changedJobs[e.job] {
+			e.sent, w.settled = time.Time{}, false // what was sent may no longer be what is wanted
+		}
+		if (e.state == board.TaskReserved || e.state == board.TaskQueued) && now.After(e.until) {
+			delete(w.entries, name)
+			h.touch(w)
+		}
+		if e.exited() && !e.until.IsZero() && now.After(e.until) {
+			e.until = time.Time{}
+			h.touch(w)
+		}
+	}
+}
