Jobs that are over stay at hand once they were read, also too late for who asked

Cause: after all controllers ended nobody holds the jobs that were over before.

Change: Reader gives what it read of jobs that are over to the controller, as the look-up of needs does.

--- a/internal/bookkeeping/reader.go
+++ b/internal/bookkeeping/reader.go
@@ -12,7 +12,9 @@
 // asking costs grows with time and not with the number of users. It is an
 // actor of its own.
 type Reader struct {
-	store  *Store
+	store *Store
+	// Found is given the jobs that are over and had to be read; it may be nil.
+	Found  func(*Job)
 	asks   chan question
 	caught chan uint64
 	read   chan reading
@@ -173,10 +175,7 @@
 			q.needs = res.revision
 			r.behind = append(r.behind, q)
 		case res.recorded[q.id]:
-			go func() {
-				j, err := r.store.ReadJob(ctx, q.id)
-				q.answer <- verdict{j, err}
-			}()
+			go r.readJob(ctx, q)
 		default:
 			q.answer <- verdict{}
 		}
@@ -184,6 +183,17 @@
 	r.catchUp()
 }
 
+// readJob reads the record of a job that the replica does not have. One that is over stays at hand, also
+// if it was read too late for who asked: once, after a restart, nobody was ever answered about such
+// jobs while the state service was slow.
+func (r *Reader) readJob(ctx context.Context, q question) {
+	j, err := r.store.ReadJob(ctx, q.id)
+	if err == nil && j != nil && j.Archived && r.Found != nil {
+		r.Found(j)
+	}
+	q.answer <- verdict{j, err}
+}
+
 // catchUp answers those for whom the replica is new enough by now.
 func (r *Reader) catchUp() {
 	left := r.behind[:0]
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -287,6 +287,8 @@
 		if err != nil || strconv.Itoa(status) != args[2] {
 			return fmt.Errorf("answer %d, %v", status, err)
 		}
+	case "asks": // asks CONTROLLER PATH: a user asks, whatever the answer is
+		w.call("user", http.MethodGet, "front-"+args[0]+args[1], nil, 2*time.Second)
 	case "unhealthy": // unhealthy CONTROLLER: it tells the load balancer to send nobody
 		status, _, err := w.call("user", http.MethodGet, "front-"+args[0]+"/healthz", nil, 2*time.Second)
 		if err == nil && status == 200 {
