--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -68,7 +68,7 @@
 }
 
 // confirm gives a user's answer, unless it says that the job is cancelled and that may not be
-// said yet (membership.MayConfirm): from then on its tasks have only so long to live, wherever
+// said yet (membership.MayConfirm, MayTell): from then on its tasks have only so long to live, wherever
 // they are and whoever knows of it.
 func (k *Controller) confirm(ctx context.Context, s *standing) (*protocol.JobStatus, error) {
 	if s.job.State == protocol.Cancelled {
