Membership: standard names for moratoria, grants, reports and the watermark

A rename without a change of behaviour: promise -> moratorium, giver -> grantor, word -> cancellation report, horizon -> watermark, owed -> outstanding. Names on the wire, the metric and the log line stay.

--- a/internal/coordination/announce.go
+++ b/internal/coordination/announce.go
@@ -31,8 +31,8 @@
 	announceWait  = time.Second
 )
 
-func (p promisePeer) Announce(ctx context.Context, a AnnounceArgs) error {
-	return p.Call(ctx, membership.AskWithin, rpcName+".Announce", a, &Nothing{})
+func (p holderPeer) Announce(ctx context.Context, a AnnounceArgs) error {
+	return p.Call(ctx, membership.RequestTimeout, rpcName+".Announce", a, &Nothing{})
 }
 
 // Announce takes in which jobs a sibling knows to be cancelled; it returns once no answer or command
@@ -88,7 +88,7 @@
 	if !h.mayConfirm(job) {
 		return confirmation{}
 	}
-	known, waitFor := h.cancelled.Known(job), h.cfg.AnnounceFor()
+	known, waitFor := h.cancelled.KnownSince(job), h.cfg.AnnounceFor()
 	if membership.MayTell(known, false, waitFor, now) {
 		return confirmation{may: true}
 	}
@@ -170,7 +170,7 @@
 // reviewAnnouncements repeats what was not acknowledged, and drops what nobody waits for any more.
 func (h *Holder) reviewAnnouncements(now time.Time) {
 	h.announcements.Forget(func(job string) bool {
-		return now.Sub(h.cancelled.Known(job)) >= h.cfg.AnnounceFor()
+		return now.Sub(h.cancelled.KnownSince(job)) >= h.cfg.AnnounceFor()
 	})
 	h.announce(now)
 }
--- a/internal/coordination/announce_test.go
+++ b/internal/coordination/announce_test.go
@@ -32,7 +32,7 @@
 	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, _ *heldSlot) {
 		siblings := []*acknowledger{{}, {}}
 		c.Siblings = []config.Sibling{{Name: "c1"}, {Name: "c2"}}
-		h.bound = time.Time{}
+		h.boundUntil = time.Time{}
 		for k, s := range siblings {
 			h.members[c.Siblings[k].Name] = &bookkeeping.Member{Generation: bookkeeping.Generation}
 			h.announcers = append(h.announcers, s)
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -80,8 +80,8 @@
 			lenders[s.Name] = lendPeer{transport.NewPeer(ctx, dial, s.Addr)}
 		}
 		holders[s.Name] = sibling{transport.NewPeer(ctx, dial, s.Addr), transport.NewPeer(ctx, dial, s.Addr)}
-		peer := promisePeer{transport.NewPeer(ctx, dial, s.Addr)}
-		k.holder.promisers = append(k.holder.promisers, peer)
+		peer := holderPeer{transport.NewPeer(ctx, dial, s.Addr)}
+		k.holder.moratoriumPeers = append(k.holder.moratoriumPeers, peer)
 		k.holder.announcers = append(k.holder.announcers, peer)
 	}
 	k.owner = NewOwner(ctx, c, k.session, k.store, holders, k.foundOver,
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -66,21 +66,21 @@
 	// served is when the state service last did what this controller asked; nil if nobody
 	// knows.
 	served func() time.Time
-	// started is when this process was, bound until when the one before it may be bound by what
-	// it promised; promisers reach all siblings, in the order of the
-	// settings. giving is what was promised to them, promisedTo until when all of them promised
-	// it to us; consulting and consulted tell of the last time they were asked.
-	started    time.Time
-	bound      time.Time
-	promisers  []PromiseCaller
-	giving     map[string]membership.Giving
-	promisedTo time.Time
-	consulting bool
-	consulted  time.Time
+	// started is when this process was, and boundUntil the end of the moratoria that the process
+	// before it may have granted. moratoriumPeers reach all siblings, in the order of the settings.
+	// granted is what was granted to them, and moratoriumUntil the end of what all of them granted
+	// to this holder; requestingMoratorium and moratoriumRequested tell of the last request.
+	started              time.Time
+	boundUntil           time.Time
+	moratoriumPeers      []MoratoriumCaller
+	granted              map[string]membership.Grant
+	moratoriumUntil      time.Time
+	requestingMoratorium bool
+	moratoriumRequested  time.Time
 	// cancelled are the jobs that are known to be, by records, users' requests or siblings;
-	// horizon is up to when these are all that anyone confirmed.
+	// watermark is up to when these are all that anyone confirmed.
 	cancelled membership.Cancellations
-	horizon   membership.Horizon
+	watermark membership.Watermark
 	invalid   time.Time // when reports were last seen not to be answered
 	// announcements are cancellations that siblings are asked to acknowledge, by announcers in the
 	// order of the settings; acknowledged is closed and renewed when one did.
@@ -121,15 +121,38 @@
 		siblings = append(siblings, s.Name)
 	}
 	now := time.Now()
-	return &Holder{started: now, bound: now.Add(membership.YoungFor), giving: map[string]membership.Giving{}, announcing: map[string]announcing{}, acknowledged: make(chan struct{}), misrouted: map[string]misroutedReport{}, horizon: membership.NewHorizon(siblings), actor: newActor(ctx), cfg: c, quotas: c.Quotas, session: session, store: store, workers: workers,
-		types: map[string]protocol.MachineType{}, jobs: map[string]*bookkeeping.Job{}, members: map[string]*bookkeeping.Member{},
-		records: map[int]*bookkeeping.Slot{}, registry: map[string]*bookkeeping.Machine{}, slots: map[int]*heldSlot{},
-		byID: map[string]*worker{}, changedJobs: map[string]bool{}, opinions: map[string]placement.Opinion{}, releasing: map[int]*heldSlot{}, changed: make(chan struct{}), fences: map[string]protocol.Token{}}
+	return &Holder{
+		actor:        newActor(ctx),
+		cfg:          c,
+		quotas:       c.Quotas,
+		session:      session,
+		store:        store,
+		workers:      workers,
+		started:      now,
+		boundUntil:   now.Add(membership.RecoveryPeriod),
+		granted:      map[string]membership.Grant{},
+		watermark:    membership.NewWatermark(siblings),
+		announcing:   map[string]announcing{},
+		acknowledged: make(chan struct{}),
+		misrouted:    map[string]misroutedReport{},
+		types:        map[string]protocol.MachineType{},
+		jobs:         map[string]*bookkeeping.Job{},
+		members:      map[string]*bookkeeping.Member{},
+		records:      map[int]*bookkeeping.Slot{},
+		registry:     map[string]*bookkeeping.Machine{},
+		slots:        map[int]*heldSlot{},
+		byID:         map[string]*worker{},
+		changedJobs:  map[string]bool{},
+		opinions:     map[string]placement.Opinion{},
+		releasing:    map[int]*heldSlot{},
+		changed:      make(chan struct{}),
+		fences:       map[string]protocol.Token{},
+	}
 }
 
 // Run runs the actor until its context ends.
 func (h *Holder) Run() {
-	go h.learnOwed()
+	go h.learnOutstanding()
 	h.loop(250*time.Millisecond, h.tick)
 }
 
@@ -178,7 +201,7 @@
 	if h.latest != nil && (h.window == nil || h.latest.Number > h.window.Number) && now.UnixMilli() >= h.latest.StartMs {
 		h.obey(h.latest)
 	}
-	h.consult(now)
+	h.requestMoratorium(now)
 	h.reviewAnnouncements(now)
 	h.adopt()
 	h.release()
@@ -273,7 +296,7 @@
 		h.follows = began
 	}
 	h.syncedAt = began
-	h.horizon.Read(began)
+	h.watermark.ObserveRecords(began)
 }
 
 // over tells whether nothing of a job is to run any more, as far as is known.
@@ -286,7 +309,7 @@
 func (h *Holder) overview() protocol.MachineCount {
 	now := time.Now()
 	c := protocol.MachineCount{Machines: len(h.byID), Answers: h.mayAnswer()}
-	if at := h.horizon.At(); !at.IsZero() {
+	if at := h.watermark.Time(); !at.IsZero() {
 		c.HorizonS = *seconds(now.Sub(at))
 	}
 	for _, w := range h.byID {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -337,7 +337,7 @@
 		return w
 	}, &o.lately, now)
 	o.usable, o.scarceNow, o.teams, o.held = nil, o.scarce(), nil, map[string]int{}
-	o.promise()
+	o.addPendingStarts()
 	budget := 64
 	for _, js := range ready {
 		if budget <= 0 {
@@ -370,8 +370,8 @@
 	return cmp.Or(o.due(a).Compare(o.due(b)), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 }
 
-// promise adds up the room of starts that the board does not show yet.
-func (o *Owner) promise() {
+// addPendingStarts adds up the room of starts that the board does not show yet.
+func (o *Owner) addPendingStarts() {
 	for _, m := range o.board.Machines {
 		m.Promised = protocol.Room{}
 	}
--- a/internal/coordination/slots.go
+++ b/internal/coordination/slots.go
@@ -17,7 +17,7 @@
 // reset forgets all slots, as after a restart: the session was lost, and
 // others may have taken them.
 func (h *Holder) reset() {
-	h.promisedTo = time.Time{}
+	h.moratoriumUntil = time.Time{}
 	h.slots = map[int]*heldSlot{}
 	h.byID = map[string]*worker{}
 	h.gone = nil
@@ -48,7 +48,7 @@
 			if c.Seen.Holder == h.cfg.Name && (m == nil || m.Term != inc) {
 				continue // our own record has not come back to us yet
 			}
-			if m != nil && m.Term == c.Seen.Incarnation && c.Seen.Holder != h.cfg.Name || !h.mayTake(c.Seen.Holder) {
+			if m != nil && m.Term == c.Seen.Incarnation && c.Seen.Holder != h.cfg.Name || !h.mayTakeOver(c.Seen.Holder) {
 				continue
 			}
 			c.Former = c.Seen.Holder
--- a/internal/coordination/horizon_test.go
+++ b/internal/coordination/watermark_test.go
@@ -81,7 +81,7 @@
 		over := *h.jobs["wk-1"]
 		over.Record, over.State = protocol.Cancelled, protocol.Cancelled
 		h.jobChanged(&over)
-		h.hearWord("c1", &PromiseReply{Cancelled: []string{"wk-3"}}, time.Now(), membership.PromiseFor)
+		h.observeReport("c1", &PromiseReply{Cancelled: []string{"wk-3"}}, time.Now(), membership.MoratoriumFor)
 		status, body := h.Report(running(6, protocol.NewToken(7, 1), "wk-1/0", "wk-2/0"))
 		got := stopped(body)
 		slices.Sort(got)
@@ -118,15 +118,15 @@
 	return s.err
 }
 
-// While the state service is away for all a holder lives on the word of its siblings, and not on
+// While the state service is away for all a holder lives on the reports of its siblings, and not on
 // that of a process which began amid it or is of the version before.
 func TestASiblingThatBeganAmidSaysNothingOfWhatWas(t *testing.T) {
 	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, _ *heldSlot) {
 		old := PromiseReply{Given: true, AgeMs: time.Hour.Milliseconds(), Whole: true}
 		says := &sayer{reply: old}
 		c.Siblings = []config.Sibling{{Name: "c1"}}
-		h.promisers = []PromiseCaller{says}
-		h.horizon = membership.NewHorizon([]string{"c1"})
+		h.moratoriumPeers = []MoratoriumCaller{says}
+		h.watermark = membership.NewWatermark([]string{"c1"})
 		h.synced(time.Now())
 		lasts := func(d time.Duration) { h.session.until.Store(int64(time.Since(h.session.base) + d)) }
 		lasts(3 * time.Second)
@@ -136,39 +136,39 @@
 				for len(h.inbox) > 0 {
 					(<-h.inbox)()
 				}
-				h.consult(time.Now())
+				h.requestMoratorium(time.Now())
 			}
 		}
 		if live(2 * c.RenewFor()); !h.mayAnswer() || h.session.Valid() || len(says.asked) < 10 {
 			t.Errorf("answers no more though it was told, asked %d times", len(says.asked))
 		}
-		if behind := time.Since(h.horizon.At()); behind > 2*time.Second {
-			t.Errorf("the horizon lies %v behind", behind)
+		if behind := time.Since(h.watermark.Time()); behind > 2*time.Second {
+			t.Errorf("the watermark lies %v behind", behind)
 		}
-		// It is back at once: what the process before it promised to be quiet about still holds.
+		// It is back at once: what the process before it granted, and with it its silence, still holds.
 		says.reply.AgeMs = 100
-		if live(3 * time.Second); !h.mayAnswer() || time.Since(h.horizon.At()) > 2*time.Second {
-			t.Errorf("the horizon lies %v behind", time.Since(h.horizon.At()))
+		if live(3 * time.Second); !h.mayAnswer() || time.Since(h.watermark.Time()) > 2*time.Second {
+			t.Errorf("the watermark lies %v behind", time.Since(h.watermark.Time()))
 		}
 		// It was away for long, so that another may have begun and ended meanwhile.
 		says.reply = PromiseReply{}
-		live(membership.PromiseFor + 3*time.Second)
+		live(membership.MoratoriumFor + 3*time.Second)
 		lasts(time.Hour) // as if its session were renewed, and nothing else served
 		says.reply = PromiseReply{Given: true, AgeMs: 100, Whole: true}
 		if live(c.RenewFor()); h.mayAnswer() {
-			t.Error("goes on answering by the word of one that knows nothing of what was")
+			t.Error("goes on answering by the report of one that knows nothing of what was")
 		}
 		// The version before names nothing.
 		h.synced(time.Now())
 		says.reply = PromiseReply{Given: true}
 		if live(c.RenewFor() + 2*time.Second); h.mayAnswer() {
-			t.Error("goes on answering by no word")
+			t.Error("goes on answering by no report")
 		}
 	})
 }
 
-// A promise and the word beside it are read by the version before as a promise, and its promise
-// is no word.
+// A grant and the report beside it are read by the version before as a grant, and its grant is
+// no report.
 func TestPromisesOfTheVersionBefore(t *testing.T) {
 	type olderArgs struct {
 		Caller string
@@ -188,28 +188,28 @@
 			t.Fatal(err)
 		}
 	}
-	if args.Caller != "c1" || args.Term != 7 || !reply.Given || reply.word(membership.BriefFor).Whole || !older.Given {
+	if args.Caller != "c1" || args.Term != 7 || !reply.Given || reply.report(membership.BriefMoratoriumFor).Complete || !older.Given {
 		t.Errorf("%+v %+v %+v", args, reply, older)
 	}
 	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
 		for _, since := range []int64{0, -5, -1 << 62} { // of the version before, and senseless ones
-			if r := h.promise(&PromiseArgs{Caller: "c1", SinceMs: since}); r.Whole {
+			if r := h.grantMoratorium(&PromiseArgs{Caller: "c1", SinceMs: since}); r.Whole {
 				t.Errorf("since %d: %+v", since, r)
 			}
 		}
 		// What was put away before it followed the records it can't name, whatever is asked.
-		if r := h.promise(&PromiseArgs{Caller: "c1", SinceMs: 1 << 62}); !r.Whole || r.AgeMs < 0 || r.SyncedMs != 0 {
+		if r := h.grantMoratorium(&PromiseArgs{Caller: "c1", SinceMs: 1 << 62}); !r.Whole || r.AgeMs < 0 || r.SyncedMs != 0 {
 			t.Errorf("since ever: %+v", r)
 		}
 		time.Sleep(5 * time.Second)
 		h.synced(time.Now())
-		if r := h.promise(&PromiseArgs{Caller: "c1", SinceMs: 1000}); !r.Whole || r.SyncedMs <= 0 {
+		if r := h.grantMoratorium(&PromiseArgs{Caller: "c1", SinceMs: 1000}); !r.Whole || r.SyncedMs <= 0 {
 			t.Errorf("since it follows the records: %+v", r)
 		}
 	})
 }
 
-// A process that has just started is bound by what the one before it may have promised: until
+// A process that has just started is bound by what the one before it may have granted: until
 // all siblings say that they asked for nothing, or for as long as what they asked for lasts. One
 // that does not answer may have asked, and so may one of the version before, which does not know
 // the question.
@@ -218,22 +218,22 @@
 		owed := func(d time.Duration) *sayer { return &sayer{owed: OwedReply{ForMs: d.Milliseconds()}} }
 		silent := &sayer{err: errNotNow}
 		for name, x := range map[string]struct {
-			siblings []PromiseCaller
+			siblings []MoratoriumCaller
 			free     time.Duration
 		}{
-			"nothing is owed":     {[]PromiseCaller{owed(time.Millisecond), owed(time.Millisecond)}, 0},
-			"one asked of late":   {[]PromiseCaller{owed(time.Millisecond), owed(7 * time.Second)}, 7 * time.Second},
-			"one does not answer": {[]PromiseCaller{owed(time.Millisecond), silent}, membership.YoungFor},
+			"nothing is owed":     {[]MoratoriumCaller{owed(time.Millisecond), owed(time.Millisecond)}, 0},
+			"one asked of late":   {[]MoratoriumCaller{owed(time.Millisecond), owed(7 * time.Second)}, 7 * time.Second},
+			"one does not answer": {[]MoratoriumCaller{owed(time.Millisecond), silent}, membership.RecoveryPeriod},
 			"alone":               {nil, 0},
 		} {
 			young := NewHolder(h.ctx, c, h.session, nil, h.workers)
-			young.promisers = x.siblings
-			go young.learnOwed()
+			young.moratoriumPeers = x.siblings
+			go young.learnOutstanding()
 			began := time.Now()
-			if young.mayTake("c1") || young.mayConfirm("wk-1") {
+			if young.mayTakeOver("c1") || young.mayConfirm("wk-1") {
 				t.Errorf("%s: it is not bound at its start", name)
 			}
-			for !young.mayTake("c1") {
+			for !young.mayTakeOver("c1") {
 				time.Sleep(250 * time.Millisecond)
 				for len(young.inbox) > 0 {
 					(<-young.inbox)()
@@ -244,20 +244,20 @@
 			}
 		}
 		// What it was asked for itself it owes as well, once it was.
-		if h.consulted = time.Now(); membership.Owed(h.consulted, time.Now()) < membership.PromiseFor {
+		if h.moratoriumRequested = time.Now(); membership.Outstanding(h.moratoriumRequested, time.Now()) < membership.MoratoriumFor {
 			t.Error("nothing is owed to one that has just asked")
 		}
 	})
 }
 
 // A process that has just read the records has not read those of jobs long over: what was
-// cancelled and put away before that it can't name. Its word says nothing of what its records
+// cancelled and put away before that it can't name. Its report says nothing of what its records
 // are as new as, to one that asks for what was before.
 func TestWhoHasJustBegunToFollowCanNotNameWhatWasPutAway(t *testing.T) {
 	withHolder(t, func(t *testing.T, c *config.Config, h *Holder, _ *heldSlot) {
 		s := NewHolder(h.ctx, c, h.session, nil, h.workers)
 		synced := func(since time.Duration) int64 {
-			r := s.promise(&PromiseArgs{Caller: "c1", SinceMs: since.Milliseconds()})
+			r := s.grantMoratorium(&PromiseArgs{Caller: "c1", SinceMs: since.Milliseconds()})
 			if !r.Whole {
 				t.Errorf("what it knows itself it names: %+v", r)
 			}
--- a/internal/membership/announce.go
+++ b/internal/membership/announce.go
@@ -11,7 +11,7 @@
 // of them any more, so that they live for a lease at most from then. The zero value is empty.
 //
 // Nothing depends on an acknowledgement alone: a sibling that can't be reached may not hold up
-// users for long (MayTell), and its own bound (Renews) holds whatever was announced.
+// users for long (MayTell), and its own bound (MayRenew) holds whatever was announced.
 type Announcements struct {
 	missing map[string]map[string]bool // siblings by job
 }
@@ -76,6 +76,6 @@
 // MayTell tells whether users may be told of a cancellation that this process came to know at a
 // time, as far as siblings are concerned: all that may act have acknowledged it, or they were waited
 // for long enough.
-func MayTell(known time.Time, complete bool, waitFor time.Duration, now time.Time) bool {
-	return complete || now.Sub(known) >= waitFor
+func MayTell(knownSince time.Time, complete bool, waitFor time.Duration, now time.Time) bool {
+	return complete || now.Sub(knownSince) >= waitFor
 }
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -19,22 +19,22 @@
 
 // model is one state. Times count down in steps, and are bounded, so that there are finitely many.
 type model struct {
-	lease   int8    // of H in the state service; 0: it ended, for good
-	holder  int8    // by the slot's record: 0 is H, 1 and 2 the siblings
-	until   int8    // steps for which H may still act
-	served  [3]bool // by the state service, now
-	since   [3]int8 // steps since each was served
-	sees    [3]bool // by its records H's session lives
-	loaded  [3]bool
-	promise [3]int8 // steps for which each has promised
-	age     [3]int8
-	claim   [3]bool // a request to take the slot is under way, and may be carried out late
-	down    [3]bool
-	asked   int8 // steps since H last asked for promises
+	lease      int8    // of H in the state service; 0: it ended, for good
+	holder     int8    // by the slot's record: 0 is H, 1 and 2 the siblings
+	until      int8    // steps for which H may still act
+	served     [3]bool // by the state service, now
+	since      [3]int8 // steps since each was served
+	sees       [3]bool // by its records H's session lives
+	loaded     [3]bool
+	moratorium [3]int8 // steps for which each has granted
+	age        [3]int8
+	claim      [3]bool // a request to take the slot is under way, and may be carried out late
+	down       [3]bool
+	asked      int8 // steps since H last asked for moratoria
 }
 
 // seeded are mistakes put in: the model has to see each.
-type seeded struct{ givesDead, regains, forgetsPromise, takesYoung, oneIsEnough, owesNothing bool }
+type seeded struct{ givesDead, regains, forgetsGrant, takesYoung, oneIsEnough, nothingOutstanding bool }
 
 func steps(d time.Duration) int8 { return int8(d / step) }
 
@@ -70,12 +70,12 @@
 		t.lease = session
 	}
 	down(&t.until)
-	up(&t.asked, steps(PromiseFor)+1)
+	up(&t.asked, steps(MoratoriumFor)+1)
 	for k := range 3 {
-		down(&t.promise[k])
+		down(&t.moratorium[k])
 		if !m.down[k] {
-			up(&t.age[k], steps(YoungFor)+1)
-			if up(&t.since[k], steps(UnservedFor)+1); m.served[k] {
+			up(&t.age[k], steps(RecoveryPeriod)+1)
+			if up(&t.since[k], steps(GrantAfterUnserved)+1); m.served[k] {
 				t.since[k] = 0
 			}
 		}
@@ -95,38 +95,38 @@
 		n.lease, n.until, n.since[0] = session, surely, 0
 		add(n)
 	}
-	// H asks for promises.
-	if m.until > 0 && time.Duration(m.until)*step <= AskFrom {
+	// H asks for moratoria.
+	if m.until > 0 && time.Duration(m.until)*step <= RequestFrom {
 		n, given := m, 0
 		n.asked = 0
 		for k := 1; k < 3; k++ {
-			g := Giver{Unserved: time.Duration(m.since[k]) * step, Loaded: m.loaded[k], Alive: m.sees[k]}
+			g := Grantor{Unserved: time.Duration(m.since[k]) * step, RecordsLoaded: m.loaded[k], RequesterAlive: m.sees[k]}
 			if bad.givesDead {
-				g.Alive = true
+				g.RequesterAlive = true
 			}
-			if !m.down[k] && g.Gives() {
+			if !m.down[k] && g.Grants() {
 				given++
-				if !bad.forgetsPromise {
-					n.promise[k] = steps(PromiseFor)
+				if !bad.forgetsGrant {
+					n.moratorium[k] = steps(MoratoriumFor)
 				}
 			}
 		}
 		now := time.Unix(1000, 0)
 		until := now.Add(time.Duration(m.until) * step)
-		until = Extend(until, now, given == 2 || bad.oneIsEnough && given > 0, PromiseFor-step, now)
+		until = ExtendEntitlement(until, now, given == 2 || bad.oneIsEnough && given > 0, MoratoriumFor-step, now)
 		n.until = steps(until.Sub(now))
 		add(n)
 	}
 	if bad.regains && m.until == 0 && m.holder == 0 {
 		ok := true
 		for k := 1; k < 3; k++ {
-			ok = ok && !m.down[k] && (Giver{Unserved: time.Duration(m.since[k]) * step, Loaded: m.loaded[k], Alive: m.sees[k]}).Gives()
+			ok = ok && !m.down[k] && (Grantor{Unserved: time.Duration(m.since[k]) * step, RecordsLoaded: m.loaded[k], RequesterAlive: m.sees[k]}).Grants()
 		}
 		if ok {
 			n := m
-			n.until = steps(PromiseFor) - 1
+			n.until = steps(MoratoriumFor) - 1
 			for k := 1; k < 3; k++ {
-				n.promise[k] = steps(PromiseFor)
+				n.moratorium[k] = steps(MoratoriumFor)
 			}
 			add(n)
 		}
@@ -140,9 +140,9 @@
 		}
 		// It asks for the slot: only where it saw the session end.
 		now := time.Unix(1000, 0)
-		may := MayTake(now.Add(YoungFor-time.Duration(m.age[k])*step), now.Add(time.Duration(m.promise[k])*step), now)
+		may := MayTakeOver(now.Add(RecoveryPeriod-time.Duration(m.age[k])*step), now.Add(time.Duration(m.moratorium[k])*step), now)
 		if bad.takesYoung {
-			may = m.promise[k] == 0
+			may = m.moratorium[k] == 0
 		}
 		if !m.down[k] && m.loaded[k] && !m.sees[k] && may && !m.claim[k] && m.holder == 0 {
 			n := m
@@ -159,16 +159,16 @@
 			}
 			add(n)
 		}
-		// H tells a young one what was promised to it, or that nothing was.
-		if owed := Owed(now.Add(-time.Duration(m.asked)*step), now); !m.down[k] && int(m.age[k]) < int(steps(YoungFor)) && (owed == 0 || bad.owesNothing) {
+		// H tells a young one what was granted to it, or that nothing was.
+		if owed := Outstanding(now.Add(-time.Duration(m.asked)*step), now); !m.down[k] && int(m.age[k]) < int(steps(RecoveryPeriod)) && (owed == 0 || bad.nothingOutstanding) {
 			n := m
-			n.age[k] = steps(YoungFor) + 1
+			n.age[k] = steps(RecoveryPeriod) + 1
 			add(n)
 		}
 		// It ends and is started again; what it had asked for is still on its way.
 		n := m
 		if n.down[k] = !m.down[k]; n.down[k] {
-			n.loaded[k], n.sees[k], n.promise[k], n.age[k], n.since[k] = false, false, 0, 0, steps(UnservedFor)
+			n.loaded[k], n.sees[k], n.moratorium[k], n.age[k], n.since[k] = false, false, 0, 0, steps(GrantAfterUnserved)
 		}
 		add(n)
 	}
@@ -177,7 +177,7 @@
 
 // start is where all is well.
 var start = model{lease: session, until: surely, served: [3]bool{true, true, true}, sees: [3]bool{true, true, true}, loaded: [3]bool{true, true, true},
-	age: [3]int8{steps(YoungFor) + 1, steps(YoungFor) + 1, steps(YoungFor) + 1}, asked: steps(PromiseFor) + 1}
+	age: [3]int8{steps(RecoveryPeriod) + 1, steps(RecoveryPeriod) + 1, steps(RecoveryPeriod) + 1}, asked: steps(MoratoriumFor) + 1}
 
 // away is amid an outage, in which H renewed last 3 s ago.
 var away = model{lease: session, until: 2, sees: [3]bool{true, true, true}, loaded: [3]bool{true, true, true}, since: [3]int8{6, 6, 6},
@@ -206,7 +206,7 @@
 }
 
 // walk goes at random through so many states of the model, and gives the first in which two are
-// entitled. Most steps let time pass, so that promises, leases and youth end.
+// entitled. Most steps let time pass, so that moratoria, leases and youth end.
 func walk(bad seeded, seed uint64, most int) (states int, two *model) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	for states < most {
@@ -227,7 +227,7 @@
 }
 
 // Nobody is entitled beside another, whatever happens; and each mistake that is put in is seen.
-// (That one which is served, or saw the session end, does not promise is not needed for that, as
+// (That one which is served, or saw the session end, grants nothing is not needed for that, as
 // long as what lapsed is not regained: it is what lets a successor take over. Seen with it.)
 func TestNeverTwoEntitled(t *testing.T) {
 	for _, from := range []model{start, away} {
@@ -238,8 +238,8 @@
 	if n, two := walk(seeded{}, 1, 3_000_000); two != nil {
 		t.Fatalf("on a walk of %d states two are entitled: %+v", n, *two)
 	}
-	for name, bad := range map[string]seeded{"what lapsed is regained": {regains: true}, "the giver forgets": {forgetsPromise: true}, "a young process takes": {takesYoung: true},
-		"nothing is said to be owed": {owesNothing: true}, "one promise is enough": {oneIsEnough: true}, "who saw the session end promises, and what lapsed is regained": {givesDead: true, regains: true}, "a young process takes, one promise is enough": {takesYoung: true, oneIsEnough: true}} {
+	for name, bad := range map[string]seeded{"what lapsed is regained": {regains: true}, "the grantor forgets": {forgetsGrant: true}, "a young process takes": {takesYoung: true},
+		"nothing is said to be outstanding": {nothingOutstanding: true}, "one moratorium is enough": {oneIsEnough: true}, "who saw the session end grants, and what lapsed is regained": {givesDead: true, regains: true}, "a young process takes, one moratorium is enough": {takesYoung: true, oneIsEnough: true}} {
 		n, two := explore(away, bad, 150_000)
 		if two == nil {
 			n, two = walk(bad, 2, 3_000_000)
--- a/internal/membership/horizon_test.go
+++ b/internal/membership/watermark_test.go
@@ -12,7 +12,7 @@
 // or refuses one of them alone; of processes that end and begin again; of cancellations that are
 // recorded, answered or not, and confirmed; and of questions and answers that are slow, lost
 // or never asked. A step is a second; the daemon's own decisions are called. In no state may a
-// cancellation that was confirmed before the horizon be unknown to the holder, nor may it
+// cancellation that was confirmed before the watermark be unknown to the holder, nor may it
 // answer what outlives one: less by as much as its acknowledgement is waited for.
 
 const (
@@ -36,12 +36,12 @@
 	served, down bool
 	unserved     int8 // for how long
 	age          int8 // of its process
-	bound        int8 // for how much longer it is by what the one before promised
+	bound        int8 // for how much longer it is by what the one before granted
 	asked        int8 // how long ago the holder last asked it
 	synced       int8 // how long ago its records were as new as that; never: none read
 	known        int8 // how long ago it came to know of the cancellation; never
 	acknowledged bool // the holder acknowledged the cancellation to it
-	until, named int8 // what it promised: for how much longer, and named how long ago
+	until, named int8 // what it granted: for how much longer, and named how long ago
 	// What the holder knows of it: ages; quiet may lie ahead.
 	told, quiet int8
 	q           question
@@ -58,7 +58,7 @@
 }
 
 type mistakes struct {
-	renewalProves, believesYoung, neverQuiet, confirmsYoung, boundDropped, fromTheAnswer, forgetsToName, owesNothing, tellsAtOnce, countsAnyone bool
+	renewalProves, believesYoung, neverQuiet, confirmsYoung, boundDropped, fromTheAnswer, forgetsToName, nothingOutstanding, tellsAtOnce, countsAnyone bool
 	// waits: acknowledgements are waited for, unlike by the version before. No mistake.
 	waits bool
 }
@@ -75,10 +75,10 @@
 
 func ago(age int8) time.Time { return noon.Add(-time.Duration(age) * tick) }
 
-func (w *world) horizon(n int) (h Horizon) {
-	h = Horizon{Records: ago(w.records), Siblings: map[string]Heard{}}
+func (w *world) watermark(n int) (h Watermark) {
+	h = Watermark{ByRecords: ago(w.records), BySibling: map[string]PeerKnowledge{}}
 	for k := range n {
-		h.Siblings[fmt.Sprint(k)] = Heard{Told: ago(w.s[k].told), Quiet: ago(w.s[k].quiet)}
+		h.BySibling[fmt.Sprint(k)] = PeerKnowledge{KnownThrough: ago(w.s[k].told), SilentUntil: ago(w.s[k].quiet)}
 	}
 	return h
 }
@@ -98,11 +98,11 @@
 	if w.confirmed == never || w.knows {
 		return ""
 	}
-	h := w.horizon(n)
-	if ago(w.confirmed).Before(h.At()) {
-		return "confirmed before the horizon, and not known"
+	h := w.watermark(n)
+	if ago(w.confirmed).Before(h.Time()) {
+		return "confirmed before the watermark, and not known"
 	}
-	if (Renews(h.At(), renewFor*tick, noon) || bad.boundDropped) && w.confirmed > renewFor-bad.waitFor() {
+	if (MayRenew(h.Time(), renewFor*tick, noon) || bad.boundDropped) && w.confirmed > renewFor-bad.waitFor() {
 		return "what is answered outlives it"
 	}
 	return ""
@@ -140,14 +140,14 @@
 		} else if s.unserved <= beyond {
 			s.unserved++
 		}
-		if s.q.asked != never && time.Duration(s.q.asked)*tick > AskWithin {
+		if s.q.asked != never && time.Duration(s.q.asked)*tick > RequestTimeout {
 			s.q = question{asked: never} // it is not waited for any more
 		}
 	}
 }
 
-func (s *sibling) giving() map[string]Giving {
-	return map[string]Giving{"h": {Until: noon.Add(time.Duration(s.until) * tick), Named: ago(s.named)}}
+func (s *sibling) giving() map[string]Grant {
+	return map[string]Grant{"h": {Until: noon.Add(time.Duration(s.until) * tick), ReportedAt: ago(s.named)}}
 }
 
 // next are all states that may follow.
@@ -180,9 +180,9 @@
 	}
 	if w.reading != never {
 		add(func(c *world) {
-			h := c.horizon(n)
-			h.Read(ago(c.reading))
-			c.records, c.knows = age(h.Records), c.knows || c.read
+			h := c.watermark(n)
+			h.ObserveRecords(ago(c.reading))
+			c.records, c.knows = age(h.ByRecords), c.knows || c.read
 			c.reading, c.read = never, false
 		})
 		add(func(c *world) { c.reading, c.read = never, false })
@@ -196,9 +196,9 @@
 				s.down = false
 				return
 			}
-			s.down, s.age, s.synced, s.known, s.until, s.named, s.unserved = true, 0, never, never, 0, 0, int8(UnservedFor/tick)
+			s.down, s.age, s.synced, s.known, s.until, s.named, s.unserved = true, 0, never, never, 0, 0, int8(GrantAfterUnserved/tick)
 			s.acknowledged = false
-			s.bound = int8(YoungFor / tick)
+			s.bound = int8(RecoveryPeriod / tick)
 			if !s.q.answered {
 				s.q = question{asked: never}
 			}
@@ -206,13 +206,13 @@
 		if s.down {
 			continue
 		}
-		if s.bound > 0 { // the holder tells it what was promised
+		if s.bound > 0 { // the holder tells it what was granted
 			add(func(c *world) {
-				owed := Owed(ago(s.asked), noon)
-				if bad.owesNothing {
+				owed := Outstanding(ago(s.asked), noon)
+				if bad.nothingOutstanding {
 					owed = 0
 				}
-				c.s[k].bound = int8(min(YoungFor, owed+tick-1) / tick)
+				c.s[k].bound = int8(min(RecoveryPeriod, owed+tick-1) / tick)
 			})
 		}
 		if s.served {
@@ -230,7 +230,7 @@
 		if bad.waits && s.known != never && !s.acknowledged {
 			add(func(c *world) { c.s[k].acknowledged, c.knows = true, true }) // it announces it
 			if bad.countsAnyone {
-				add(func(c *world) { c.s[k].acknowledged = true }) // another sibling's word is taken for the holder's
+				add(func(c *world) { c.s[k].acknowledged = true }) // another sibling's report is taken for the holder's
 			}
 		}
 		if s.known != never && w.confirmed == never && (bad.tellsAtOnce || MayTell(ago(s.known), s.acknowledged, time.Duration(bad.waitFor())*tick, noon)) {
@@ -244,41 +244,41 @@
 		}
 		if s.q.asked == never {
 			add(func(c *world) {
-				h := c.horizon(n)
-				c.s[k].q, c.s[k].asked = question{asked: 0, since: age(h.At())}, 0
+				h := c.watermark(n)
+				c.s[k].q, c.s[k].asked = question{asked: 0, since: age(h.Time())}, 0
 			})
 		} else if !s.q.answered {
 			add(func(c *world) {
 				s := &c.s[k]
 				s.q.answered, s.q.age, s.q.synced = true, s.age, s.synced
-				s.q.given = Giver{Unserved: time.Duration(s.unserved) * tick, Loaded: s.synced != never, Alive: true}.Gives()
-				s.q.names = s.known != never && time.Duration(s.known-s.q.since)*tick <= AskWithin && !bad.forgetsToName
+				s.q.given = Grantor{Unserved: time.Duration(s.unserved) * tick, RecordsLoaded: s.synced != never, RequesterAlive: true}.Grants()
+				s.q.names = s.known != never && time.Duration(s.known-s.q.since)*tick <= RequestTimeout && !bad.forgetsToName
 				if s.q.given {
-					g := s.giving()["h"].Again(noon, PromiseFor)
-					s.until, s.named = int8(g.Until.Sub(noon)/tick), age(g.Named)
+					g := s.giving()["h"].Extend(noon, MoratoriumFor)
+					s.until, s.named = int8(g.Until.Sub(noon)/tick), age(g.ReportedAt)
 				}
 			})
 		} else {
 			add(func(c *world) {
 				s := &c.s[k]
 				c.knows = c.knows || s.q.names
-				h, asked := c.horizon(n), ago(s.q.asked)
+				h, asked := c.watermark(n), ago(s.q.asked)
 				if bad.fromTheAnswer {
 					asked = noon
 				}
-				word := Word{Age: time.Duration(s.q.age) * tick, Whole: true}
+				report := CancellationReport{ProcessAge: time.Duration(s.q.age) * tick, Complete: true}
 				if s.q.given {
-					word.Quiet = PromiseFor
+					report.SilentFor = MoratoriumFor
 				}
 				if s.q.synced != never {
-					word.Synced = time.Duration(s.q.synced)*tick + time.Millisecond
+					report.RecordsAge = time.Duration(s.q.synced)*tick + time.Millisecond
 				}
 				if bad.believesYoung {
-					word.Age = time.Hour
+					report.ProcessAge = time.Hour
 				}
-				h.Hear(fmt.Sprint(k), word, asked, noon)
-				heard := h.Siblings[fmt.Sprint(k)]
-				c.records, s.told, s.quiet = age(h.Records), age(heard.Told), age(heard.Quiet)
+				h.ObserveReport(fmt.Sprint(k), report, asked, noon)
+				heard := h.BySibling[fmt.Sprint(k)]
+				c.records, s.told, s.quiet = age(h.ByRecords), age(heard.KnownThrough), age(heard.SilentUntil)
 				s.q = question{asked: never}
 			})
 			add(func(c *world) { c.s[k].q = question{asked: never} }) // lost
@@ -362,7 +362,7 @@
 	return states, ""
 }
 
-// Whatever is confirmed before the horizon is known, and nothing that is answered outlives it;
+// Whatever is confirmed before the watermark is known, and nothing that is answered outlives it;
 // each mistake that is put in is seen.
 func TestNoCancellationIsOutlived(t *testing.T) {
 	for _, none := range []mistakes{{}, {waits: true}} {
@@ -376,8 +376,8 @@
 		}
 	}
 	for name, bad := range map[string]mistakes{"a renewal is taken for proof": {renewalProves: true}, "a young process speaks for the one before": {believesYoung: true},
-		"what was promised is confirmed": {neverQuiet: true}, "a young process confirms": {confirmsYoung: true}, "the bound is dropped": {boundDropped: true},
-		"the horizon counts from the answer": {fromTheAnswer: true}, "what is known is not named": {forgetsToName: true}, "nothing is said to be owed": {owesNothing: true},
+		"what was granted is confirmed": {neverQuiet: true}, "a young process confirms": {confirmsYoung: true}, "the bound is dropped": {boundDropped: true},
+		"the watermark counts from the answer": {fromTheAnswer: true}, "what is known is not named": {forgetsToName: true}, "nothing is said to be outstanding": {nothingOutstanding: true},
 		"users are told at once": {waits: true, tellsAtOnce: true}, "an acknowledgement of another counts": {waits: true, countsAnyone: true}} {
 		n, what := wander(amid(), 1, bad, 8, 1_000_000)
 		if what == "" {
@@ -388,31 +388,31 @@
 	}
 }
 
-// The word of one sibling proves nothing while another never spoke, and records do without any.
+// The report of one sibling proves nothing while another never spoke, and records do without any.
 func TestAllSiblingsSpeakOrNone(t *testing.T) {
-	h := NewHorizon([]string{"a", "b", "c"})
-	h.Read(ago(60))
-	word := Word{Age: time.Hour, Whole: true}
-	h.Hear("a", word, ago(3), ago(2))
-	h.Hear("c", word, ago(5), ago(4))
-	if at := h.At(); !at.Equal(ago(60)) {
+	h := NewWatermark([]string{"a", "b", "c"})
+	h.ObserveRecords(ago(60))
+	report := CancellationReport{ProcessAge: time.Hour, Complete: true}
+	h.ObserveReport("a", report, ago(3), ago(2))
+	h.ObserveReport("c", report, ago(5), ago(4))
+	if at := h.Time(); !at.Equal(ago(60)) {
 		t.Errorf("two of three spoke: %v before", noon.Sub(at))
 	}
-	h.Hear("b", Word{Age: time.Hour}, ago(2), ago(1)) // of the version before: it names nothing
-	if at := h.At(); !at.Equal(ago(60)) {
-		t.Errorf("one gives no word: %v before", noon.Sub(at))
+	h.ObserveReport("b", CancellationReport{ProcessAge: time.Hour}, ago(2), ago(1)) // of the version before: it names nothing
+	if at := h.Time(); !at.Equal(ago(60)) {
+		t.Errorf("one gives no report: %v before", noon.Sub(at))
 	}
-	h.Hear("b", word, ago(4), ago(4))
-	if at := h.At(); !at.Equal(ago(5)) {
+	h.ObserveReport("b", report, ago(4), ago(4))
+	if at := h.Time(); !at.Equal(ago(5)) {
 		t.Errorf("all spoke: %v before", noon.Sub(at))
 	}
-	h.Hear("b", Word{Age: time.Hour, Synced: time.Second, Whole: true}, noon, noon)
-	if at := h.At(); !at.After(ago(2)) || !at.Before(noon) {
+	h.ObserveReport("b", CancellationReport{ProcessAge: time.Hour, RecordsAge: time.Second, Complete: true}, noon, noon)
+	if at := h.Time(); !at.After(ago(2)) || !at.Before(noon) {
 		t.Errorf("one knows the records: %v before", noon.Sub(at))
 	}
-	alone := NewHorizon(nil)
-	if alone.Read(ago(7)); !alone.At().Equal(ago(7)) {
-		t.Errorf("without siblings: %v before", noon.Sub(alone.At()))
+	alone := NewWatermark(nil)
+	if alone.ObserveRecords(ago(7)); !alone.Time().Equal(ago(7)) {
+		t.Errorf("without siblings: %v before", noon.Sub(alone.Time()))
 	}
 }
 
