Standard names: rental batch, unmet needs, admission check, unresponsive, workers unreachable

A rename without a change of behaviour (docs/glossary.md): lot -> rental batch, lacks -> unmet needs, second door -> admission check, mute and silent of a worker -> reports lost and unresponsive, deaf of a controller -> workers unreachable. Record fields, log keys and metrics stay as they are.

--- a/internal/bookkeeping/chains.go
+++ b/internal/bookkeeping/chains.go
@@ -369,7 +369,7 @@
 }
 
 // hold has a job that is held, or whose time has not come, wait as for one job more,
-// so that placing, renting and the holder's second door go by it as they do by needs;
+// so that placing, renting and the holder's admission check go by it as they do by needs;
 // times count from its release.
 func (j *Job) hold() {
 	from := j.From()
--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -27,7 +27,7 @@
 	catalogPrefix = keyCatalog + "/"
 	memberPrefix  = Root + "m/"
 	slotPrefix    = Root + "s/"
-	lotPrefix     = Root + "l/"
+	batchPrefix   = Root + "l/"
 	keyQuotas     = Root + "quotas"
 	quotaPrefix   = keyQuotas + "/" // the parts of accounts
 )
@@ -39,13 +39,13 @@
 func partKey(id, sum string, part int) string { return fmt.Sprintf("%s%03d", partKeys(id, sum), part) }
 func memberKey(name string) string            { return memberPrefix + name }
 func slotKey(slot int) string                 { return fmt.Sprintf("%s%d", slotPrefix, slot) }
-func lotKey(name string) string               { return lotPrefix + name }
+func batchKey(name string) string             { return batchPrefix + name }
 
 // kinds are the kinds of records, as operators are told of them, by how their
 // keys begin.
 var kinds = []struct{ prefix, name string }{
 	{keyTerm, "term"}, {keyLeader, "leader"}, {keyWindow, "window"}, {keyCatalog, "catalogue"}, {jobPrefix, "job"},
-	{overPrefix, "over"}, {resultPrefix, "result"}, {partPrefix, "part"}, {memberPrefix, "session"}, {slotPrefix, "slot"}, {lotPrefix, "lot"}, {keyQuotas, "quotas"},
+	{overPrefix, "over"}, {resultPrefix, "result"}, {partPrefix, "part"}, {memberPrefix, "session"}, {slotPrefix, "slot"}, {batchPrefix, "lot"}, {keyQuotas, "quotas"},
 }
 
 // kindOf tells what kind of record a key holds.
@@ -69,8 +69,8 @@
 type Member struct {
 	// Term is the incarnation of the process: a new process takes a new one.
 	Term uint64 `json:"term"`
-	// Deaf asks that no workers be dealt to this controller for now.
-	Deaf bool `json:"deaf,omitempty"`
+	// WorkersUnreachable asks that no workers be dealt to this controller for now.
+	WorkersUnreachable bool `json:"deaf,omitempty"`
 	// Generation is what the process understands, see Generation; a version
 	// that has none is of the first.
 	Generation int `json:"gen,omitempty"`
@@ -209,10 +209,10 @@
 // Number is the machine's number, which deals it to a slot.
 func (m *Machine) Number() uint64 { return protocol.MachineNumber(m.ID) }
 
-// Lot is a registry record: machines that were rented, or found, together.
+// RentalBatch is a registry record: machines that were rented, or found, together.
 // One record for a whole rental keeps a large fleet within the state
 // service's budget of writes.
-type Lot struct {
+type RentalBatch struct {
 	Type     string   `json:"type"`
 	Zone     string   `json:"zone"`
 	Spot     bool     `json:"spot,omitempty"`
@@ -221,15 +221,15 @@
 	Version  uint64   `json:"-"`
 }
 
-// Machine is one of the lot's machines.
-func (l *Lot) Machine(id string) *Machine {
+// Machine is one of the batch's machines.
+func (l *RentalBatch) Machine(id string) *Machine {
 	return &Machine{ID: id, Type: l.Type, Zone: l.Zone, Spot: l.Spot, RentedMs: l.RentedMs}
 }
 
-// Lots sorts machines into lots of those that are alike, none larger than a
+// RentalBatches sorts machines into batches of those that are alike, none larger than a
 // rental can be.
-func Lots(ms []Machine) []Lot {
-	var out []Lot
+func RentalBatches(ms []Machine) []RentalBatch {
+	var out []RentalBatch
 	open := map[Machine]int{}
 	for _, m := range ms {
 		kind := Machine{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
@@ -237,7 +237,7 @@
 		if !ok || len(out[i].Machines) >= protocol.MaxRent {
 			i = len(out)
 			open[kind] = i
-			out = append(out, Lot{Type: m.Type, Zone: m.Zone, Spot: m.Spot, RentedMs: m.RentedMs})
+			out = append(out, RentalBatch{Type: m.Type, Zone: m.Zone, Spot: m.Spot, RentedMs: m.RentedMs})
 		}
 		out[i].Machines = append(out[i].Machines, m.ID)
 	}
--- a/internal/bookkeeping/late_test.go
+++ b/internal/bookkeeping/late_test.go
@@ -174,8 +174,8 @@
 	refused("a slot given up by its former record", st.ChangeSlots(ctx, transport.Ordinary, []SlotChange{to}))
 	again, newer, _, err := st.Join(ctx, "c0", 10*time.Second)
 	must(err)
-	refused("a session's record of the process before", st.UpdateMember(ctx, "c0", Member{Term: inc, Deaf: true}, lease))
-	must(st.UpdateMember(ctx, "c0", Member{Term: again, Deaf: true}, newer))
+	refused("a session's record of the process before", st.UpdateMember(ctx, "c0", Member{Term: inc, WorkersUnreachable: true}, lease))
+	must(st.UpdateMember(ctx, "c0", Member{Term: again, WorkersUnreachable: true}, newer))
 	seenSlot, version, err := get[Slot](ctx, st, transport.Ordinary, time.Second, slotKey(3))
 	must(err)
 	seenSlot.Version = version
@@ -197,14 +197,14 @@
 	must(st.Lead(ctx, l, Leader{Name: "c0", Term: again}, newer))
 	refused("a window of a former leader", st.PublishWindow(ctx, l, w, Window{Number: 2}))
 	// Machines.
-	must(st.AddLot(ctx, transport.Ordinary, "b-1-1", Lot{Type: "small", Machines: []string{"host-000001", "host-000002"}}))
-	lot, version, err := get[Lot](ctx, st, transport.Ordinary, time.Second, lotKey("b-1-1"))
+	must(st.AddRentalBatch(ctx, transport.Ordinary, "b-1-1", RentalBatch{Type: "small", Machines: []string{"host-000001", "host-000002"}}))
+	batch, version, err := get[RentalBatch](ctx, st, transport.Ordinary, time.Second, batchKey("b-1-1"))
 	must(err)
-	lot.Version = version
-	must(st.DropMachines(ctx, map[string]bool{"host-000001": true}, map[string]*Lot{"b-1-1": lot}))
-	refused("a lot by its former record", st.DropMachines(ctx, map[string]bool{"host-000002": true}, map[string]*Lot{"b-1-1": lot}))
-	must(st.AddLot(ctx, transport.Ordinary, "b-1-1", Lot{Type: "small", Machines: []string{"host-000001", "host-000002"}}))
-	if lot, _, err = get[Lot](ctx, st, transport.Ordinary, time.Second, lotKey("b-1-1")); err != nil || len(lot.Machines) != 1 {
-		t.Errorf("a lot that was written once more: %+v, %v", lot, err)
+	batch.Version = version
+	must(st.DropMachines(ctx, map[string]bool{"host-000001": true}, map[string]*RentalBatch{"b-1-1": batch}))
+	refused("a batch by its former record", st.DropMachines(ctx, map[string]bool{"host-000002": true}, map[string]*RentalBatch{"b-1-1": batch}))
+	must(st.AddRentalBatch(ctx, transport.Ordinary, "b-1-1", RentalBatch{Type: "small", Machines: []string{"host-000001", "host-000002"}}))
+	if batch, _, err = get[RentalBatch](ctx, st, transport.Ordinary, time.Second, batchKey("b-1-1")); err != nil || len(batch.Machines) != 1 {
+		t.Errorf("a batch that was written once more: %+v, %v", batch, err)
 	}
 }
--- a/internal/bookkeeping/production_test.go
+++ b/internal/bookkeeping/production_test.go
@@ -145,7 +145,7 @@
 	if r := as[productionJob](t, &jobRecord{State: protocol.Pending, Parts: 2, Sum: "ab"}); r.Spec != nil {
 		t.Errorf("a job in parts: %+v", r)
 	}
-	if m := as[productionMember](t, Member{Term: 3, Deaf: true, Generation: Generation}); m.Term != 3 || !m.Deaf {
+	if m := as[productionMember](t, Member{Term: 3, WorkersUnreachable: true, Generation: Generation}); m.Term != 3 || !m.Deaf {
 		t.Errorf("a session: %+v", m)
 	}
 	st := NewStore(nil, 4, 2048)
@@ -224,9 +224,9 @@
 	}
 }
 
-func TestLotsAndCataloguesThatAreTooLarge(t *testing.T) {
+func TestRentalBatchesAndCataloguesThatAreTooLarge(t *testing.T) {
 	st := NewStore(nil, 4, 2048)
-	l := Lot{Type: "small", Zone: "a"}
+	l := RentalBatch{Type: "small", Zone: "a"}
 	for n := range protocol.MaxRent {
 		l.Machines = append(l.Machines, strings.Repeat("x", 90)+string(rune('a'+n%26))+string(rune('a'+n/26)))
 	}
--- a/internal/bookkeeping/publish.go
+++ b/internal/bookkeeping/publish.go
@@ -11,17 +11,17 @@
 
 // What the replica tells its listeners once records changed.
 
-// lot publishes a lot, and which machines came or went with it.
-func (r *Replica) lot(name string, l *Lot) {
-	old := r.lots[name]
+// applyRentalBatch publishes a applyRentalBatch, and which machines came or went with it.
+func (r *Replica) applyRentalBatch(name string, l *RentalBatch) {
+	old := r.batches[name]
 	if l != nil && old != nil && l.Version <= old.Version {
 		return
 	}
-	r.to.LotChanged(name, l)
+	r.to.RentalBatchChanged(name, l)
 	if l == nil {
-		delete(r.lots, name)
+		delete(r.batches, name)
 	} else {
-		r.lots[name] = l
+		r.batches[name] = l
 		for _, id := range l.Machines {
 			if old == nil || !slices.Contains(old.Machines, id) {
 				r.homes[id]++
--- a/internal/bookkeeping/records_test.go
+++ b/internal/bookkeeping/records_test.go
@@ -28,20 +28,20 @@
 	}
 }
 
-func TestLotsAreOfOneKindAndBounded(t *testing.T) {
+func TestRentalBatchesAreOfOneKindAndBounded(t *testing.T) {
 	var ms []Machine
 	for n := range 120 {
 		ms = append(ms, Machine{ID: fmt.Sprintf("host-%03d", n), Type: "small", Zone: []string{"a", "b"}[n%2]})
 	}
 	total := 0
-	for _, l := range Lots(ms) {
+	for _, l := range RentalBatches(ms) {
 		total += len(l.Machines)
 		if len(l.Machines) > protocol.MaxRent {
-			t.Errorf("a lot of %d", len(l.Machines))
+			t.Errorf("a batch of %d", len(l.Machines))
 		}
 	}
 	if total != len(ms) {
-		t.Errorf("%d of %d machines are in lots", total, len(ms))
+		t.Errorf("%d of %d machines are in batches", total, len(ms))
 	}
 }
 
@@ -51,8 +51,8 @@
 	machines map[string]bool
 }
 
-func (h *heard) LotChanged(string, *Lot) {}
-func (h *heard) JobChanged(*Job)         {}
+func (h *heard) RentalBatchChanged(string, *RentalBatch) {}
+func (h *heard) JobChanged(*Job)                         {}
 func (h *heard) MachineChanged(id string, m *Machine) {
 	if m == nil {
 		delete(h.machines, id)
@@ -61,25 +61,25 @@
 	}
 }
 
-// A machine that two controllers found at once stands in two lots. It is gone
+// A machine that two controllers found at once stands in two batches. It is gone
 // only when both have dropped it: a machine told to be gone is never awaited.
-func TestMachinesGoWithTheirLastLot(t *testing.T) {
+func TestMachinesGoWithTheirLastBatch(t *testing.T) {
 	h := &heard{machines: map[string]bool{}}
 	r := NewReplica(nil, nil, nil, h, nil)
-	lot := func(name string, version uint64, ids ...string) {
-		raw, _ := json.Marshal(Lot{Type: "small", Zone: "a", Machines: ids, RentedMs: time.Now().UnixMilli()})
-		r.apply(lotKey(name), len(ids) == 0, raw, version)
+	batch := func(name string, version uint64, ids ...string) {
+		raw, _ := json.Marshal(RentalBatch{Type: "small", Zone: "a", Machines: ids, RentedMs: time.Now().UnixMilli()})
+		r.apply(batchKey(name), len(ids) == 0, raw, version)
 	}
 	for i, step := range []struct {
 		do   func()
 		want []string
 	}{
-		{func() { lot("b-1-1", 1, "h1", "h2") }, []string{"h1", "h2"}},
-		{func() { lot("h-2-1", 2, "h2", "h3") }, []string{"h1", "h2", "h3"}},
-		{func() { lot("b-1-1", 3, "h1") }, []string{"h1", "h2", "h3"}},
-		{func() { lot("b-1-1", 1, "h1", "h2") }, []string{"h1", "h2", "h3"}}, // an old event
-		{func() { lot("h-2-1", 4, "h3") }, []string{"h1", "h3"}},
-		{func() { lot("b-1-1", 5) }, []string{"h3"}},
+		{func() { batch("b-1-1", 1, "h1", "h2") }, []string{"h1", "h2"}},
+		{func() { batch("h-2-1", 2, "h2", "h3") }, []string{"h1", "h2", "h3"}},
+		{func() { batch("b-1-1", 3, "h1") }, []string{"h1", "h2", "h3"}},
+		{func() { batch("b-1-1", 1, "h1", "h2") }, []string{"h1", "h2", "h3"}}, // an old event
+		{func() { batch("h-2-1", 4, "h3") }, []string{"h1", "h3"}},
+		{func() { batch("b-1-1", 5) }, []string{"h3"}},
 	} {
 		step.do()
 		want := map[string]bool{}
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -22,7 +22,7 @@
 	LeaderChanged(*Leader)
 	WindowChanged(*Window)
 	SlotChanged(slot int, s *Slot)
-	LotChanged(name string, l *Lot)
+	RentalBatchChanged(name string, l *RentalBatch)
 	MachineChanged(id string, m *Machine)
 	CatalogChanged(*protocol.Catalog)
 	QuotasChanged(*Quotas)
@@ -33,13 +33,13 @@
 
 // Replica follows the records and tells listeners. It is an actor of its own.
 type Replica struct {
-	store *Store
-	to    Listener
-	jobs  map[string]*Job
-	over  []string        // jobs that are over, in the order in which they ended
-	known map[string]bool // other keys that exist
-	lots  map[string]*Lot
-	// homes is in how many lots a machine stands: more than one if it was
+	store   *Store
+	to      Listener
+	jobs    map[string]*Job
+	over    []string        // jobs that are over, in the order in which they ended
+	known   map[string]bool // other keys that exist
+	batches map[string]*RentalBatch
+	// homes is in how many batches a machine stands: more than one if it was
 	// found by several at once.
 	homes map[string]int
 	early map[string]map[int]Chunk
@@ -65,7 +65,7 @@
 
 // NewReplica makes a replica; weigh gives a job's own urgency.
 func NewReplica(st *Store, placeOf func(*protocol.JobSpec) Seat, weigh func(*Job) Urgency, to Listener, caught func(uint64)) *Replica {
-	return &Replica{store: st, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, lots: map[string]*Lot{},
+	return &Replica{store: st, to: to, caught: caught, jobs: map[string]*Job{}, known: map[string]bool{}, batches: map[string]*RentalBatch{},
 		homes: map[string]int{}, early: map[string]map[int]Chunk{}, placeOf: placeOf, chains: newChains(weigh),
 		divided: map[string]bool{}, delayed: map[string]time.Time{}, found: make(chan []finding, 1)}
 }
@@ -297,7 +297,7 @@
 	}
 }
 
-// applyShared takes in a record that all controllers go by: sessions, slots, lots, the leader, the
+// applyShared takes in a record that all controllers go by: sessions, slots, batches, the leader, the
 // window, accounts and the catalogue.
 func (r *Replica) applyShared(key string, dropped bool, raw json.RawMessage, version uint64) {
 	if name, ok := under(key, memberPrefix); ok {
@@ -314,13 +314,13 @@
 			s.Version = version
 			r.to.SlotChanged(slot, s)
 		}
-	} else if name, ok := under(key, lotPrefix); ok {
-		l := parse[Lot](key, raw, dropped)
+	} else if name, ok := under(key, batchPrefix); ok {
+		l := parse[RentalBatch](key, raw, dropped)
 		if l != nil {
 			l.Version = version
 		}
 		if l != nil || dropped {
-			r.lot(name, l)
+			r.applyRentalBatch(name, l)
 		}
 	} else if key == keyLeader {
 		l := parse[Leader](key, raw, dropped)
--- a/internal/bookkeeping/sizes.go
+++ b/internal/bookkeeping/sizes.go
@@ -197,12 +197,12 @@
 	r.Packed, r.Unlisted = nil, false
 }
 
-// ---- lots
+// ---- batches
 
-// divided are the records for a lot: one, unless the machines' names are too
+// divided are the records for a batch: one, unless the machines' names are too
 // long for that.
-func (s *Store) divided(name string, l Lot) map[string]Lot {
-	out := map[string]Lot{}
+func (s *Store) divided(name string, l RentalBatch) map[string]RentalBatch {
+	out := map[string]RentalBatch{}
 	ids := l.Machines
 	for k := 0; ; k++ {
 		key := name
--- a/internal/bookkeeping/store_machines.go
+++ b/internal/bookkeeping/store_machines.go
@@ -19,12 +19,12 @@
 	var out []*Machine
 	from := ""
 	for {
-		page, err := s.state.List(ctx, transport.Vital, lotPrefix, from, transport.MaxPage)
+		page, err := s.state.List(ctx, transport.Vital, batchPrefix, from, transport.MaxPage)
 		if err != nil {
 			return nil, err
 		}
 		for _, p := range page.Pairs {
-			if l := parse[Lot](p.Key, p.Value, false); l != nil {
+			if l := parse[RentalBatch](p.Key, p.Value, false); l != nil {
 				for _, id := range l.Machines {
 					out = append(out, l.Machine(id))
 				}
@@ -37,10 +37,10 @@
 	}
 }
 
-// AddLot registers machines under a lot's name that was never used.
-func (s *Store) AddLot(ctx context.Context, u transport.Urgency, name string, l Lot) error {
+// AddRentalBatch registers machines under a batch's name that was never used.
+func (s *Store) AddRentalBatch(ctx context.Context, u transport.Urgency, name string, l RentalBatch) error {
 	for part, l := range s.divided(name, l) {
-		err := s.commit(ctx, u, 4*time.Second, []protocol.Condition{{Key: lotKey(part)}}, set(lotKey(part), l, 0))
+		err := s.commit(ctx, u, 4*time.Second, []protocol.Condition{{Key: batchKey(part)}}, set(batchKey(part), l, 0))
 		// One that is there already was written by an earlier try.
 		if err != nil && !errors.Is(err, ErrConflict) {
 			return err
@@ -49,9 +49,9 @@
 	return nil
 }
 
-// DropMachines takes machines that are gone out of the lots given, as these
-// were last seen. A lot that changed meanwhile fails only those written with it.
-func (s *Store) DropMachines(ctx context.Context, ids map[string]bool, lots map[string]*Lot) error {
+// DropMachines takes machines that are gone out of the batches given, as these
+// were last seen. A batch that changed meanwhile fails only those written with it.
+func (s *Store) DropMachines(ctx context.Context, ids map[string]bool, batches map[string]*RentalBatch) error {
 	var failed error
 	var conds []protocol.Condition
 	var then []protocol.Change
@@ -64,22 +64,22 @@
 		}
 		conds, then = nil, nil
 	}
-	for _, name := range slices.Sorted(maps.Keys(lots)) {
-		l := *lots[name]
-		seen := protocol.Condition{Key: lotKey(name), Version: l.Version}
+	for _, name := range slices.Sorted(maps.Keys(batches)) {
+		l := *batches[name]
+		seen := protocol.Condition{Key: batchKey(name), Version: l.Version}
 		l.Machines = slices.DeleteFunc(slices.Clone(l.Machines), func(id string) bool { return ids[id] })
-		change := set(lotKey(name), l, 0)
+		change := set(batchKey(name), l, 0)
 		if rest := l.Machines; len(rest) > 0 && !s.fits(l) {
 			// It was stored when values could be larger. The rest is registered
-			// anew first: a machine that no lot names counts as gone.
-			if err := s.AddLot(ctx, transport.Ordinary, name+"."+rest[0], l); err != nil {
+			// anew first: a machine that no batch names counts as gone.
+			if err := s.AddRentalBatch(ctx, transport.Ordinary, name+"."+rest[0], l); err != nil {
 				failed = err
 				continue
 			}
 			l.Machines = nil
 		}
 		if len(l.Machines) == 0 {
-			change = protocol.Change{Drop: lotKey(name)}
+			change = protocol.Change{Drop: batchKey(name)}
 		}
 		if len(then) == s.txnOps {
 			write()
--- a/internal/coordination/acks_test.go
+++ b/internal/coordination/acks_test.go
@@ -242,8 +242,8 @@
 				ticket, asked = ticket+1, asked+1
 				h.commandAnswered(w, protocol.Orders{Session: 1}, report(1, ticket, protocol.NewToken(7, w.seq)), true, nil)
 			}
-			if since := time.Since(begin); w.silent || h.view(w).Silent || since > h.silentAfter()+time.Second && h.startable(w) {
-				t.Fatalf("after %v: silent %v, usable %v", since, w.silent, h.startable(w))
+			if since := time.Since(begin); w.unresponsive || h.view(w).Silent || since > h.unresponsiveAfter()+time.Second && h.startable(w) {
+				t.Fatalf("after %v: silent %v, usable %v", since, w.unresponsive, h.startable(w))
 			}
 		}
 		if asked < 2 || asked > 6 {
@@ -252,7 +252,7 @@
 		if status, _ := h.Report(report(1, ticket+1, protocol.NewToken(7, w.seq))); status != http.StatusOK {
 			t.Error("it is turned away", status)
 		}
-		if h.told(); w.mute || w.silent {
+		if h.told(); w.reportsLost || w.unresponsive {
 			t.Errorf("it is not heard again: %+v", w)
 		}
 	})
@@ -276,7 +276,7 @@
 				h.commandAnswered(w, protocol.Orders{Session: 3}, report(1, ticket+1, 0), false, nil)
 			}
 		}
-		if since := time.Since(begin); w.session != 1 || w.lapsed || since > h.silentAfter()+time.Second {
+		if since := time.Since(begin); w.session != 1 || w.lapsed || since > h.unresponsiveAfter()+time.Second {
 			t.Errorf("after %v: %+v", since, w)
 		}
 		if status, _ := h.Report(report(1, 100, 0)); status != http.StatusOK {
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -206,7 +206,7 @@
 		w.seq++
 		w.probeDue = len(o.Commands) > 0
 		w.holdOff = time.Now().Add(time.Second)
-		if w.silent { // many may be, and each attempt holds a connection until it is given up
+		if w.unresponsive { // many may be, and each attempt holds a connection until it is given up
 			w.holdOff = time.Now().Add(silentGap)
 		}
 		if w.ack.requireAck(protocol.NewToken(w.slot.term, w.seq), time.Now()) {
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// The second door goes by blocks: whoever owns a job has no business with the blocks that
+// The admission check goes by blocks: whoever owns a job has no business with the blocks that
 // are another's, and a window that divides jobs anew voids what was asked under the one
 // before, though all ranges stay as they are.
 func TestSecondDoorKnowsBlocks(t *testing.T) {
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -23,7 +23,7 @@
 }
 
 // expect notes rented machines before the records show them.
-func (o *Owner) expect(l bookkeeping.Lot) {
+func (o *Owner) expect(l bookkeeping.RentalBatch) {
 	o.ask(o.ctx, func() {
 		for _, id := range l.Machines {
 			if o.machReg[id] == nil && !o.gone.has(id) {
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -100,7 +100,7 @@
 		} else if ok {
 			o.start(js, 0, cmp.Or(attempt, o.newAttempt()), c, false, rq)
 		} else {
-			o.lacksRoom(js, now)
+			o.noteUnmetNeed(js, now)
 			o.keepAhead(js, []string{""}, attempt, now, rq)
 		}
 		return 1
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -54,7 +54,7 @@
 	writingSlots bool
 	drainsFor    uint64                       // the last wish to drain
 	opinions     map[string]placement.Opinion // of jobs that failed somewhere
-	found        uint64                       // lots of machines that nobody had registered
+	found        uint64                       // batches of machines that nobody had registered
 	finding      bool
 	// probing: most workers went silent together, and it is being found out whether it is
 	// this controller that they can't reach, or it is and waits for them.
@@ -313,7 +313,7 @@
 		c.HorizonS = *seconds(now.Sub(at))
 	}
 	for _, w := range h.byID {
-		if w.silent || w.lapsed {
+		if w.unresponsive || w.lapsed {
 			c.Silent++
 		}
 		if w.suspect {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -48,7 +48,7 @@
 	rounds   uint64
 	coming   map[string]bool            // machines that had not come up a round ago
 	boots    map[string][]time.Duration // of each type's machines that came up lately, newest last
-	lots     map[string]*bookkeeping.Lot
+	batches  map[string]*bookkeeping.RentalBatch
 	moves    *rate.Limiter // of replicas that are moved
 	// load is that of the slots as the board showed it at loadAt; balanced is when the deal
 	// last changed.
@@ -61,7 +61,7 @@
 func NewLeader(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, cloud *transport.Cloud, owner *Owner, holders map[string]HolderCaller) *Leader {
 	return &Leader{actor: newActor(ctx), cfg: c, session: session, store: store, cloud: cloud, owner: owner, holders: holders,
 		members: map[string]*bookkeeping.Member{}, refusals: map[fleet.Kind]time.Time{}, listed: map[string]protocol.Machine{},
-		draining: map[string]drainWish{}, boots: map[string][]time.Duration{}, drained: map[string]bool{}, lots: map[string]*bookkeeping.Lot{}, started: time.Now(),
+		draining: map[string]drainWish{}, boots: map[string][]time.Duration{}, drained: map[string]bool{}, batches: map[string]*bookkeeping.RentalBatch{}, started: time.Now(),
 		grewAt: map[string]time.Time{}, moves: rate.NewLimiter(rate.Limit(c.Moves/60), max(1, int(c.Moves)))}
 }
 
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -66,16 +66,16 @@
 	// ending and recording: what ends jobs, and other results, is being written.
 	ending, recording bool
 	// ended are jobs that are over and whose records have not been moved yet.
-	ended     map[string]*bookkeeping.Job
-	archiving bool
-	looking   bool // for jobs that are not known
-	found     func(*bookkeeping.Job)
-	dirty     bool
-	planned   time.Time
-	classes   map[string]*fleet.Class
-	rng       *rand.Rand
-	lacks     map[kind]lack
-	lately    placement.Lately
+	ended      map[string]*bookkeeping.Job
+	archiving  bool
+	looking    bool // for jobs that are not known
+	found      func(*bookkeeping.Job)
+	dirty      bool
+	planned    time.Time
+	classes    map[string]*fleet.Class
+	rng        *rand.Rand
+	unmetNeeds map[kind]unmetNeed
+	lately     placement.Lately
 	// turns are those of teams' large jobs, by team.
 	turns map[string]*placement.Turn
 	// runs are the run times that were seen, held how many tasks wait in this round for room where
@@ -166,7 +166,7 @@
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
 		rosters: map[int]bookkeeping.Roster{},
 		born:    map[uint64]uint64{}, asking: map[uint64]bool{}, inFlight: map[string]bool{}, peers: map[string]*peerState{},
-		classes: map[string]*fleet.Class{}, ended: map[string]*bookkeeping.Job{}, failing: map[string]*jobState{}, lacks: map[kind]lack{}, turns: map[string]*placement.Turn{}, lately: placement.Lately{HalfLife: latelyHalf}}
+		classes: map[string]*fleet.Class{}, ended: map[string]*bookkeeping.Job{}, failing: map[string]*jobState{}, unmetNeeds: map[kind]unmetNeed{}, turns: map[string]*placement.Turn{}, lately: placement.Lately{HalfLife: latelyHalf}}
 }
 
 // Run follows all holders' feeds and runs the actor until its context ends.
@@ -323,7 +323,7 @@
 				}
 			}
 		}
-		if js.missing > 0 && js.job.Waits == 0 && !now.Before(js.blocked) && !o.hopeless(js, now) && o.onTrial(js, now) {
+		if js.missing > 0 && js.job.Waits == 0 && !now.Before(js.blocked) && !o.isKnownUnmet(js, now) && o.onTrial(js, now) {
 			ready = append(ready, js)
 		}
 	}
@@ -344,7 +344,7 @@
 			o.dirty = true
 			break
 		}
-		if !o.hopeless(js, now) {
+		if !o.isKnownUnmet(js, now) {
 			budget -= o.placeJob(js, now, rq)
 		}
 	}
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -218,7 +218,7 @@
 		}
 		c, ok := o.find(js, p, now)
 		if !ok {
-			o.lacksRoom(js, now)
+			o.noteUnmetNeed(js, now)
 			return looked
 		}
 		if hold < 0 {
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -40,12 +40,12 @@
 	k.owner.tell(func() { k.owner.rosters[slot] = s.Roster })
 }
 
-func (k *Controller) LotChanged(name string, l *bookkeeping.Lot) {
+func (k *Controller) RentalBatchChanged(name string, l *bookkeeping.RentalBatch) {
 	k.leader.tell(func() {
 		if l == nil {
-			delete(k.leader.lots, name)
+			delete(k.leader.batches, name)
 		} else {
-			k.leader.lots[name] = l
+			k.leader.batches[name] = l
 		}
 	})
 }
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -209,9 +209,9 @@
 	}
 	if len(fresh) > 0 {
 		slog.Info("unexpected machines", "count", len(fresh))
-		for _, lot := range bookkeeping.Lots(fresh) {
+		for _, batch := range bookkeeping.RentalBatches(fresh) {
 			l.bookings++
-			l.register(fmt.Sprintf("x-%d-%d", l.session.Term(), l.bookings), lot)
+			l.register(fmt.Sprintf("x-%d-%d", l.session.Term(), l.bookings), batch)
 		}
 	}
 }
@@ -246,17 +246,17 @@
 	}
 	slices.Sort(ids)
 	ids = slices.Compact(ids)
-	// Only what a lot names: dropping it there is what tells everyone.
-	lots, named := map[string]*bookkeeping.Lot{}, map[string]bool{}
+	// Only what a batch names: dropping it there is what tells everyone.
+	batches, named := map[string]*bookkeeping.RentalBatch{}, map[string]bool{}
 	l.ask(l.ctx, func() {
 		wanted := make(map[string]bool, len(ids))
 		for _, id := range ids {
 			wanted[id] = true
 		}
-		for name, lot := range l.lots {
-			for _, id := range lot.Machines {
+		for name, batch := range l.batches {
+			for _, id := range batch.Machines {
 				if wanted[id] && (named[id] || len(named) < protocol.MaxReturn) {
-					named[id], lots[name] = true, lot
+					named[id], batches[name] = true, batch
 				}
 			}
 		}
@@ -269,7 +269,7 @@
 		return
 	}
 	slog.Info("returned machines", "ids", ids)
-	if err := l.store.DropMachines(l.ctx, named, lots); err != nil {
+	if err := l.store.DropMachines(l.ctx, named, batches); err != nil {
 		slog.Info("registry not updated, will return again", "err", err)
 		return
 	}
@@ -321,18 +321,18 @@
 			l.refusals[key] = time.Now().Add(15 * time.Second)
 		}
 		slog.Info("rented", "kind", key, "for", r.Class, "asked", r.Count, "got", len(names.Machines))
-		lot := bookkeeping.Lot{Type: r.Type, Zone: r.Zone, Spot: r.Spot, RentedMs: time.Now().UnixMilli(), Machines: names.Machines}
-		l.owner.expect(lot)
-		l.register(req.Booking, lot)
+		batch := bookkeeping.RentalBatch{Type: r.Type, Zone: r.Zone, Spot: r.Spot, RentedMs: time.Now().UnixMilli(), Machines: names.Machines}
+		l.owner.expect(batch)
+		l.register(req.Booking, batch)
 	}
 }
 
-// register writes a lot, and goes on trying for a while; what stays without a
+// register writes a batch, and goes on trying for a while; what stays without a
 // record is found by its holder or in the machine list.
-func (l *Leader) register(name string, lot bookkeeping.Lot) {
+func (l *Leader) register(name string, batch bookkeeping.RentalBatch) {
 	go func() {
 		for range 5 {
-			err := l.store.AddLot(l.ctx, transport.Ordinary, name, lot)
+			err := l.store.AddRentalBatch(l.ctx, transport.Ordinary, name, batch)
 			if err == nil {
 				return
 			}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -98,7 +98,7 @@
 	}
 	now := time.Now()
 	w.shown = rep.Token
-	news := rep.Session > w.session || w.lapsed || w.silent || w.notice != (rep.NoticeS != nil)
+	news := rep.Session > w.session || w.lapsed || w.unresponsive || w.notice != (rep.NoticeS != nil)
 	was := w.verified
 	if rep.Session > w.session && w.session != 0 {
 		h.forgetTasks(w) // the former session's tasks were killed
@@ -121,7 +121,7 @@
 	}
 	w.addr, w.rig, w.zone, w.spot = rep.Addr, rep.Type, rep.Zone, rep.Spot
 	w.lastHeard = now
-	w.lapsed, w.silent = false, false
+	w.lapsed, w.unresponsive = false, false
 	w.notice = rep.NoticeS != nil
 	news = news || !was
 	if rep.Token.Term() == w.slot.term && h.believe(w, rep) || news {
@@ -240,11 +240,11 @@
 }
 
 // probeEvery is how often a controller that lost its workers tries whether
-// they can be reached again; mostDeaf is when it asks for workers all the
+// they can be reached again; longestUnreachable is when it asks for workers all the
 // same, since those it knew may be gone.
 const (
-	probeEvery = 5 * time.Second
-	mostDeaf   = 4 * time.Minute
+	probeEvery         = 5 * time.Second
+	longestUnreachable = 4 * time.Minute
 )
 
 // listen finds out whether workers can still reach this controller. One that
@@ -257,13 +257,13 @@
 	// Workers that were answered 503 for want of a session have tried others
 	// meanwhile: once, an outage of the state service had all controllers call
 	// themselves deaf together, and their slots change hands.
-	if h.session.Deaf() || now.Sub(h.invalid) < h.cfg.ReportEvery()*3 {
+	if h.session.WorkersUnreachable() || now.Sub(h.invalid) < h.cfg.ReportEvery()*3 {
 		return
 	}
 	total, quiet := 0, 0
 	for _, s := range h.slots {
 		total += len(s.awaited)
-		if now.Sub(s.adopted) > h.silentAfter() {
+		if now.Sub(s.adopted) > h.unresponsiveAfter() {
 			quiet += len(s.awaited)
 		}
 	}
@@ -294,7 +294,7 @@
 			return
 		}
 		slog.Info("workers can't reach this controller", "silent", quiet, "of", total)
-		h.awaitWorkers(addrs, now.Add(mostDeaf))
+		h.awaitWorkers(addrs, now.Add(longestUnreachable))
 		h.tell(func() { h.probing = false })
 	}()
 }
@@ -304,17 +304,17 @@
 // there: once the answer was lost, and the record went on saying that no worker can reach a controller
 // which had forgotten that it had said so, for as long as its session lived.
 func (h *Holder) awaitWorkers(addrs []string, until time.Time) {
-	told := h.session.SetDeaf(h.ctx, true)
+	told := h.session.SetWorkersUnreachable(h.ctx, true)
 	for h.ctx.Err() == nil && time.Now().Before(until) {
 		pause(h.ctx, probeEvery)
 		if len(addrs) > 0 && h.workers.Reachable(h.ctx, addrs[rand.IntN(len(addrs))]) {
 			break
 		}
 		if told != nil {
-			told = h.session.SetDeaf(h.ctx, true)
+			told = h.session.SetWorkersUnreachable(h.ctx, true)
 		}
 	}
-	for h.ctx.Err() == nil && h.session.SetDeaf(h.ctx, false) != nil {
+	for h.ctx.Err() == nil && h.session.SetWorkersUnreachable(h.ctx, false) != nil {
 		pause(h.ctx, time.Second)
 	}
 }
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -11,11 +11,11 @@
 	"daledyke/internal/protocol"
 )
 
-// What a holder does for owners and the leader: the second door.
+// What a holder does for owners and the leader: the admission check.
 
 // startable tells whether tasks may be started on a machine.
 func (h *Holder) startable(w *worker) bool {
-	return w.verified && w.slot.ready && !w.lapsed && !w.silent && !w.mute && !w.ack.awaitsAck() && !w.notice && w.doubted.IsZero() && !w.suspect && h.registry[w.id] != nil &&
+	return w.verified && w.slot.ready && !w.lapsed && !w.unresponsive && !w.reportsLost && !w.ack.awaitsAck() && !w.notice && w.doubted.IsZero() && !w.suspect && h.registry[w.id] != nil &&
 		w.slot.roster[protocol.MachineNumber(w.id)] && time.Now().After(w.drainTill)
 }
 
@@ -23,7 +23,7 @@
 // starts a task.
 const maxStale = 10 * time.Second
 
-// serve carries out an owner's request: the second door (invariant 5).
+// serve carries out an owner's request: the admission check (invariant 5).
 func (h *Holder) serve(a *AskArgs) (r AskReply, ok bool) {
 	h.obeyUpTo(a.Window)
 	if a.ID < h.fences[a.Caller] || h.window == nil || a.Window > h.window.Number || !h.session.Valid() {
@@ -247,7 +247,7 @@
 	}
 	for _, s := range h.slots {
 		sv := board.SlotView{Slot: s.slot, Term: s.term, Complete: s.complete}
-		if time.Since(s.adopted) > h.silentAfter()+2*time.Second {
+		if time.Since(s.adopted) > h.unresponsiveAfter()+2*time.Second {
 			for id := range s.awaited {
 				sv.Awaited = append(sv.Awaited, id)
 			}
@@ -269,7 +269,7 @@
 
 func (h *Holder) view(w *worker) board.MachineView {
 	v := board.MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
-		Free: h.free(w, true), Usable: h.startable(w), Silent: w.silent || w.lapsed, Suspect: w.suspect, Leaving: w.notice}
+		Free: h.free(w, true), Usable: h.startable(w), Silent: w.unresponsive || w.lapsed, Suspect: w.suspect, Leaving: w.notice}
 	if time.Now().Before(w.drainTill) {
 		if v.Vacates = w.vacates; len(w.entries) == 0 && !w.busy {
 			v.Drained = w.drainWish
--- a/internal/coordination/session.go
+++ b/internal/coordination/session.go
@@ -21,10 +21,10 @@
 	store *bookkeeping.Store
 	base  time.Time
 	// until is the end of validity as nanoseconds after base.
-	until atomic.Int64
-	term  atomic.Uint64
-	lease atomic.Uint64
-	deaf  atomic.Bool
+	until              atomic.Int64
+	term               atomic.Uint64
+	lease              atomic.Uint64
+	workersUnreachable atomic.Bool
 	// lost is called after a session ended and before the next one begins.
 	lost func()
 }
@@ -62,7 +62,7 @@
 			continue
 		}
 		s.lease.Store(lease)
-		s.deaf.Store(false) // a new record says nothing of it
+		s.workersUnreachable.Store(false) // a new record says nothing of it
 		s.term.Store(term)
 		s.extend(sent)
 		slog.Info("session opened", "term", term)
@@ -94,17 +94,17 @@
 	}
 }
 
-// Deaf tells whether the others were last to be told that workers can't reach this controller.
-func (s *Session) Deaf() bool { return s.deaf.Load() }
+// WorkersUnreachable tells whether the others were last to be told that workers can't reach this controller.
+func (s *Session) WorkersUnreachable() bool { return s.workersUnreachable.Load() }
 
-// SetDeaf tells the others whether workers can reach this controller. An error means that they may not
+// SetWorkersUnreachable tells the others whether workers can reach this controller. An error means that they may not
 // have been told, or may have been all the same: it is to be tried again.
-func (s *Session) SetDeaf(ctx context.Context, deaf bool) error {
+func (s *Session) SetWorkersUnreachable(ctx context.Context, deaf bool) error {
 	if !s.Valid() {
 		return errNoSession
 	}
-	s.deaf.Store(deaf)
-	return s.store.UpdateMember(ctx, s.name, bookkeeping.Member{Term: s.Term(), Deaf: deaf}, s.Lease())
+	s.workersUnreachable.Store(deaf)
+	return s.store.UpdateMember(ctx, s.name, bookkeeping.Member{Term: s.Term(), WorkersUnreachable: deaf}, s.Lease())
 }
 
 // errNoSession says that the controller has no session in which it could act.
--- a/internal/coordination/slots.go
+++ b/internal/coordination/slots.go
@@ -324,14 +324,14 @@
 	}
 	slog.Info("unexpected machines", "count", len(fresh))
 	h.finding = true
-	lots := map[string]bookkeeping.Lot{}
-	for _, l := range bookkeeping.Lots(fresh) {
+	batches := map[string]bookkeeping.RentalBatch{}
+	for _, l := range bookkeeping.RentalBatches(fresh) {
 		h.found++
-		lots[fmt.Sprintf("h-%d-%d", h.session.Term(), h.found)] = l
+		batches[fmt.Sprintf("h-%d-%d", h.session.Term(), h.found)] = l
 	}
 	go func() {
-		for name, l := range lots {
-			if err := h.store.AddLot(h.ctx, transport.Ordinary, name, l); err != nil {
+		for name, l := range batches {
+			if err := h.store.AddRentalBatch(h.ctx, transport.Ordinary, name, l); err != nil {
 				slog.Debug("found machines not registered", "err", err)
 			}
 		}
--- a/internal/coordination/lacks.go
+++ b/internal/coordination/unmet.go
@@ -24,21 +24,21 @@
 	waited int
 }
 
-// lack is a need that no machine had room for.
-type lack struct {
+// unmetNeed is a need that no machine had room for.
+type unmetNeed struct {
 	spec  *protocol.JobSpec
 	until time.Time
 }
 
 const (
-	// lackFor is for how long nothing as large of the kind is looked for, unless room comes
+	// unmetFor is for how long nothing as large of the kind is looked for, unless room comes
 	// up: what may be stopped for it changes with time.
-	lackFor = 400 * time.Millisecond
+	unmetFor = 400 * time.Millisecond
 	// waitStep is the step of kinds' waiting times. Once a job that had come late and was due
 	// early kept those from being looked at that had waited for long enough to have work stopped.
 	waitStep = 3 * time.Second
-	// maxLacks bounds the kinds.
-	maxLacks = 256
+	// maxUnmetNeeds bounds the kinds.
+	maxUnmetNeeds = 256
 )
 
 // kindOf is the kind of a job's tasks; false if where they may run is its own matter.
@@ -57,41 +57,41 @@
 	return k, true
 }
 
-// lacksRoom notes that no machine has room for a job's tasks.
-func (o *Owner) lacksRoom(js *jobState, now time.Time) {
+// noteUnmetNeed notes that no machine has room for a job's tasks.
+func (o *Owner) noteUnmetNeed(js *jobState, now time.Time) {
 	k, ok := o.kindOf(js, now)
 	if !ok {
-		js.blocked = now.Add(lackFor)
+		js.blocked = now.Add(unmetFor)
 		return
 	}
-	if len(o.lacks) >= maxLacks {
-		clear(o.lacks)
+	if len(o.unmetNeeds) >= maxUnmetNeeds {
+		clear(o.unmetNeeds)
 	}
-	o.lacks[k] = lack{js.job.Spec, now.Add(lackFor)}
+	o.unmetNeeds[k] = unmetNeed{js.job.Spec, now.Add(unmetFor)}
 }
 
-// hopeless tells whether a need no larger was found to have no room a moment ago, and none
+// isKnownUnmet tells whether a need no larger was found to have no room a moment ago, and none
 // came up since.
-func (o *Owner) hopeless(js *jobState, now time.Time) bool {
-	if len(o.lacks) == 0 {
+func (o *Owner) isKnownUnmet(js *jobState, now time.Time) bool {
+	if len(o.unmetNeeds) == 0 {
 		return false
 	}
 	k, ok := o.kindOf(js, now)
 	if !ok {
 		return false
 	}
-	l, lacks := o.lacks[k]
+	l, lacks := o.unmetNeeds[k]
 	return lacks && now.Before(l.until) && js.job.Spec.Need().Fits(l.spec.Need())
 }
 
 // roomCame has kinds looked for again that machines which were shown anew have room for.
 func (o *Owner) roomCame(views []board.MachineView) {
-	for k, l := range o.lacks {
+	for k, l := range o.unmetNeeds {
 		if slices.ContainsFunc(views, func(v board.MachineView) bool {
 			m := o.board.Machines[v.ID]
 			return m != nil && m.Usable && m.Free.Sub(m.Promised).Fits(l.spec.Need()) && l.spec.Allows(m.Type, m.Zone, m.Spot)
 		}) {
-			delete(o.lacks, k)
+			delete(o.unmetNeeds, k)
 		}
 	}
 }
--- a/internal/coordination/worker.go
+++ b/internal/coordination/worker.go
@@ -35,25 +35,25 @@
 	probeDue bool
 	probedAt time.Time
 	// lapsed: the lease of session lapsedIn and all before surely ended.
-	lapsedIn  uint64
-	lapsed    bool
-	notice    bool
-	entries   map[string]*entry
-	images    []image // most recently used last
-	ready     map[string]bool
-	busy      bool // a direct command is under way
-	settled   bool // nothing is wanted of it until something changes
-	holdOff   time.Time
-	drainTill time.Time
-	drainWish uint64 // since which it is kept free without a break
-	vacates   bool   // what is on it is to be moved elsewhere
-	silent    bool
-	mute      bool            // it answers directly, but its reports don't come
-	errorsBy  map[string]bool // jobs that failed here since the last success
-	soundAt   time.Time       // when something last succeeded
-	doubted   time.Time       // since when it is left alone, not to be told yet why
-	suspect   bool
-	version   uint64
+	lapsedIn     uint64
+	lapsed       bool
+	notice       bool
+	entries      map[string]*entry
+	images       []image // most recently used last
+	ready        map[string]bool
+	busy         bool // a direct command is under way
+	settled      bool // nothing is wanted of it until something changes
+	holdOff      time.Time
+	drainTill    time.Time
+	drainWish    uint64 // since which it is kept free without a break
+	vacates      bool   // what is on it is to be moved elsewhere
+	unresponsive bool
+	reportsLost  bool            // it answers directly, but its reports don't come
+	errorsBy     map[string]bool // jobs that failed here since the last success
+	soundAt      time.Time       // when something last succeeded
+	doubted      time.Time       // since when it is left alone, not to be told yet why
+	suspect      bool
+	version      uint64
 }
 
 type image struct {
@@ -93,9 +93,9 @@
 // kept.
 func (e *entry) takesRoom() bool { return !e.exited() || !e.until.IsZero() }
 
-// silentAfter is when a worker's silence tells of trouble: two regular reports
+// unresponsiveAfter is when a worker's silence tells of trouble: two regular reports
 // and the time to find another controller have passed.
-func (h *Holder) silentAfter() time.Duration {
+func (h *Holder) unresponsiveAfter() time.Duration {
 	return min(h.cfg.ReportEvery()*8/3, h.cfg.WorkerLease()/2)
 }
 
@@ -113,7 +113,7 @@
 	if !w.doubted.IsZero() {
 		h.judge(w)
 	}
-	h.reviewSilence(w, now)
+	h.reviewResponsiveness(w, now)
 	if w.settled && len(h.changedJobs) == 0 {
 		return
 	}
@@ -133,16 +133,16 @@
 	slog.Info("lease lapsed", "machine", w.id)
 }
 
-// reviewSilence finds out whether a worker is silent, or answers directly while its reports don't come.
-func (h *Holder) reviewSilence(w *worker, now time.Time) {
+// reviewResponsiveness finds out whether a worker is silent, or answers directly while its reports don't come.
+func (h *Holder) reviewResponsiveness(w *worker, now time.Time) {
 	// While this controller answers nobody, nobody is silent: after an outage of the
 	// state service, a small fleet's machines were given back as lost, with their results.
 	answers := min(now.Sub(w.slot.adopted), now.Sub(h.invalid))
 	unheard := min(now.Sub(w.lastHeard), answers)
-	quiet := unheard > h.silentAfter() || w.ack.isOverdue(now, h.silentAfter())
-	mute := !quiet && min(now.Sub(w.reported), answers) > h.silentAfter()
-	if quiet != w.silent || mute != w.mute {
-		w.silent, w.mute = quiet, mute
+	quiet := unheard > h.unresponsiveAfter() || w.ack.isOverdue(now, h.unresponsiveAfter())
+	mute := !quiet && min(now.Sub(w.reported), answers) > h.unresponsiveAfter()
+	if quiet != w.unresponsive || mute != w.reportsLost {
+		w.unresponsive, w.reportsLost = quiet, mute
 		h.touch(w)
 	}
 	if !quiet && !w.lapsed && unheard > 2*h.cfg.ReportEvery() {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -20,7 +20,7 @@
 	for _, n := range names {
 		if m := members[n]; m != nil {
 			owners = append(owners, n)
-			if !m.Deaf {
+			if !m.WorkersUnreachable {
 				hearing = append(hearing, n)
 			}
 		}
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -42,7 +42,7 @@
 		t.Errorf("the workers of the lost controller go to one heir alone: %v", lost.Deal)
 	}
 	deaf := members("c0", "c1", "c2")
-	deaf["c1"].Deaf = true
+	deaf["c1"].WorkersUnreachable = true
 	if w := next(first, deaf, at); w == nil || slices.Contains(w.Deal, "c1") || len(w.Owners) != 3 {
 		t.Errorf("a deaf controller keeps its range but gets no workers: %+v", w)
 	}
