Commands that were not answered directly go with the next answer to a report

Cause: a direct command can be held up on its way for seconds. Its start was then fenced by the next answer and began anew elsewhere, to be held up there; a task that had exited was not placed again until a direct command to forget it got through.

Change: the answer to a report carries along what no direct command was answered for: starts (with a new token, for as long as the task might have waited for room), stops and forgets. A gang whose starts were refused is not tried again ten times a second.

--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -159,9 +159,11 @@
 	}
 	w.seq++
 	orders := protocol.Orders{Token: protocol.NewToken(w.slot.term, w.seq), Session: w.session, Commands: cmds}
+	w.startsSent = false
 	for _, c := range cmds {
 		if c.Verb == protocol.VerbStart {
 			w.entries[c.Task].token = orders.Token
+			w.startsSent = true
 		}
 	}
 	w.busy, w.askedAfter, w.probeDue, w.probedAt = true, w.ticket, false, now
@@ -183,6 +185,55 @@
 	return starting
 }
 
+// noteUnanswered marks what a direct command was for that got no answer.
+func (w *worker) noteUnanswered(o protocol.Orders) {
+	for _, c := range o.Commands {
+		if e := w.entries[c.Task]; e != nil && e.attempt == c.Attempt {
+			e.unanswered = true
+		}
+	}
+}
+
+// repeatUnanswered are the commands that an answer to a report carries along since no direct
+// command for them was answered: direct ones may be held up on their way for long, while an answer
+// is taken in at once or never. All of them may be repeated. A start gets the answer's token, which
+// is a new one, so that the former command can't be carried out after it and the next report
+// tells what became of it.
+func (h *Holder) repeatUnanswered(w *worker, now time.Time) (commands []protocol.Command) {
+	if !w.verified || !h.session.Valid() {
+		return nil
+	}
+	var starts []*entry
+	for _, e := range w.entries {
+		switch {
+		case !e.unanswered:
+		case e.state == board.TaskStarting:
+			starts = append(starts, e)
+		case e.exited() && e.reap:
+			commands = append(commands, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
+		case !e.exited() && e.stop && !h.over(e.job) && (e.state != protocol.TaskFlushing || e.grace == 0):
+			commands = append(commands, protocol.Command{Verb: protocol.VerbStop, Task: e.task, Attempt: e.attempt, GraceS: &e.grace})
+		}
+	}
+	if len(starts) == 0 || w.busy && w.startsSent {
+		return commands
+	}
+	w.seq++
+	for _, e := range starts {
+		if h.mayRepeatStart(w, e, now) {
+			e.token = protocol.NewToken(w.slot.term, w.seq)
+			commands = append(commands, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
+		}
+	}
+	return commands
+}
+
+// mayRepeatStart tells whether a task whose start was not answered is still to be started: by
+// what is known now, and for as long as it might have waited for room.
+func (h *Holder) mayRepeatStart(w *worker, e *entry, now time.Time) bool {
+	return h.usable(w) && !e.stop && h.jobs[e.job] != nil && !h.over(e.job) && now.Sub(h.syncedAt) <= maxStale && now.Before(e.until)
+}
+
 // silentGap is how long a machine that is silent is left alone after a command in vain.
 const silentGap = 8 * time.Second
 
@@ -203,6 +254,7 @@
 		// Unknown: the next answer's higher token fences what is in flight, and shows
 		// whether the machine hears. It is asked for one, once: that comes sooner than by reports,
 		// and until then nothing more is started there.
+		w.noteUnanswered(o)
 		w.seq++
 		w.probeDue = len(o.Commands) > 0
 		w.holdOff = time.Now().Add(time.Second)
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -34,7 +34,9 @@
 		}
 		js.keptFrom = time.Time{}
 		for index, list := range tasks {
-			o.start(js, index, gang.Attempt, placement.Choice{Machine: list[0].Machine}, false, rq)
+			if !now.Before(js.retryAt[index]) { // else it was refused a moment ago
+				o.start(js, index, gang.Attempt, placement.Choice{Machine: list[0].Machine}, false, rq)
+			}
 		}
 		return s.Tasks
 	case placement.GangYields:
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -79,8 +79,9 @@
 	if !known {
 		return http.StatusServiceUnavailable, nil // owners look such jobs up
 	}
+	commands := append(stops, h.repeatUnanswered(w, time.Now())...)
 	w.answered, w.answeredWith = time.Now(), protocol.NewToken(s.term, w.seq)
-	return http.StatusOK, protocol.ReportAnswer{Token: protocol.NewToken(s.term, w.seq), Commands: stops}
+	return http.StatusOK, protocol.ReportAnswer{Token: w.answeredWith, Commands: commands}
 }
 
 // isNewer tells whether a report is newer than all that was heard of its machine: by its numbers,
@@ -162,6 +163,7 @@
 		}
 		if e.state != t.State {
 			news = true
+			e.unanswered = false
 			h.noteState(w, e, t)
 		}
 		if t.Cause == protocol.CauseIncomplete && e.state != "" && !e.exited() {
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -14,8 +14,11 @@
 // What a holder does for owners and the leader: the admission check.
 
 // startable tells whether tasks may be started on a machine.
-func (h *Holder) startable(w *worker) bool {
-	return w.verified && w.slot.ready && !w.lapsed && !w.unresponsive && !w.reportsLost && !w.ack.awaitsAck() && !w.notice && w.doubted.IsZero() && !w.suspect && h.registry[w.id] != nil &&
+func (h *Holder) startable(w *worker) bool { return h.usable(w) && !w.ack.awaitsAck() }
+
+// usable tells whether tasks may be started on a machine that hears.
+func (h *Holder) usable(w *worker) bool {
+	return w.verified && w.slot.ready && !w.lapsed && !w.unresponsive && !w.reportsLost && !w.notice && w.doubted.IsZero() && !w.suspect && h.registry[w.id] != nil &&
 		w.slot.roster[protocol.MachineNumber(w.id)] && time.Now().After(w.drainTill)
 }
 
--- a/internal/coordination/worker.go
+++ b/internal/coordination/worker.go
@@ -42,6 +42,7 @@
 	images       []image // most recently used last
 	ready        map[string]bool
 	busy         bool // a direct command is under way
+	startsSent   bool // the direct command under way, or the last one, carries starts
 	settled      bool // nothing is wanted of it until something changes
 	holdOff      time.Time
 	drainTill    time.Time
@@ -77,8 +78,10 @@
 	stop  bool
 	grace float64
 	sent  time.Time // when the last stop or forget was sent
-	reap  bool
-	keep  bool // once it is forgotten its place is reserved for the same attempt
+	// unanswered: the last direct command for it was, so that answers to reports repeat it.
+	unanswered bool
+	reap       bool
+	keep       bool // once it is forgotten its place is reserved for the same attempt
 	// ran is since when it runs, if it was seen to begin; proven that it runs
 	// for long enough to show that it can.
 	ran    time.Time
