--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -6,9 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"daledyke/internal/emulator"
@@ -117,132 +115,6 @@
 	draw   *rand.Rand
 }
 
-// begin has a fault happen; after runs something later on the same goroutine.
-func (b *breaker) begin(f Fault, after func(time.Duration, func())) {
-	b.note(history.Event{Kind: history.FaultBegins, Cause: f.String()})
-	// A crash of all ends with the first that is started, at the same moment as the others.
-	over := sync.OnceFunc(func() { b.note(history.Event{Kind: history.FaultEnds, Cause: f.String()}) })
-	lasts, _ := time.ParseDuration(f.Args[0])
-	// during sets something for as long as any fault of this name lasts.
-	during := func(name string, set func(on bool)) {
-		if b.depth[name]++; b.depth[name] == 1 {
-			set(true)
-		}
-		after(lasts, func() {
-			if b.depth[name]--; b.depth[name] == 0 {
-				set(false)
-			}
-			over()
-		})
-	}
-	number := func(n int) float64 { v, _ := strconv.ParseFloat(f.Args[n], 64); return v }
-	long := func(n int) time.Duration { v, _ := time.ParseDuration(f.Args[n]); return v }
-	state := b.world.State
-	switch f.Verb {
-	case "state-outage":
-		during(f.Verb, state.Outage)
-	case "state-refuses":
-		during(f.Verb+f.Args[1], func(yes bool) { state.Refuse(f.Args[1], yes) })
-	case "state-slow":
-		during(f.Verb, func(yes bool) { state.Slow(on(yes, long(1))) })
-	case "state-late":
-		during(f.Verb, func(yes bool) { state.Late(on(yes, long(1))) })
-	case "state-unheard":
-		during(f.Verb, func(yes bool) { state.Unheard(on(yes, number(1))) })
-	case "late-commands":
-		during(f.Verb, func(yes bool) { b.world.HoldCommands(on(yes, number(1))) })
-	case "kept-reports":
-		during(f.Verb, b.world.KeepReports)
-	case "state-lags":
-		during(f.Verb+f.Args[1], func(yes bool) { state.Lag(f.Args[1], on(yes, long(2))) })
-	case "state-writes":
-		during(f.Verb, func(yes bool) {
-			l := b.d.State
-			if yes {
-				l.WriteRPS = max(1, l.WriteRPS*number(1))
-			}
-			state.Limit(l)
-		})
-	case "cloud-outage":
-		during(f.Verb, b.world.CloudOutage)
-	case "cloud-late":
-		during(f.Verb, func(yes bool) { b.world.CloudLate(on(yes, long(1))) })
-	case "capacity":
-		during(f.Verb, func(yes bool) {
-			if n := float64(b.d.Machines); yes {
-				b.world.Capacity(int(n * number(1)))
-			} else {
-				b.world.Capacity(int(n))
-			}
-		})
-	case "boots":
-		during(f.Verb, func(yes bool) {
-			factor := 1.0
-			if yes {
-				factor = number(1)
-			}
-			b.world.Boots(factor)
-		})
-	case "crash":
-		names := []string{f.Args[1]}
-		if f.Args[1] == "all" {
-			names = b.d.Controllers
-		}
-		for _, name := range names {
-			during("crash "+name, func(yes bool) { b.crash(name, yes) })
-		}
-	case "hangs":
-		during(f.Verb+f.Args[1], func(yes bool) {
-			if err := b.hosts.hang(f.Args[1], yes); err != nil && yes {
-				b.fail(err)
-			}
-		})
-	case "echoes":
-		during(f.Verb, func(yes bool) { b.world.Echo(on(yes, long(1))) })
-	case "cut":
-		during(f.String(), func(yes bool) { b.cut(f.String(), yes, cutNode(f.Args[1], f.Args[2])) })
-	case "cut-zone":
-		zones := b.zones()
-		during(f.String(), func(yes bool) { b.cut(f.String(), yes, cutZone(f.Args[1], zones)) })
-	case "machines":
-		n, _ := strconv.Atoi(f.Args[1])
-		ids := b.world.StrikeSome(n, troubles[f.Args[0]], func(string, bool) bool { return true })
-		if len(f.Args) < 3 || ends[f.Args[0]] == "" {
-			over()
-			return
-		}
-		after(long(2), func() {
-			for _, id := range ids {
-				b.world.Strike(id, ends[f.Args[0]]) // it may be gone meanwhile
-			}
-			over()
-		})
-	case "spot-wave":
-		spot := 0
-		b.world.StrikeSome(1<<20, "", func(_ string, s bool) bool {
-			if s {
-				spot++
-			}
-			return false
-		})
-		b.world.StrikeSome(int(number(0)*float64(spot)+0.5), emulator.Leaves, func(_ string, s bool) bool { return s })
-		over()
-	case "cancel-now":
-		n, _ := strconv.Atoi(f.Args[0])
-		hung := b.cancelNow(n, len(f.Args) > 1, after)
-		if len(f.Args) < 2 {
-			over()
-			return
-		}
-		after(long(1), func() {
-			for _, id := range hung {
-				b.world.Strike(id, emulator.Resumes) // it may be gone meanwhile
-			}
-			over()
-		})
-	}
-}
-
 // Users who cancel at once do so within cancelSpread; of the machines of their jobs at most
 // mostHung hang.
 const (
