--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -301,8 +301,21 @@
 // results is the largest that can't be divided.
 const leastValue = 1536
 
+// leastTxnOps is the least number of changes in a transaction that it can do with.
+const leastTxnOps = 4
+
+// check tells what is senseless about the settings, with its place.
 func (c *Config) check() error {
-	d := &c.Deployment
+	for _, check := range []func() error{c.checkAddresses, c.checkAmounts, c.checkSizes, c.checkTimes, c.checkTeams} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkAddresses checks how this controller, its siblings and the services are reached.
+func (c *Config) checkAddresses() error {
 	for name, addr := range map[string]string{"front": c.Front, "internal_addr": c.Internal,
 		"services.cloud": c.Services.Cloud, "services.state": c.Services.State} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
@@ -322,6 +335,12 @@
 			return fmt.Errorf("siblings: peer_addr of %s is not an address: %q", s.Name, s.Addr)
 		}
 	}
+	return nil
+}
+
+// checkAmounts checks what must be positive.
+func (c *Config) checkAmounts() error {
+	d := &c.Deployment
 	for name, v := range map[string]float64{
 		"deployment.workers.report_s": d.Workers.ReportS, "deployment.workers.lease_s": d.Workers.LeaseS,
 		"deployment.workers.gang_wait_s": d.Workers.GangWaitS, "deployment.workers.gang_peer_s": d.Workers.GangPeerS,
@@ -335,24 +354,38 @@
 			return fmt.Errorf("%s must be positive, not %v", name, v)
 		}
 	}
-	if d.State.TxnOps < 4 {
-		return fmt.Errorf("deployment.state: the smallest txn_ops must be at least 4, not %d: a term, slots and results go with other changes, and the largest job ends under 14 conditions", d.State.TxnOps)
-	}
-	// A window names a controller for each of n(n-1) slots, in one value.
-	deal := 0
-	for name := range seen {
-		deal += (len(name) + len(`"",`)) * len(seen)
-	}
-	for name := range seen {
-		deal += len(name) + len(`"",`) // as owners of the ring
+	return nil
+}
+
+// checkSizes checks that the state service takes the largest records there may be.
+func (c *Config) checkSizes() error {
+	if ops := c.Deployment.State.TxnOps; ops < leastTxnOps {
+		return fmt.Errorf("deployment.state: the smallest txn_ops must be at least %d, not %d: a term, slots and results go with other changes, and the largest job ends under 14 conditions", leastTxnOps, ops)
 	}
-	deal += 100
-	if limit := c.ValueBytes(); deal > limit {
-		return fmt.Errorf("siblings: %d controllers are too many for the smallest deployment.state value_kb: a window takes about %d bytes of %d", len(seen), deal, limit)
+	if size, limit := c.windowBytes(), c.ValueBytes(); size > limit {
+		return fmt.Errorf("siblings: %d controllers are too many for the smallest deployment.state value_kb: a window takes about %d bytes of %d", 1+len(c.Siblings), size, limit)
 	}
 	if limit := c.ValueBytes(); limit < leastValue {
 		return fmt.Errorf("deployment.state: the smallest value_kb must be at least %v: a chunk of results takes that much", float64(leastValue)/1024)
 	}
+	return nil
+}
+
+// windowBytes is about how large a window's record is: it names a controller for each of
+// n(n-1) slots, and each of them as the owner of a range.
+func (c *Config) windowBytes() int {
+	const quotes, rest = len(`"",`), 100
+	controllers := 1 + len(c.Siblings)
+	names := len(c.Name) + quotes
+	for _, s := range c.Siblings {
+		names += len(s.Name) + quotes
+	}
+	return names*controllers + names + rest
+}
+
+// checkTimes checks that leases, reports and cancellations leave each other room.
+func (c *Config) checkTimes() error {
+	d := &c.Deployment
 	if d.Workers.LeaseS < 2*d.Workers.ReportS {
 		return errors.New("deployment.workers.lease_s must be at least twice report_s")
 	}
@@ -364,8 +397,13 @@
 	if d.ClockOffMs < 0 || d.Cloud.ListLagS < 0 {
 		return errors.New("deployment.clock_off_ms and deployment.cloud.list_lag_s must not be negative")
 	}
+	return nil
+}
+
+// checkTeams checks the teams' guarantees and limits.
+func (c *Config) checkTeams() error {
 	names := map[string]bool{}
-	for _, t := range d.Teams {
+	for _, t := range c.Deployment.Teams {
 		if t.Name == "" || names[t.Name] {
 			return fmt.Errorf("deployment.teams: name %q is missing or not unique", t.Name)
 		}
