--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/fleet"
 	"daledyke/internal/placement"
@@ -41,68 +42,12 @@
 		st.ready = o.window() != nil && o.board.AllComplete(o.slots, 0)
 		st.in.Types = o.types
 		st.in.Scarce = o.scarce()
-		for id, m := range o.machReg {
-			st.reg[id] = m
-			if o.board.Machines[id] == nil && o.rosters[ring.SlotOf(id, o.slots)][m.Number()] {
-				st.up[id] = true
-			}
-		}
-		for _, s := range o.board.Slots {
-			if p := o.peers[s.Holder]; p != nil && p.valid {
-				// Jobs whose tasks may be there wait until they are gone.
-				st.silent = append(st.silent, s.Awaited...)
-				for _, id := range s.Awaited {
-					st.holder[id] = s.Holder
-				}
-			}
-		}
+		o.addRegistered(st)
+		o.addAwaited(st)
 		for id, m := range o.board.Machines {
-			st.seen[id] = true
-			if st.holder[id] == "" {
-				st.holder[id] = m.Holder
-			}
-			if st.reg[id] == nil {
-				st.reg[id] = &bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot}
-			}
-			if m.Drained > 0 {
-				st.drained[id] = m.Drained
-			}
-			if p := o.peers[m.Holder]; m.Silent && m.Current && p != nil && p.valid {
-				if !slices.Contains(st.silent, id) {
-					st.silent = append(st.silent, id)
-				}
-				continue
-			}
-			if m.Suspect {
-				st.suspect = append(st.suspect, id)
-				continue
-			}
-			if m.Leaving || m.Silent {
-				continue
+			if o.addSeen(st, id, m) {
+				st.in.Machines = append(st.in.Machines, o.fleetMachine(id, m, now))
 			}
-			f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0, Fresh: now.Sub(m.Known) < fleet.FreshFor, Images: m.Images}
-			for _, i := range m.Instances {
-				if js := o.jobs[i.Job]; js != nil && !i.Exited() {
-					if js.job.Spec.Shape == protocol.Service {
-						f.Pinned = true
-						r := fleet.Replica{Spec: js.job.Spec}
-						if i.Running() {
-							r.Ran = now.Sub(i.Ran)
-						}
-						f.Live = append(f.Live, r)
-					} else {
-						f.Others = true
-					}
-					if js.job.Filler {
-						f.Yields = f.Yields.Add(js.job.Spec.Need())
-					}
-					f.ByRank[js.job.Rank] = f.ByRank[js.job.Rank].Add(js.job.Spec.Need())
-				}
-			}
-			if !m.EmptySince.IsZero() {
-				f.Idle = now.Sub(m.EmptySince)
-			}
-			st.in.Machines = append(st.in.Machines, f)
 		}
 		st.in.Demands = o.demands(now, started)
 		st.load = o.load(now)
@@ -113,6 +58,87 @@
 	return st
 }
 
+// addRegistered adds the machines by the records, and on which of those that are not seen tasks
+// may be.
+func (o *Owner) addRegistered(st *fleetState) {
+	for id, m := range o.machReg {
+		st.reg[id] = m
+		if o.board.Machines[id] == nil && o.rosters[ring.SlotOf(id, o.slots)][m.Number()] {
+			st.up[id] = true
+		}
+	}
+}
+
+// addAwaited adds the machines that have not reported since their slots changed hands: jobs whose
+// tasks may be there wait until they are gone.
+func (o *Owner) addAwaited(st *fleetState) {
+	for _, s := range o.board.Slots {
+		if p := o.peers[s.Holder]; p != nil && p.valid {
+			st.silent = append(st.silent, s.Awaited...)
+			for _, id := range s.Awaited {
+				st.holder[id] = s.Holder
+			}
+		}
+	}
+}
+
+// addSeen adds what holders say of a machine; it tells whether the machine is to be planned with.
+func (o *Owner) addSeen(st *fleetState, id string, m *board.Machine) bool {
+	st.seen[id] = true
+	if st.holder[id] == "" {
+		st.holder[id] = m.Holder
+	}
+	if st.reg[id] == nil {
+		st.reg[id] = &bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+	}
+	if m.Drained > 0 {
+		st.drained[id] = m.Drained
+	}
+	if p := o.peers[m.Holder]; m.Silent && m.Current && p != nil && p.valid {
+		if !slices.Contains(st.silent, id) {
+			st.silent = append(st.silent, id)
+		}
+		return false
+	}
+	if m.Suspect {
+		st.suspect = append(st.suspect, id)
+		return false
+	}
+	return !m.Leaving && !m.Silent
+}
+
+// fleetMachine is a machine as plans for the fleet see it.
+func (o *Owner) fleetMachine(id string, m *board.Machine, now time.Time) *fleet.Machine {
+	f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0, Fresh: now.Sub(m.Known) < fleet.FreshFor, Images: m.Images}
+	for _, i := range m.Instances {
+		if js := o.jobs[i.Job]; js != nil && !i.Exited() {
+			addUse(f, js.job, i, now)
+		}
+	}
+	if !m.EmptySince.IsZero() {
+		f.Idle = now.Sub(m.EmptySince)
+	}
+	return f
+}
+
+// addUse adds a task to what uses a machine.
+func addUse(f *fleet.Machine, j *bookkeeping.Job, i *board.Instance, now time.Time) {
+	if j.Spec.Shape == protocol.Service {
+		f.Pinned = true
+		r := fleet.Replica{Spec: j.Spec}
+		if i.Running() {
+			r.Ran = now.Sub(i.Ran)
+		}
+		f.Live = append(f.Live, r)
+	} else {
+		f.Others = true
+	}
+	if j.Filler {
+		f.Yields = f.Yields.Add(j.Spec.Need())
+	}
+	f.ByRank[j.Rank] = f.ByRank[j.Rank].Add(j.Spec.Need())
+}
+
 // doubtAfter is for how long a controller may not have been heard of before nothing is
 // moved to it.
 const doubtAfter = 4 * time.Second
@@ -144,29 +170,18 @@
 	rates, ahead := o.endsByImage(now), map[string]int{}
 	limits := o.leftOfLimits()
 	for _, js := range o.inOrder() {
-		id := js.job.Spec.ID
-		if js.job.Waits > 0 {
+		if js.job.Waits > 0 || js.opinion == placement.AtFault {
 			continue // nothing is kept for it that others could use now
 		}
 		s := js.job.Spec
-		missing := s.Tasks - js.job.DoneCount() - len(js.pending)
-		zones := map[string]int{}
-		for index, list := range o.board.Tasks[id] {
-			if js.job.TaskDone(index) {
-				continue
-			}
-			missing--
-			for _, i := range list {
-				zones[i.Machine.Zone]++
-			}
-		}
-		if missing <= 0 || js.opinion == placement.AtFault {
+		missing, zones := o.missingOf(js)
+		if missing <= 0 {
 			continue
 		}
 		if left := limits[s.Team]; left != nil {
 			missing = left.Take(s, missing)
 		}
-		if n, bound := affordable[id]; bound {
+		if n, bound := affordable[s.ID]; bound {
 			missing = min(missing, n)
 		}
 		if missing <= 0 {
@@ -183,32 +198,62 @@
 			ready, _ := fleet.Ready(o.types, s, s.ImageGB)
 			missing = fleet.InTurn(missing, s.Estimate(), o.finish(js).Sub(now)-ready)
 		}
-		d := fleet.Demand{Spec: s, Raised: js.job.Rank, Count: missing, Filler: js.job.Filler, Left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Ready))}
-		if s.Scatter || s.OneZone {
-			d.ZoneLeft = map[string]int{}
-			for _, z := range o.cfg.Deployment.Zones {
-				d.ZoneLeft[z] = s.ZoneShare() - zones[z]
-				if s.OneZone && len(zones) > 0 && zones[z] == 0 {
-					d.ZoneLeft[z] = 0
-				}
-			}
+		out = append(out, fleet.Demand{Spec: s, Raised: js.job.Rank, Count: missing, Filler: js.job.Filler,
+			Left: max(0, o.within(s.Class, time.Hour)-now.Sub(js.job.Ready)), ZoneLeft: o.zoneLeft(s, zones)})
+	}
+	return append(out, o.spares(now, started)...)
+}
+
+// missingOf is how many of a job's tasks are neither done nor have a machine, and how many have
+// one by zone.
+func (o *Owner) missingOf(js *jobState) (missing int, zones map[string]int) {
+	missing = js.job.Spec.Tasks - js.job.DoneCount() - len(js.pending)
+	zones = map[string]int{}
+	for index, list := range o.board.Tasks[js.job.Spec.ID] {
+		if js.job.TaskDone(index) {
+			continue
+		}
+		missing--
+		for _, i := range list {
+			zones[i.Machine.Zone]++
+		}
+	}
+	return missing, zones
+}
+
+// zoneLeft is how many more tasks of a job each zone may have, nil if any may have all.
+func (o *Owner) zoneLeft(s *protocol.JobSpec, zones map[string]int) map[string]int {
+	if !s.Scatter && !s.OneZone {
+		return nil
+	}
+	left := map[string]int{}
+	for _, z := range o.cfg.Deployment.Zones {
+		left[z] = s.ZoneShare() - zones[z]
+		if s.OneZone && len(zones) > 0 && zones[z] == 0 {
+			left[z] = 0
 		}
-		out = append(out, d)
 	}
+	return left
+}
+
+// spares are what is kept ready for urgent work that is expected to come.
+func (o *Owner) spares(now, started time.Time) (out []fleet.Demand) {
 	for name, c := range o.classes {
 		if c.Spec.Priority.Rank() < placement.Preempts {
 			continue // other work of its kind would be in it at once
 		}
-		if n, preempt := fleet.Spare(c, o.types, o.within(name, math.MaxInt64), o.cfg.Spare, now, started); n > 0 {
-			d := fleet.Demand{Spec: c.Spec, Count: n, Spare: true, Preempt: preempt, Left: time.Hour}
-			if c.Spec.Scatter {
-				d.ZoneLeft = map[string]int{}
-				for _, z := range o.cfg.Deployment.Zones {
-					d.ZoneLeft[z] = (n + 1) / 2
-				}
+		n, preempt := fleet.Spare(c, o.types, o.within(name, math.MaxInt64), o.cfg.Spare, now, started)
+		if n <= 0 {
+			continue
+		}
+		d := fleet.Demand{Spec: c.Spec, Count: n, Spare: true, Preempt: preempt, Left: time.Hour}
+		if c.Spec.Scatter {
+			d.ZoneLeft = map[string]int{}
+			for _, z := range o.cfg.Deployment.Zones {
+				d.ZoneLeft[z] = (n + 1) / 2
 			}
-			out = append(out, d)
 		}
+		out = append(out, d)
 	}
 	return out
 }
--- a/internal/coordination/gang.go
+++ b/internal/coordination/gang.go
@@ -83,11 +83,7 @@
 		js.tried(now)
 	}
 	if !o.teamRoom(js, s.Tasks) {
-		if was := o.turns[s.Team]; s.Tasks > 1 {
-			if o.turns[s.Team] = was.Next(s.ID, js.job.Rank, now.Sub(js.job.Ready), now); o.turns[s.Team] != was {
-				slog.Info("a gang's turn within its team's limit", "job", s.ID, "team", s.Team, "tasks", s.Tasks, "waited", now.Sub(js.job.Ready))
-			}
-		}
+		o.takeTurn(js, now)
 		js.blocked = now.Add(500 * time.Millisecond)
 		return 1
 	}
@@ -96,29 +92,70 @@
 		return 1
 	}
 	if s.Tasks == 1 {
-		p := o.placingFor(js, "")
-		if c, ok := o.find(js, p, now); ok && o.hold(js, p, &c, 1, now) > 0 {
-			js.blocked = now.Add(holdFor)
-		} else if ok {
-			o.start(js, 0, cmp.Or(attempt, o.newAttempt()), c, false, rq)
-		} else {
-			o.noteUnmetNeed(js, now)
-			o.keepAhead(js, []string{""}, attempt, now, rq)
-		}
+		o.placeSingle(js, attempt, now, rq)
 		return 1
 	}
-	zones := []string{""}
-	if s.OneZone {
-		zones = nil
-		for _, m := range o.machinesNow() {
-			if !slices.Contains(zones, m.Zone) {
-				zones = append(zones, m.Zone)
-			}
+	zones := o.gangZones(s)
+	picks := o.pickInZones(js, zones, now)
+	if picks == nil {
+		js.blocked = now.Add(time.Second)
+		o.keepAhead(js, zones, attempt, now, rq)
+		return s.Tasks
+	}
+	attempt = cmp.Or(attempt, o.newAttempt())
+	for index, c := range picks {
+		o.start(js, index, attempt, c, true, rq)
+	}
+	return s.Tasks
+}
+
+// takeTurn has a gang wait for its turn within its team's limit.
+func (o *Owner) takeTurn(js *jobState, now time.Time) {
+	s := js.job.Spec
+	if s.Tasks == 1 {
+		return
+	}
+	was, waited := o.turns[s.Team], now.Sub(js.job.Ready)
+	o.turns[s.Team] = was.Next(s.ID, js.job.Rank, waited, now)
+	if o.turns[s.Team] != was {
+		slog.Info("a gang's turn within its team's limit", "job", s.ID, "team", s.Team, "tasks", s.Tasks, "waited", waited)
+	}
+}
+
+// placeSingle places a gang of one task, which needs no reservation.
+func (o *Owner) placeSingle(js *jobState, attempt uint64, now time.Time, rq requests) {
+	p := o.placingFor(js, "")
+	c, ok := o.find(js, p, now)
+	switch {
+	case !ok:
+		o.noteUnmetNeed(js, now)
+		o.keepAhead(js, []string{""}, attempt, now, rq)
+	case o.hold(js, p, &c, 1, now) > 0:
+		js.blocked = now.Add(holdFor)
+	default:
+		o.start(js, 0, cmp.Or(attempt, o.newAttempt()), c, false, rq)
+	}
+}
+
+// gangZones are the zones in which a gang may be, in an order drawn by chance: "" is all at once.
+func (o *Owner) gangZones(s *protocol.JobSpec) []string {
+	if !s.OneZone {
+		return []string{""}
+	}
+	var zones []string
+	for _, m := range o.machinesNow() {
+		if !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
 		}
-		rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
 	}
+	rand.Shuffle(len(zones), func(i, k int) { zones[i], zones[k] = zones[k], zones[i] })
+	return zones
+}
+
+// pickInZones finds a machine for every task of a gang in one of the zones, nil if there is none;
+// only if no zone has room otherwise where other work has to make room.
+func (o *Owner) pickInZones(js *jobState, zones []string, now time.Time) (picks []placement.Choice) {
 	for _, evict := range []bool{false, true} {
-		var picks []placement.Choice
 		var soonest time.Duration
 		for _, zone := range zones {
 			// All wait for the one that has its image last. Once, the first zone
@@ -127,18 +164,11 @@
 				picks, soonest = found, fetch
 			}
 		}
-		if picks == nil {
-			continue
+		if picks != nil {
+			return picks
 		}
-		attempt = cmp.Or(attempt, o.newAttempt())
-		for index, c := range picks {
-			o.start(js, index, attempt, c, true, rq)
-		}
-		return s.Tasks
 	}
-	js.blocked = now.Add(time.Second)
-	o.keepAhead(js, zones, attempt, now, rq)
-	return s.Tasks
+	return nil
 }
 
 // keepEvery is how often what is kept for a gang is asked for again: a holder keeps it for 6 s.
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -18,10 +18,7 @@
 func (h *Holder) Report(rep *protocol.Report) (status int, body any) {
 	slot := h.slotOf(rep.Machine)
 	s := h.slots[slot]
-	holder := "" // the other that holds it
-	if rec := h.records[slot]; s == nil && rec != nil && rec.Holder != h.cfg.Name {
-		holder = rec.Holder
-	}
+	holder := h.otherHolder(slot)
 	if holder != "" {
 		h.misrouted[holder] = misroutedReport{board.Stray{Machine: rep.Machine, Session: rep.Session, Ticket: rep.Ticket}, time.Now()}
 	}
@@ -29,13 +26,7 @@
 		return http.StatusServiceUnavailable, nil
 	}
 	if s == nil {
-		if h.members[holder] != nil {
-			return http.StatusMisdirectedRequest, protocol.Redirect{Node: holder}
-		}
-		if h.latest != nil && slot < len(h.latest.Deal) && !h.wants(slot) && h.members[h.latest.Deal[slot]] != nil {
-			return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latest.Deal[slot]}
-		}
-		return http.StatusServiceUnavailable, nil
+		return h.redirect(slot, holder)
 	}
 	// A report that names a higher term than ours: the slot was taken.
 	if rep.Token.Term() > s.term {
@@ -44,11 +35,7 @@
 	if h.retired.has(rep.Machine) {
 		return http.StatusServiceUnavailable, nil
 	}
-	w := h.byID[rep.Machine]
-	if w == nil {
-		w = &worker{id: rep.Machine, slot: s, seq: s.issued + 1, firstHeard: time.Now(), entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
-		h.byID[rep.Machine] = w
-	}
+	w := h.workerOf(rep.Machine, s)
 	was := w.session
 	late := time.Since(w.lastHeard) > h.cfg.ReportEvery()*2
 	if !w.isNewer(rep) {
@@ -70,17 +57,53 @@
 		h.touch(w)
 	}
 	h.sendCommands(w)
+	return h.answerReport(w, rep)
+}
+
+// otherHolder is the controller that holds a slot by the records, "" if that is this one or nobody.
+func (h *Holder) otherHolder(slot int) string {
+	if rec := h.records[slot]; h.slots[slot] == nil && rec != nil && rec.Holder != h.cfg.Name {
+		return rec.Holder
+	}
+	return ""
+}
+
+// redirect answers a report of a slot that is not held here: with its holder, or with the
+// controller that is to take it.
+func (h *Holder) redirect(slot int, holder string) (status int, body any) {
+	if h.members[holder] != nil {
+		return http.StatusMisdirectedRequest, protocol.Redirect{Node: holder}
+	}
+	if h.latest != nil && slot < len(h.latest.Deal) && !h.wants(slot) && h.members[h.latest.Deal[slot]] != nil {
+		return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latest.Deal[slot]}
+	}
+	return http.StatusServiceUnavailable, nil
+}
+
+// workerOf is what is known of a machine's worker, from now on if nothing was.
+func (h *Holder) workerOf(machine string, s *heldSlot) *worker {
+	w := h.byID[machine]
+	if w == nil {
+		w = &worker{id: machine, slot: s, seq: s.issued + 1, firstHeard: time.Now(), entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
+		h.byID[machine] = w
+	}
+	return w
+}
+
+// answerReport answers a report that was taken in, and so renews the lease of what runs there,
+// unless that is of no use or may not be.
+func (h *Holder) answerReport(w *worker, rep *protocol.Report) (status int, body any) {
 	if w.ack.ignoresAnswers() {
 		// It takes nothing in, so that answers only make it seem to live. It is asked directly.
 		h.probeWorker(w)
 		return http.StatusServiceUnavailable, nil
 	}
-	stops, known := h.stopsCancelled(w, rep)
+	commands, known := h.stopsCancelled(w, rep)
 	if !known {
 		return http.StatusServiceUnavailable, nil // owners look such jobs up
 	}
-	commands := append(stops, h.repeatUnanswered(w, time.Now())...)
-	w.answered, w.answeredWith = time.Now(), protocol.NewToken(s.term, w.seq)
+	commands = append(commands, h.repeatUnanswered(w, time.Now())...)
+	w.answered, w.answeredWith = time.Now(), protocol.NewToken(w.slot.term, w.seq)
 	return http.StatusOK, protocol.ReportAnswer{Token: w.answeredWith, Commands: commands}
 }
 
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daledyke/internal/board"
+	"daledyke/internal/bookkeeping"
 	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
 )
@@ -66,24 +67,21 @@
 	return r, true
 }
 
-func (h *Holder) start(a *AskArgs, st Start, now time.Time) string {
+// start admits a task to a machine, or tells why not.
+func (h *Holder) start(a *AskArgs, st Start, now time.Time) (refusal string) {
 	w := h.byID[st.Machine]
 	jobID, index, ok := protocol.SplitTask(st.Task)
-	j := h.jobs[jobID]
-	switch {
-	case !ok || w == nil || h.slots[w.slot.slot] != w.slot:
+	if !ok || w == nil || h.slots[w.slot.slot] != w.slot {
 		return "not held here"
-	case j == nil || h.over(jobID) || index >= j.Spec.Tasks || j.TaskDone(index):
-		return "not to be run"
-	case j.Waits > 0:
-		return "waits for other jobs" // what is not known to be done is not
-	case h.window.OwnerOf(j, index) != a.Caller:
-		return "not the owner"
-	case now.Sub(h.syncedAt) > maxStale:
-		return "records too old"
-	case !h.startable(w):
+	}
+	j := h.jobs[jobID]
+	if refusal := h.refusesJob(a.Caller, j, index, now); refusal != "" {
+		return refusal
+	}
+	if !h.startable(w) {
 		return "machine not usable"
-	case !j.Spec.Allows(w.rig, w.zone, w.spot):
+	}
+	if !j.Spec.Allows(w.rig, w.zone, w.spot) {
 		return "machine not allowed"
 	}
 	reserved := w.entries[st.Task]
@@ -92,40 +90,23 @@
 	}
 	// Room may be reserved for a task that runs elsewhere and is about to be moved: nothing
 	// starts by that. Before it does, the task must be gone from there.
-	if !st.Reserve {
-		for _, o := range h.byID {
-			if x := o.entries[st.Task]; o != w && x != nil && !x.exited() && x.state != board.TaskReserved {
-				return "elsewhere here"
-			}
-		}
+	if !st.Reserve && h.isElsewhere(w, st.Task) {
+		return "elsewhere here"
 	}
 	// What was reserved had its permit.
 	if team := j.Spec.Team; reserved == nil && h.quotas.Has(team) && !h.permits(st.Permit, team) {
 		return "no permit"
 	}
 	delete(w.entries, st.Task)
-	room := h.free(w, true)
-	for _, name := range st.Evict {
-		if v := w.entries[name]; v != nil && !v.exited() && !v.unconfirmed() {
-			room = room.Add(h.need(v))
-		}
-	}
 	// What was reserved was granted; its room may still be in use by tasks that
 	// were told to make way.
 	if ahead := st.Reserve && st.Ahead; ahead && w.keptAhead(st.Task) {
 		return "kept for another"
-	} else if reserved == nil && !ahead && !room.Fits(j.Spec.Need()) {
+	} else if reserved == nil && !ahead && !h.roomFor(w, st).Fits(j.Spec.Need()) {
 		return "no room"
 	}
-	for _, name := range st.Evict {
-		if v := w.entries[name]; v != nil && !v.stop {
-			v.stop = true
-			if vj := h.jobs[v.job]; vj != nil {
-				v.grace = vj.Spec.SaveS * 2
-			}
-		}
-	}
-	e := &entry{task: st.Task, job: jobID, index: index, attempt: st.Attempt, state: board.TaskQueued, until: now.Add(20 * time.Second)}
+	h.evict(w, st.Evict)
+	e := &entry{task: st.Task, job: jobID, index: index, attempt: st.Attempt, state: board.TaskQueued, until: now.Add(queuedFor)}
 	if st.Reserve {
 		e.state, e.until, e.ahead = board.TaskReserved, now.Add(reservedFor), st.Ahead
 	}
@@ -133,6 +114,59 @@
 	return ""
 }
 
+// queuedFor is for how long a task that was admitted waits for room to come free.
+const queuedFor = 20 * time.Second
+
+// refusesJob tells why a task of a job is not to be started for a caller, wherever.
+func (h *Holder) refusesJob(caller string, j *bookkeeping.Job, index int, now time.Time) string {
+	switch {
+	case j == nil || h.over(j.Spec.ID) || index >= j.Spec.Tasks || j.TaskDone(index):
+		return "not to be run"
+	case j.Waits > 0:
+		return "waits for other jobs" // what is not known to be done is not
+	case h.window.OwnerOf(j, index) != caller:
+		return "not the owner"
+	case now.Sub(h.syncedAt) > maxStale:
+		return "records too old"
+	}
+	return ""
+}
+
+// isElsewhere tells whether a task may be on another machine of this holder's.
+func (h *Holder) isElsewhere(w *worker, task string) bool {
+	for _, other := range h.byID {
+		if e := other.entries[task]; other != w && e != nil && !e.exited() && e.state != board.TaskReserved {
+			return true
+		}
+	}
+	return false
+}
+
+// roomFor is the room on a machine once the tasks that are to make way for a start are gone.
+func (h *Holder) roomFor(w *worker, st Start) protocol.Room {
+	room := h.free(w, true)
+	for _, name := range st.Evict {
+		if v := w.entries[name]; v != nil && !v.exited() && !v.unconfirmed() {
+			room = room.Add(h.need(v))
+		}
+	}
+	return room
+}
+
+// evict has tasks make way, with the time that they need to save.
+func (h *Holder) evict(w *worker, tasks []string) {
+	for _, name := range tasks {
+		v := w.entries[name]
+		if v == nil || v.stop {
+			continue
+		}
+		v.stop = true
+		if vj := h.jobs[v.job]; vj != nil {
+			v.grace = vj.Spec.SaveS * 2
+		}
+	}
+}
+
 // keptAhead tells whether what comes free on a machine is kept for another task already.
 func (w *worker) keptAhead(task string) bool {
 	for name, e := range w.entries {
