--- a/internal/bookkeeping/keys.go
+++ b/internal/bookkeeping/keys.go
@@ -69,7 +69,7 @@
 type Member struct {
 	// Term is the incarnation of the process: a new process takes a new one.
 	Term uint64 `json:"term"`
-	// WorkersUnreachable asks that no workers be dealt to this controller for now.
+	// WorkersUnreachable asks that no workers be assigned to this controller for now.
 	WorkersUnreachable bool `json:"deaf,omitempty"`
 	// Generation is what the process understands, see Generation; a version
 	// that has none is of the first.
@@ -147,17 +147,17 @@
 	return nil
 }
 
-// Window is one numbered division of the ring and one deal of the workers.
+// Window is one numbered division of the ring and one assignment of the workers.
 type Window struct {
 	Number uint64 `json:"n"`
 	// StartMs is when it begins, by the time of day.
 	StartMs int64 `json:"startMs"`
 	// Owners hold equal ranges of the ring, in this order.
 	Owners []string `json:"owners"`
-	// Deal names the wanted holder of each slot.
-	Deal []string `json:"deal"`
-	// Moved are the slots that are not dealt to their home for balance alone. A version
-	// before balance knows nothing of it, and deals them home again when it leads.
+	// Assignment names the wanted holder of each slot.
+	Assignment []string `json:"deal"`
+	// Moved are the slots that are not assigned to their home for balance alone. A version
+	// before balance knows nothing of it, and assigns them home again when it leads.
 	Moved []int `json:"moved,omitempty"`
 	// Divided: blocks of large jobs have owners of their own (Job.Blocks). A version
 	// before blocks doesn't know of it: it is set once every controller of the
--- a/internal/bookkeeping/production_test.go
+++ b/internal/bookkeeping/production_test.go
@@ -106,7 +106,7 @@
 	if m := e.members["c1"]; m == nil || m.Term != 2 || m.Generation != 0 {
 		t.Errorf("the session of c1 is read as %+v", m)
 	}
-	if e.leader == nil || e.leader.Name != "c2" || e.window == nil || len(e.window.Deal) != 6 || e.catalog == nil || len(e.catalog.Types) != 2 {
+	if e.leader == nil || e.leader.Name != "c2" || e.window == nil || len(e.window.Assignment) != 6 || e.catalog == nil || len(e.catalog.Types) != 2 {
 		t.Errorf("%+v, %+v, %+v", e.leader, e.window, e.catalog)
 	}
 	if !e.machines["host-000008"] {
--- a/internal/coordination/actor.go
+++ b/internal/coordination/actor.go
@@ -1,5 +1,5 @@
 // Package coordination decides what runs where. Its parts are actors: session
-// (a controller's standing), holder (the workers dealt to this controller),
+// (a controller's standing), holder (the workers assigned to this controller),
 // owner (the jobs in this controller's range of the ring) and leader (windows,
 // deals, renting). Each owns its state; they talk through their inboxes.
 package coordination
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -50,7 +50,7 @@
 	boots    map[string][]time.Duration // of each type's machines that came up lately, newest last
 	batches  map[string]*bookkeeping.RentalBatch
 	moves    *rate.Limiter // of replicas that are moved
-	// load is that of the slots as the board showed it at loadAt; balanced is when the deal
+	// load is that of the slots as the board showed it at loadAt; balanced is when the assignment
 	// last changed.
 	load             ring.Load
 	loadAt, balanced time.Time
@@ -126,7 +126,7 @@
 		return
 	}
 	if l.window == nil && len(l.members) < len(l.cfg.Siblings)+1 && time.Since(l.leadFrom) < firstWait {
-		return // all start together: what was dealt now would soon change hands
+		return // all start together: what was assigned now would soon change hands
 	}
 	now := time.Now()
 	load := l.load
@@ -135,7 +135,7 @@
 	if w == nil {
 		return
 	}
-	if l.window != nil && !slices.Equal(w.Deal, l.window.Deal) {
+	if l.window != nil && !slices.Equal(w.Assignment, l.window.Assignment) {
 		// Whatever the reason: nothing is moved for balance while slots change hands.
 		l.balanced = now
 		slog.Info("slots are dealt anew", "moved for balance", w.Moved)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -74,8 +74,8 @@
 	if h.members[holder] != nil {
 		return http.StatusMisdirectedRequest, protocol.Redirect{Node: holder}
 	}
-	if h.latest != nil && slot < len(h.latest.Deal) && !h.wants(slot) && h.members[h.latest.Deal[slot]] != nil {
-		return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latest.Deal[slot]}
+	if h.latest != nil && slot < len(h.latest.Assignment) && !h.wants(slot) && h.members[h.latest.Assignment[slot]] != nil {
+		return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latest.Assignment[slot]}
 	}
 	return http.StatusServiceUnavailable, nil
 }
--- a/internal/coordination/slots.go
+++ b/internal/coordination/slots.go
@@ -25,49 +25,28 @@
 }
 
 func (h *Holder) wants(slot int) bool {
-	return h.latest != nil && slot < len(h.latest.Deal) && h.latest.Deal[slot] == h.cfg.Name
+	return h.latest != nil && slot < len(h.latest.Assignment) && h.latest.Assignment[slot] == h.cfg.Name
 }
 
-// adopt takes the slots that the deal gives to this controller and that
+// takeSlotsWithin bounds an adoption.
+const takeSlotsWithin = 8 * time.Second
+
+// adopt takes the slots that are assigned to this controller and that
 // nobody can be acting for.
 func (h *Holder) adopt() {
 	if h.adopting || !h.session.Valid() || h.latest == nil {
 		return
 	}
-	inc := h.session.Term()
-	var claims []bookkeeping.Claim
-	for slot := range h.latest.Deal {
-		if !h.wants(slot) || h.slots[slot] != nil {
-			continue
-		}
-		c := bookkeeping.Claim{Slot: slot, Seen: h.records[slot]}
-		if c.Seen != nil && c.Seen.Holder != "" {
-			// Another process may be acting for the slot as long as its
-			// session lives; the member record tells.
-			m := h.members[c.Seen.Holder]
-			if c.Seen.Holder == h.cfg.Name && (m == nil || m.Term != inc) {
-				continue // our own record has not come back to us yet
-			}
-			if m != nil && m.Term == c.Seen.Incarnation && c.Seen.Holder != h.cfg.Name || !h.mayTakeOver(c.Seen.Holder) {
-				continue
-			}
-			c.Former = c.Seen.Holder
-			if m != nil {
-				c.FormerVersion = m.Version
-			}
-		}
-		if claims = append(claims, c); len(claims) == h.store.MostClaims() {
-			break // the rest in the next round
-		}
-	}
+	incarnation := h.session.Term()
+	claims := h.claims(incarnation)
 	if len(claims) == 0 {
 		return
 	}
 	h.adopting = true
 	go func() {
-		ctx, cancel := context.WithTimeout(h.ctx, 8*time.Second)
+		ctx, cancel := context.WithTimeout(h.ctx, takeSlotsWithin)
 		defer cancel()
-		term, err := h.store.TakeSlots(ctx, h.cfg.Name, inc, claims)
+		term, err := h.store.TakeSlots(ctx, h.cfg.Name, incarnation, claims)
 		if err != nil {
 			pause(ctx, 100*time.Millisecond)
 			h.tell(func() { h.adopting = false })
@@ -75,23 +54,65 @@
 		}
 		h.tell(func() {
 			h.adopting = false
-			if h.session.Term() != inc {
-				return
-			}
-			for _, c := range claims {
-				s := &heldSlot{slot: c.Slot, term: term, adopted: time.Now(), awaited: map[string]bool{}, roster: bookkeeping.Roster{}, unlisted: !c.Listed()}
-				if c.Seen != nil {
-					maps.Copy(s.roster, c.Seen.Roster)
-				}
-				h.slots[c.Slot] = s
+			if h.session.Term() == incarnation {
+				h.adopted(claims, term)
 			}
-			slog.Info("took slots", "count", len(claims), "term", term)
-			h.bump()
-			h.inform(term)
 		})
 	}()
 }
 
+// claims are the slots to take now, as many as one transaction takes.
+func (h *Holder) claims(incarnation uint64) (claims []bookkeeping.Claim) {
+	for slot := range h.latest.Assignment {
+		if !h.wants(slot) || h.slots[slot] != nil {
+			continue
+		}
+		c, may := h.claim(slot, incarnation)
+		if !may {
+			continue
+		}
+		if claims = append(claims, c); len(claims) == h.store.MostClaims() {
+			break // the rest in the next round
+		}
+	}
+	return claims
+}
+
+// claim is what it takes to take a slot, if nobody can be acting for it: another process may be as
+// long as its session lives; the member record tells.
+func (h *Holder) claim(slot int, incarnation uint64) (c bookkeeping.Claim, may bool) {
+	c = bookkeeping.Claim{Slot: slot, Seen: h.records[slot]}
+	if c.Seen == nil || c.Seen.Holder == "" {
+		return c, true
+	}
+	m := h.members[c.Seen.Holder]
+	if c.Seen.Holder == h.cfg.Name && (m == nil || m.Term != incarnation) {
+		return c, false // our own record has not come back to us yet
+	}
+	if m != nil && m.Term == c.Seen.Incarnation && c.Seen.Holder != h.cfg.Name || !h.mayTakeOver(c.Seen.Holder) {
+		return c, false
+	}
+	c.Former = c.Seen.Holder
+	if m != nil {
+		c.FormerVersion = m.Version
+	}
+	return c, true
+}
+
+// adopted takes in that slots were taken under a new term.
+func (h *Holder) adopted(claims []bookkeeping.Claim, term uint64) {
+	for _, c := range claims {
+		s := &heldSlot{slot: c.Slot, term: term, adopted: time.Now(), awaited: map[string]bool{}, roster: bookkeeping.Roster{}, unlisted: !c.Listed()}
+		if c.Seen != nil {
+			maps.Copy(s.roster, c.Seen.Roster)
+		}
+		h.slots[c.Slot] = s
+	}
+	slog.Info("took slots", "count", len(claims), "term", term)
+	h.bump()
+	h.inform(term)
+}
+
 // inform reads, after an adoption, what the former holders registered and
 // which windows they may have obeyed. Only then are the slots ready.
 func (h *Holder) inform(term uint64) {
@@ -170,17 +191,17 @@
 	}
 }
 
-// release gives up slots that the deal gives to another living controller.
+// release gives up slots that the assignment gives to another living controller.
 func (h *Holder) release() {
 	if h.latest == nil {
 		return
 	}
 	for slot, s := range h.slots {
-		if slot < len(h.latest.Deal) && h.wants(slot) {
+		if slot < len(h.latest.Assignment) && h.wants(slot) {
 			continue
 		}
 		rec := h.records[slot]
-		if slot < len(h.latest.Deal) && h.members[h.latest.Deal[slot]] == nil || rec == nil || rec.Term != s.term {
+		if slot < len(h.latest.Assignment) && h.members[h.latest.Assignment[slot]] == nil || rec == nil || rec.Term != s.term {
 			continue
 		}
 		// Stop acting first, then say so.
@@ -210,13 +231,13 @@
 }
 
 // releaseUnheard gives up slots that this process holds by their records and does not act for, when
-// they are dealt to another living controller: the answer to the transaction that took them was lost.
-// One that is dealt to this controller is taken anew (adopt).
+// they are assigned to another living controller: the answer to the transaction that took them was lost.
+// One that is assigned to this controller is taken anew (adopt).
 func (h *Holder) releaseUnheard() {
 	if h.adopting || !h.session.Valid() {
 		return
 	}
-	for slot, holder := range h.latest.Deal {
+	for slot, holder := range h.latest.Assignment {
 		rec := h.records[slot]
 		if holder == h.cfg.Name || h.members[holder] == nil || h.slots[slot] != nil || h.releasing[slot] != nil {
 			continue
--- a/internal/coordination/why.go
+++ b/internal/coordination/why.go
@@ -144,19 +144,35 @@
 	if w := o.window(); w != nil {
 		v.Window = &protocol.WindowView{Number: w.Number, Owners: w.Owners, Newest: max(w.Number, o.latest.Number)}
 	}
+	v.Slots = o.slotStates()
+	for _, k := range o.refused {
+		v.NoCapacity = append(v.NoCapacity, k.String())
+	}
+	v.Fleet = o.fleetCounts(now)
+	if o.quotas.tree != nil {
+		v.Quotas = o.quotaView(mostShown)
+	}
+	v.Jobs, v.Waiting = o.jobCounts(now)
+	v.Siblings = o.siblingViews(now)
+	return v
+}
+
+func (o *Owner) slotStates() (all []protocol.SlotState) {
 	for slot := range o.slots {
 		s := protocol.SlotState{Slot: slot}
 		if b := o.board.Slots[slot]; b != nil {
 			s.Holder, s.Complete, s.Machines, s.Awaited = b.Holder, b.Complete, len(b.Machines), len(b.Awaited)
 		}
-		v.Slots = append(v.Slots, s)
-	}
-	for _, k := range o.refused {
-		v.NoCapacity = append(v.NoCapacity, k.String())
+		all = append(all, s)
 	}
+	return all
+}
+
+// fleetCounts counts machines by type, whatever their zones.
+func (o *Owner) fleetCounts(now time.Time) (all []protocol.FleetCount) {
 	there := o.fleetNow(now)
 	kinds := map[fleet.Kind]*protocol.FleetCount{}
-	kind := func(k fleet.Kind) *protocol.FleetCount {
+	count := func(k fleet.Kind) *protocol.FleetCount {
 		k.Zone = ""
 		if kinds[k] == nil {
 			kinds[k] = &protocol.FleetCount{Type: k.Type, Spot: k.Spot}
@@ -164,40 +180,42 @@
 		return kinds[k]
 	}
 	for k, n := range there.up {
-		c := kind(k)
+		c := count(k)
 		c.Up += n
 		c.Used += there.used[k]
 	}
 	for k, n := range there.come {
-		kind(k).Booting += n
+		count(k).Booting += n
 	}
 	for _, c := range kinds {
 		c.Used /= float64(max(1, c.Up))
-		v.Fleet = append(v.Fleet, *c)
+		all = append(all, *c)
 	}
-	slices.SortFunc(v.Fleet, func(a, b protocol.FleetCount) int {
+	slices.SortFunc(all, func(a, b protocol.FleetCount) int {
 		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(b.Booting+b.Up, a.Booting+a.Up))
 	})
-	if o.quotas.tree != nil {
-		v.Quotas = o.quotaView(mostShown)
-	}
-	v.Jobs = protocol.JobCount{Active: len(o.active), Waiting: map[string]int{}, AsksPending: len(o.unclear), Unmoved: len(o.ended), Moves: o.moves}
+	return all
+}
+
+// jobCounts counts the jobs that are not over, and shows those that have waited for longest.
+func (o *Owner) jobCounts(now time.Time) (counts protocol.JobCount, longest []protocol.JobView) {
+	counts = protocol.JobCount{Active: len(o.active), Waiting: map[string]int{}, AsksPending: len(o.unclear), Unmoved: len(o.ended), Moves: o.moves}
 	for _, n := range o.held {
-		v.Jobs.Patient += n
+		counts.Patient += n
 	}
 	var waiting []*jobState
 	for _, js := range o.active {
 		if js.gain != 0 {
-			v.Jobs.Owned++
+			counts.Owned++
 		}
 		if js.job.Needed || len(js.job.Spec.Needs) > 0 {
-			v.Jobs.Chained++
+			counts.Chained++
 		}
 		if js.job.Unclear {
-			v.Jobs.Unclear++
+			counts.Unclear++
 		}
 		if reason, _ := o.why(js, now); reason != "" {
-			v.Jobs.Waiting[reason]++
+			counts.Waiting[reason]++
 			waiting = append(waiting, js)
 		}
 	}
@@ -205,8 +223,12 @@
 		return cmp.Or(a.job.Accepted.Compare(b.job.Accepted), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 	})
 	for _, js := range waiting[:min(len(waiting), protocol.MaxWaiting)] {
-		v.Waiting = append(v.Waiting, o.jobView(js, now))
+		longest = append(longest, o.jobView(js, now))
 	}
+	return counts, longest
+}
+
+func (o *Owner) siblingViews(now time.Time) (all []protocol.SiblingView) {
 	for _, name := range slices.Sorted(maps.Keys(o.peers)) {
 		p := o.peers[name]
 		if name == o.cfg.Name {
@@ -216,9 +238,9 @@
 		if !p.heard.IsZero() {
 			heard = *seconds(now.Sub(p.heard))
 		}
-		v.Siblings = append(v.Siblings, protocol.SiblingView{Name: name, Session: p.valid, HeardS: heard, Generation: p.generation})
+		all = append(all, protocol.SiblingView{Name: name, Session: p.valid, HeardS: heard, Generation: p.generation})
 	}
-	return v
+	return all
 }
 
 // standstillAfter is how long jobs may wait for the first of their tasks to be
--- a/internal/ring/deal.go
+++ b/internal/ring/assign.go
@@ -40,22 +40,22 @@
 	return 1
 }
 
-// deal says who is to hold each slot. It is its home's, as long as that hears its workers;
+// assign says who is to hold each slot. It is its home's, as long as that hears its workers;
 // what was moved from there for balance stays where it is as long as the holder does. The
 // slots of those that are away stay with their heirs, and go to the least loaded of the
 // others when they have none: once they went to the first in order, who had twice the load
 // of the rest after a cut of a zone.
-func deal(cur *bookkeeping.Window, names, hearing []string, load Load) (deal []string, moved []int) {
-	deal = make([]string, SlotCount(len(names)))
+func assign(cur *bookkeeping.Window, names, hearing []string, load Load) (assignment []string, moved []int) {
+	assignment = make([]string, SlotCount(len(names)))
 	carries := map[string]float64{}
 	had := func(s int) string {
-		if cur != nil && s < len(cur.Deal) && slices.Contains(hearing, cur.Deal[s]) {
-			return cur.Deal[s]
+		if cur != nil && s < len(cur.Assignment) && slices.Contains(hearing, cur.Assignment[s]) {
+			return cur.Assignment[s]
 		}
 		return ""
 	}
-	give := func(s int, to string) { deal[s] = to; carries[to] += load.of(s) }
-	for s := range deal {
+	give := func(s int, to string) { assignment[s] = to; carries[to] += load.of(s) }
+	for s := range assignment {
 		home := names[s%len(names)]
 		switch at := had(s); {
 		case slices.Contains(hearing, home) && at != "" && at != home && slices.Contains(cur.Moved, s):
@@ -78,29 +78,29 @@
 			return strings.Compare(a, b)
 		})
 	}
-	for s := range deal {
-		if deal[s] == "" {
+	for s := range assignment {
+		if assignment[s] == "" {
 			give(s, least(hearing))
 		}
 	}
 	if load.Slots == nil || !load.MayMove {
-		return deal, moved
+		return assignment, moved
 	}
 	sound := slices.DeleteFunc(slices.Clone(hearing), func(n string) bool { return load.Doubted[n] })
-	if s, to := evener(deal, names, hearing, sound, carries, load); s >= 0 {
-		deal[s] = to
+	if s, to := evener(assignment, names, hearing, sound, carries, load); s >= 0 {
+		assignment[s] = to
 		moved = slices.DeleteFunc(moved, func(m int) bool { return m == s })
 		if to != names[s%len(names)] && slices.Contains(hearing, names[s%len(names)]) {
 			moved = append(moved, s)
 			slices.Sort(moved)
 		}
 	}
-	return deal, moved
+	return assignment, moved
 }
 
 // evener is the slot of the most loaded holder that is best moved, and to whom; -1 if none
 // is worth it.
-func evener(deal, names, hearing, sound []string, carries map[string]float64, load Load) (slot int, to string) {
+func evener(assignment, names, hearing, sound []string, carries map[string]float64, load Load) (slot int, to string) {
 	slot = -1
 	if len(hearing) < 2 || len(sound) == 0 {
 		return slot, ""
@@ -118,7 +118,7 @@
 		return slot, ""
 	}
 	best := carries[most] - worthwhile*mean
-	for s, holder := range deal {
+	for s, holder := range assignment {
 		if holder != most {
 			continue
 		}
--- a/internal/ring/deal_test.go
+++ b/internal/ring/assign_test.go
@@ -15,10 +15,10 @@
 // alike, not mostly to the first. Once their homes are back they go home.
 func TestHeirsShareAlike(t *testing.T) {
 	names := []string{"c0", "c1", "c2", "c3", "c4"}
-	all, _ := deal(nil, names, names, Load{})
-	cur := &bookkeeping.Window{Deal: all}
+	all, _ := assign(nil, names, names, Load{})
+	cur := &bookkeeping.Window{Assignment: all}
 	hearing := []string{"c1", "c2", "c4"}
-	got, moved := deal(cur, names, hearing, Load{})
+	got, moved := assign(cur, names, hearing, Load{})
 	count := map[string]int{}
 	for _, n := range got {
 		count[n]++
@@ -26,16 +26,16 @@
 	if len(count) != 3 || count["c1"] > 7 || count["c2"] > 7 || count["c4"] > 7 || moved != nil {
 		t.Errorf("%v, moved %v", count, moved)
 	}
-	again, _ := deal(&bookkeeping.Window{Deal: got}, names, hearing, Load{})
+	again, _ := assign(&bookkeeping.Window{Assignment: got}, names, hearing, Load{})
 	if !slices.Equal(again, got) {
 		t.Error("what heirs hold changes hands for nothing")
 	}
-	if home, _ := deal(&bookkeeping.Window{Deal: got}, names, names, Load{}); !slices.Equal(home, all) {
+	if home, _ := assign(&bookkeeping.Window{Assignment: got}, names, names, Load{}); !slices.Equal(home, all) {
 		t.Error("slots don't go home")
 	}
 }
 
-// Whatever the slots carry and whoever comes and goes: slots are dealt to those who hear,
+// Whatever the slots carry and whoever comes and goes: slots are assigned to those who hear,
 // for balance one at a time, never to one that is doubted, and only if it is worth it; where
 // nothing changes it ends, and then no single move would lower the highest load by a tenth
 // of the mean.
@@ -55,10 +55,10 @@
 		if k := rapid.IntRange(-1, n-1).Draw(t, "doubted"); k >= 0 {
 			load.Doubted[names[k]] = true
 		}
-		start, moved := deal(nil, names, names, Load{})
-		cur := &bookkeeping.Window{Deal: start, Moved: moved}
-		base, moved := deal(cur, names, hearing, Load{Slots: load.Slots})
-		cur = &bookkeeping.Window{Deal: base, Moved: moved}
+		start, moved := assign(nil, names, names, Load{})
+		cur := &bookkeeping.Window{Assignment: start, Moved: moved}
+		base, moved := assign(cur, names, hearing, Load{Slots: load.Slots})
+		cur = &bookkeeping.Window{Assignment: base, Moved: moved}
 		highest := func(d []string) (most, mean float64) {
 			carries := map[string]float64{}
 			for s, c := range d {
@@ -74,25 +74,25 @@
 			if step > 4*len(load.Slots) {
 				t.Fatal("it does not end")
 			}
-			next, moved := deal(cur, names, hearing, load)
+			next, moved := assign(cur, names, hearing, load)
 			changed := 0
 			for s := range next {
 				if !slices.Contains(hearing, next[s]) {
-					t.Fatalf("slot %d is dealt to %s, who does not hear", s, next[s])
+					t.Fatalf("slot %d is assigned to %s, who does not hear", s, next[s])
 				}
-				if next[s] != cur.Deal[s] {
+				if next[s] != cur.Assignment[s] {
 					changed++
 					if load.Doubted[next[s]] {
 						t.Fatalf("slot %d is moved to %s, who is doubted", s, next[s])
 					}
 				}
 			}
-			was, mean := highest(cur.Deal)
+			was, mean := highest(cur.Assignment)
 			now, _ := highest(next)
 			if changed > 1 || changed == 1 && (was <= max(Uneven*mean, mean+leastExcess) || now > was) {
 				t.Fatalf("%d slots are moved, %.0f to %.0f of a mean of %.0f", changed, was, now, mean)
 			}
-			cur = &bookkeeping.Window{Deal: next, Moved: moved}
+			cur = &bookkeeping.Window{Assignment: next, Moved: moved}
 			if changed == 0 {
 				break
 			}
@@ -101,7 +101,7 @@
 }
 
 // A slot that was moved for balance stays moved from window to window, goes home when its
-// holder is lost, and is dealt home by a leader of the version before.
+// holder is lost, and is assigned home by a leader of the version before.
 func TestMovedSlotsStay(t *testing.T) {
 	m := members(controllers...)
 	load := Load{Slots: []float64{90, 30, 30, 90, 30, 30}, MayMove: true}
@@ -112,21 +112,21 @@
 	}
 	w := next(nil, Load{}, m)
 	w = next(w, load, m)
-	if w == nil || len(w.Moved) != 1 || w.Deal[w.Moved[0]] == "c0" || w.Moved[0]%3 != 0 {
+	if w == nil || len(w.Moved) != 1 || w.Assignment[w.Moved[0]] == "c0" || w.Moved[0]%3 != 0 {
 		t.Fatalf("%+v", w)
 	}
-	to := w.Deal[w.Moved[0]]
-	if again := next(w, Load{Slots: load.Slots}, m); again == nil || !slices.Equal(again.Deal, w.Deal) || len(again.Moved) != 1 {
+	to := w.Assignment[w.Moved[0]]
+	if again := next(w, Load{Slots: load.Slots}, m); again == nil || !slices.Equal(again.Assignment, w.Assignment) || len(again.Moved) != 1 {
 		t.Errorf("%+v", again)
 	}
 	left := members(controllers...)
 	delete(left, to)
-	if lost := next(w, Load{Slots: load.Slots}, left); lost.Deal[w.Moved[0]] != "c0" || lost.Moved != nil {
+	if lost := next(w, Load{Slots: load.Slots}, left); lost.Assignment[w.Moved[0]] != "c0" || lost.Moved != nil {
 		t.Errorf("%+v", lost)
 	}
 	before := *w
 	before.Moved = nil
-	if home := next(&before, Load{Slots: load.Slots}, m); home == nil || home.Deal[w.Moved[0]] != "c0" {
+	if home := next(&before, Load{Slots: load.Slots}, m); home == nil || home.Assignment[w.Moved[0]] != "c0" {
 		t.Errorf("%+v", home)
 	}
 }
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -14,7 +14,7 @@
 // NextWindow works out the window to publish, nil if it is not time yet: offset
 // into the present one, or at once when controllers came or went. names are all
 // controllers in a fixed order, members those whose sessions live; a window stands
-// for every. Controllers that their workers can't reach get none dealt.
+// for every. Controllers that their workers can't reach get none assigned.
 func NextWindow(cur *bookkeeping.Window, members map[string]*bookkeeping.Member, names []string, load Load, now time.Time, every, offset time.Duration) *bookkeeping.Window {
 	var owners, hearing []string
 	for _, n := range names {
@@ -31,15 +31,15 @@
 	if len(hearing) == 0 {
 		hearing = owners
 	}
-	dealt, moved := deal(cur, names, hearing, load)
-	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Deal: dealt, Moved: moved, Divided: agreed(members, names, bookkeeping.GenerationBlocks, cur != nil && cur.Divided),
+	assigned, moved := assign(cur, names, hearing, load)
+	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: owners, Assignment: assigned, Moved: moved, Divided: agreed(members, names, bookkeeping.GenerationBlocks, cur != nil && cur.Divided),
 		Apart: agreed(members, names, bookkeeping.GenerationApart, cur != nil && cur.Apart)}
 	if cur == nil {
 		return w
 	}
 	w.Number = cur.Number + 1
 	start := time.UnixMilli(cur.StartMs)
-	if !cur.SameOwners(w) || !slices.Equal(cur.Deal, dealt) {
+	if !cur.SameOwners(w) || !slices.Equal(cur.Assignment, assigned) {
 		w.StartMs = max(now.Add(300*time.Millisecond).UnixMilli(), cur.StartMs)
 		return w
 	}
@@ -68,7 +68,7 @@
 	return known == len(names) || before
 }
 
-// SlotCount is into how many shares the workers are dealt: enough that those
+// SlotCount is into how many shares the workers are assigned: enough that those
 // of one lost controller spread over all others.
 func SlotCount(controllers int) int { return max(1, controllers*(controllers-1)) }
 
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -24,7 +24,7 @@
 		return NextWindow(cur, m, controllers, Load{}, now, every, offset)
 	}
 	first := next(nil, members("c0", "c1", "c2"), at)
-	if first == nil || first.Number != 1 || !slices.Equal(first.Owners, controllers) || len(first.Deal) != 6 {
+	if first == nil || first.Number != 1 || !slices.Equal(first.Owners, controllers) || len(first.Assignment) != 6 {
 		t.Fatalf("first window: %+v", first)
 	}
 	if w := next(first, members("c0", "c1", "c2"), at.Add(4*time.Second)); w != nil {
@@ -35,15 +35,15 @@
 		t.Errorf("published in the middle: %+v", w)
 	}
 	lost := next(first, members("c0", "c2"), at.Add(time.Second))
-	if lost == nil || !slices.Equal(lost.Owners, []string{"c0", "c2"}) || slices.Contains(lost.Deal, "c1") {
+	if lost == nil || !slices.Equal(lost.Owners, []string{"c0", "c2"}) || slices.Contains(lost.Assignment, "c1") {
 		t.Errorf("a lost controller must be replaced at once: %+v", lost)
 	}
-	if !slices.Contains(lost.Deal[1:2], "c0") && !slices.Contains(lost.Deal[4:5], "c0") || lost.Deal[1] == lost.Deal[4] {
-		t.Errorf("the workers of the lost controller go to one heir alone: %v", lost.Deal)
+	if !slices.Contains(lost.Assignment[1:2], "c0") && !slices.Contains(lost.Assignment[4:5], "c0") || lost.Assignment[1] == lost.Assignment[4] {
+		t.Errorf("the workers of the lost controller go to one heir alone: %v", lost.Assignment)
 	}
 	deaf := members("c0", "c1", "c2")
 	deaf["c1"].WorkersUnreachable = true
-	if w := next(first, deaf, at); w == nil || slices.Contains(w.Deal, "c1") || len(w.Owners) != 3 {
+	if w := next(first, deaf, at); w == nil || slices.Contains(w.Assignment, "c1") || len(w.Owners) != 3 {
 		t.Errorf("a deaf controller keeps its range but gets no workers: %+v", w)
 	}
 }
@@ -60,7 +60,7 @@
 		}
 		return m
 	}
-	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: controllers, Deal: nil}
+	w := &bookkeeping.Window{Number: 1, StartMs: now.UnixMilli(), Owners: controllers, Assignment: nil}
 	next := func(m map[string]*bookkeeping.Member) {
 		if n := NextWindow(w, m, controllers, Load{}, now, 10*time.Second, 5*time.Second); n != nil {
 			w = n
