--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -202,7 +202,7 @@
 // The admission check goes by blocks: whoever owns a job has no business with the blocks that
 // are another's, and a window that divides jobs anew voids what was asked under the one
 // before, though all ranges stay as they are.
-func TestSecondDoorKnowsBlocks(t *testing.T) {
+func TestAdmissionKnowsBlocks(t *testing.T) {
 	h := &Holder{actor: newActor(context.Background()), changed: make(chan struct{}), cfg: &config.Config{}, session: &Session{}, fences: map[string]protocol.Token{},
 		jobs: map[string]*bookkeeping.Job{}, byID: map[string]*worker{}, slots: map[int]*heldSlot{}}
 	s := &protocol.JobSpec{ID: "wk-1", Shape: protocol.Array, Tasks: 3 * bookkeeping.BlockTasks}
