--- a/internal/coordination/announce.go
+++ b/internal/coordination/announce.go
@@ -167,8 +167,8 @@
 	h.acknowledged = make(chan struct{})
 }
 
-// reviewAnnouncements repeats what was not acknowledged, and drops what nobody waits for any more.
-func (h *Holder) reviewAnnouncements(now time.Time) {
+// retryAnnouncements repeats what was not acknowledged, and drops what nobody waits for any more.
+func (h *Holder) retryAnnouncements(now time.Time) {
 	h.announcements.Forget(func(job string) bool {
 		return now.Sub(h.cancelled.KnownSince(job)) >= h.cfg.AnnounceFor()
 	})
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -202,7 +202,7 @@
 		h.obey(h.latest)
 	}
 	h.requestMoratorium(now)
-	h.reviewAnnouncements(now)
+	h.retryAnnouncements(now)
 	h.adopt()
 	h.release()
 	h.enroll()
@@ -216,7 +216,7 @@
 		}
 	}
 	for _, w := range h.byID {
-		h.reviewWorker(w, now, lease)
+		h.reconcileWorker(w, now, lease)
 	}
 	clear(h.changedJobs)
 }
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -144,12 +144,12 @@
 	// asked for.
 	keptFrom, keptAt time.Time
 
-	// stale: something changed since the last review; missing is how many tasks of
+	// stale: something changed since it was last reconciled; missing is how many tasks of
 	// settled blocks it found neither done nor begun nor asked for.
-	stale    bool
-	reviewed time.Time
-	recorded time.Time
-	missing  int
+	stale      bool
+	reconciled time.Time
+	recorded   time.Time
+	missing    int
 
 	// permits are those of its team's quotas that are not used yet, binds the
 	// account whose limit lets no more start, wantAt when to ask again.
@@ -261,8 +261,8 @@
 
 const (
 	planEvery = 100 * time.Millisecond
-	// reviewEvery is how often a job is looked at of which nothing new is known.
-	reviewEvery = time.Second
+	// reconcileEvery is how often a job is looked at of which nothing new is known.
+	reconcileEvery = time.Second
 )
 
 func (o *Owner) tick() {
@@ -314,9 +314,9 @@
 		if len(js.shares) == 0 || js.job.Waits > 0 && len(o.board.Tasks[js.job.Spec.ID]) == 0 {
 			continue // there may be thousands that wait for others
 		}
-		if js.stale || now.Sub(js.reviewed) >= reviewEvery {
-			js.stale, js.reviewed = false, now
-			if out := o.review(js, now, rq); len(out.Tasks) > 0 {
+		if js.stale || now.Sub(js.reconciled) >= reconcileEvery {
+			js.stale, js.reconciled = false, now
+			if out := o.reconcile(js, now, rq); len(out.Tasks) > 0 {
 				js.stale = out.Finishes()
 				if js.stale || now.Sub(js.recorded) >= resultsEvery {
 					outcomes = append(outcomes, out)
--- a/internal/coordination/ranges.go
+++ b/internal/coordination/ranges.go
@@ -39,7 +39,7 @@
 	block    int
 	from, to int // its tasks: from the first up to, not with, the second
 	*tenure
-	// left is how many of its tasks the last review found neither done nor begun nor asked
+	// left is how many of its tasks reconciling last found neither done nor begun nor asked
 	// for, and low a task before which all are done.
 	left, low int
 }
--- a/internal/coordination/review.go
+++ b/internal/coordination/reconcile.go
@@ -121,9 +121,9 @@
 	}()
 }
 
-// review looks at what is there of a job: results to record, exited attempts
+// reconcile looks at what is there of a job: results to record, exited attempts
 // to forget, tasks that must stop.
-func (o *Owner) review(js *jobState, now time.Time, rq requests) (out bookkeeping.Outcome) {
+func (o *Owner) reconcile(js *jobState, now time.Time, rq requests) (out bookkeeping.Outcome) {
 	j := js.job
 	out.Job = j
 	for _, sh := range js.shares {
@@ -149,7 +149,7 @@
 						o.learn(js, i, now)
 					}
 				} else if sh != nil {
-					o.reviewExit(js, index, i, now, rq)
+					o.handleExit(js, index, i, now, rq)
 				}
 				continue
 			}
@@ -214,8 +214,8 @@
 	}
 }
 
-// reviewExit has an attempt forgotten that ended otherwise than done, and says when to try again.
-func (o *Owner) reviewExit(js *jobState, index int, i *board.Instance, now time.Time, rq requests) {
+// handleExit has an attempt forgotten that ended otherwise than done, and says when to try again.
+func (o *Owner) handleExit(js *jobState, index int, i *board.Instance, now time.Time, rq requests) {
 	if now.Sub(i.Asked) < 2*time.Second {
 		return
 	}
--- a/internal/coordination/worker.go
+++ b/internal/coordination/worker.go
@@ -102,8 +102,8 @@
 	return min(h.cfg.ReportEvery()*8/3, h.cfg.WorkerLease()/2)
 }
 
-// reviewWorker finds out what time has changed about a worker, and has it do what is wanted.
-func (h *Holder) reviewWorker(w *worker, now time.Time, lease time.Duration) {
+// reconcileWorker finds out what time has changed about a worker, and has it do what is wanted.
+func (h *Holder) reconcileWorker(w *worker, now time.Time, lease time.Duration) {
 	if !w.lapsed && now.Sub(w.entitled()) > lease {
 		h.lapse(w)
 	}
@@ -116,11 +116,11 @@
 	if !w.doubted.IsZero() {
 		h.judge(w)
 	}
-	h.reviewResponsiveness(w, now)
+	h.noteResponsiveness(w, now)
 	if w.settled && len(h.changedJobs) == 0 {
 		return
 	}
-	h.reviewEntries(w, now)
+	h.reconcileEntries(w, now)
 	if !w.settled {
 		h.sendCommands(w)
 	}
@@ -136,8 +136,8 @@
 	slog.Info("lease lapsed", "machine", w.id)
 }
 
-// reviewResponsiveness finds out whether a worker is silent, or answers directly while its reports don't come.
-func (h *Holder) reviewResponsiveness(w *worker, now time.Time) {
+// noteResponsiveness finds out whether a worker is silent, or answers directly while its reports don't come.
+func (h *Holder) noteResponsiveness(w *worker, now time.Time) {
 	// While this controller answers nobody, nobody is silent: after an outage of the
 	// state service, a small fleet's machines were given back as lost, with their results.
 	answers := min(now.Sub(w.slot.adopted), now.Sub(h.invalid))
@@ -153,9 +153,9 @@
 	}
 }
 
-// reviewEntries drops reservations and kept places whose time is over, and has commands repeated
+// reconcileEntries drops reservations and kept places whose time is over, and has commands repeated
 // for jobs that changed.
-func (h *Holder) reviewEntries(w *worker, now time.Time) {
+func (h *Holder) reconcileEntries(w *worker, now time.Time) {
 	for name, e := range w.entries {
 		if h.changedJobs[e.job] {
 			e.sent, w.settled = time.Time{}, false // what was sent may no longer be what is wanted
