--- a/internal/coordination/acks_test.go
+++ b/internal/coordination/acks_test.go
@@ -36,6 +36,20 @@
 
 func noWorker(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
 
+// serveWorker has a machine take direct commands, which a holder reaches by dial, until end.
+func serveWorker(do http.HandlerFunc) (ctx context.Context, dial transport.Dialer, end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	pipes := emulator.NewPipes(ctx)
+	l, _ := pipes.Listen("worker-x")
+	srv := &http.Server{Handler: do}
+	go srv.Serve(l)
+	return ctx, pipes.Dialer("c0"), func() {
+		srv.Close()
+		cancel()
+		time.Sleep(time.Minute)
+	}
+}
+
 // told has the holder do what it was told, and look around; it follows the records meanwhile.
 func (h *Holder) told() {
 	h.synced(time.Now())
@@ -416,19 +430,11 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(struct{ testing.TB }{t}, func(rt *rapid.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			pipes := emulator.NewPipes(ctx)
 			m := &modelWorker{session: 1, token: protocol.NewToken(1, 5), renewed: time.Now(), running: true, calls: make(chan func(), 16)}
-			l, _ := pipes.Listen("worker-x")
-			srv := &http.Server{Handler: http.HandlerFunc(m.do)}
-			go srv.Serve(l)
-			defer func() {
-				srv.Close()
-				cancel()
-				time.Sleep(time.Minute)
-			}()
+			ctx, dial, end := serveWorker(m.do)
+			defer end()
 			term := uint64(2)
-			h, s := holderOf(ctx, c, pipes.Dialer("c0"), term, "host-000004")
+			h, s := holderOf(ctx, c, dial, term, "host-000004")
 			h.jobs["wk-1"] = &bookkeeping.Job{Spec: &protocol.JobSpec{ID: "wk-1", Tasks: 1}}
 			live := func(d time.Duration) {
 				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
@@ -458,7 +464,7 @@
 				"another holds": func(rt *rapid.T) {
 					jobs := h.jobs
 					term++
-					h, s = holderOf(ctx, c, pipes.Dialer("c0"), term, "host-000004")
+					h, s = holderOf(ctx, c, dial, term, "host-000004")
 					h.jobs = jobs
 				},
 				"it begins anew": func(rt *rapid.T) {
--- a/internal/coordination/cancelled_test.go
+++ b/internal/coordination/cancelled_test.go
@@ -14,7 +14,6 @@
 
 	"daledyke/internal/bookkeeping"
 	"daledyke/internal/config"
-	"daledyke/internal/emulator"
 	"daledyke/internal/membership"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
@@ -272,18 +271,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		admitted, longest := 0, time.Duration(0)
 		rapid.Check(struct{ testing.TB }{t}, func(rt *rapid.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			pipes := emulator.NewPipes(ctx)
 			m := newTroubledWorker()
-			l, _ := pipes.Listen("worker-x")
-			srv := &http.Server{Handler: http.HandlerFunc(m.do)}
-			go srv.Serve(l)
-			defer func() {
-				srv.Close()
-				cancel()
-				time.Sleep(time.Minute)
-			}()
-			w := &cancelWorld{ctx: ctx, c: c, dial: pipes.Dialer("c0"), m: m, term: 1, jobs: []string{"wk-1", "wk-2", "wk-3"}, told: map[string]time.Time{}}
+			ctx, dial, end := serveWorker(m.do)
+			defer end()
+			w := &cancelWorld{ctx: ctx, c: c, dial: dial, m: m, term: 1, jobs: []string{"wk-1", "wk-2", "wk-3"}, told: map[string]time.Time{}}
 			w.take()
 			attempt := uint64(0)
 			live := func(d time.Duration) {
