--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -212,7 +212,8 @@
 		case e.exited() && e.reap:
 			commands = append(commands, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
 		case !e.exited() && e.stop && !h.over(e.job) && (e.state != protocol.TaskFlushing || e.grace == 0):
-			commands = append(commands, protocol.Command{Verb: protocol.VerbStop, Task: e.task, Attempt: e.attempt, GraceS: &e.grace})
+			grace := e.grace // the answer is written while the entry may change
+			commands = append(commands, protocol.Command{Verb: protocol.VerbStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
 		}
 	}
 	if len(starts) == 0 || w.busy && w.startsSent {
--- a/internal/coordination/commands_test.go
+++ b/internal/coordination/commands_test.go
@@ -137,5 +137,12 @@
 		if stops, forgets := carried(body, protocol.VerbStop), carried(body, protocol.VerbForget); len(stops) != 1 || stops[0] != "wk-1/0" || len(forgets) != 1 || forgets[0] != "wk-1/1" {
 			t.Errorf("stops %v, forgets %v", stops, forgets)
 		}
+		// An answer is written by another goroutine: it has nothing in common with what the holder keeps.
+		w.entries["wk-1/0"].grace = 7
+		for _, c := range body.(protocol.ReportAnswer).Commands {
+			if c.Verb == protocol.VerbStop && *c.GraceS != 0 {
+				t.Errorf("the answer changes with the entry: %+v", c)
+			}
+		}
 	})
 }
