One way to write a command that stops a task

Three places built it, each with a pointer to a number of its own; where one pointed at the holder's entry an answer was written while the entry changed.

--- a/internal/coordination/actor.go
+++ b/internal/coordination/actor.go
@@ -1,7 +1,7 @@
 // Package coordination decides what runs where. Its parts are actors: session
 // (a controller's standing), holder (the workers assigned to this controller),
 // owner (the jobs in this controller's range of the ring) and leader (windows,
-// deals, renting). Each owns its state; they talk through their inboxes.
+// assignments of slots, renting). Each owns its state; they talk through their inboxes.
 package coordination
 
 import (
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -39,6 +39,12 @@
 	return r
 }
 
+// stopCommand stops a task, which has so many seconds to save. It shares nothing with what the
+// holder keeps: commands are written by other goroutines.
+func stopCommand(task string, attempt uint64, graceS float64) protocol.Command {
+	return protocol.Command{Verb: protocol.VerbStop, Task: task, Attempt: attempt, GraceS: &graceS}
+}
+
 // desiredCommands works out which commands lead from what is on a machine to what should be. A holder
 // that may not act as usual stops what nobody is to run any more, and no more: whoever is
 // entitled to a machine may, since such commands are fenced by the slot's term as all are, and
@@ -63,7 +69,7 @@
 			}
 			if now.Sub(e.sent) > 3*time.Second && (e.state != protocol.TaskFlushing || grace == 0 || over) {
 				e.sent = now
-				out = append(out, protocol.Command{Verb: protocol.VerbStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
+				out = append(out, stopCommand(e.task, e.attempt, grace))
 			}
 		}
 	}
@@ -106,11 +112,10 @@
 // may be repeated and come late, as any that stop; starts that are under way of such tasks
 // are fenced by a higher token.
 func (h *Holder) stopsCancelled(w *worker, rep *protocol.Report) (stops []protocol.Command, known bool) {
-	now := 0.0
 	stops = []protocol.Command{}
 	stop := func(task string, attempt uint64) {
 		if !slices.ContainsFunc(stops, func(c protocol.Command) bool { return c.Task == task && c.Attempt == attempt }) {
-			stops = append(stops, protocol.Command{Verb: protocol.VerbStop, Task: task, Attempt: attempt, GraceS: &now})
+			stops = append(stops, stopCommand(task, attempt, 0))
 		}
 	}
 	for _, t := range rep.Tasks {
@@ -212,8 +217,7 @@
 		case e.exited() && e.reap:
 			commands = append(commands, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
 		case !e.exited() && e.stop && !h.over(e.job) && (e.state != protocol.TaskFlushing || e.grace == 0):
-			grace := e.grace // the answer is written while the entry may change
-			commands = append(commands, protocol.Command{Verb: protocol.VerbStop, Task: e.task, Attempt: e.attempt, GraceS: &grace})
+			commands = append(commands, stopCommand(e.task, e.attempt, e.grace))
 		}
 	}
 	if len(starts) == 0 || w.busy && w.startsSent {
