A task that a held-up command may still start is not started elsewhere; stale holders are not believed

Cause: a direct command to start that is held up on its way was taken for void once its machine had shown a higher token (or a later session, or its lease had lapsed). A machine that begins anew under its name remembers neither: it accepts the command, while the task was started elsewhere.

Change: the task stays where the command may start it for a lease from when it was sent, and goes on being started there by answers; what looks as if it began anew is told a token at once.

Read beside it, each with a test that a mistake put in turns red: - news of a holder that is not entitled to its slots any more are not believed (News.Entitled), and only the newest holder's view of a slot settles what former owners started; - a slot whose record is of a later term is not acted for, nor slots that were taken for a session that ended before the answer came; - a request is for one term of a slot (Start.Term); - a machine that was dropped and came back in the same news is not gone.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -103,6 +103,10 @@
 	if r.Full {
 		inReply = make(map[string]bool, len(r.Machines))
 	}
+	// A machine that was dropped may have come back since: then it is shown, too.
+	for _, id := range r.Gone {
+		b.Remove(id, touched)
+	}
 	for _, v := range r.Machines {
 		s := b.Slots[v.Slot]
 		if s == nil || v.Term < s.Term {
@@ -113,9 +117,6 @@
 		}
 		b.put(holder, v, now, touched)
 	}
-	for _, id := range r.Gone {
-		b.Remove(id, touched)
-	}
 	for _, sv := range r.Slots {
 		s := b.Slots[sv.Slot]
 		if !sv.Complete || sv.Term != s.Term || !r.Full && !s.stale {
@@ -209,6 +210,13 @@
 	delete(b.Slots[m.Slot].Machines, id)
 }
 
+// Shows tells whether the board shows a slot as a view of it does: not if a newer holder's view came
+// before.
+func (b *Board) Shows(v *SlotView) bool {
+	s := b.Slots[v.Slot]
+	return s != nil && s.Term == v.Term
+}
+
 // AllComplete tells whether every slot is fully known from holders that obey
 // at least this window.
 func (b *Board) AllComplete(slots int, window uint64) bool {
--- a/internal/board/news.go
+++ b/internal/board/news.go
@@ -95,6 +95,9 @@
 	Window uint64
 	// Valid: the holder's session surely lives.
 	Valid bool
+	// Entitled: nobody else can hold its slots, since its session lives or all siblings granted it a
+	// moratorium. A version before it doesn't say so, and means Valid.
+	Entitled bool
 	// ServedMs is how long ago the state service last did what the holder's controller asked,
 	// in milliseconds, 0 if that is not known; a version before it never says.
 	ServedMs int64
--- a/internal/coordination/acks.go
+++ b/internal/coordination/acks.go
@@ -88,12 +88,20 @@
 	return at
 }
 
-// probeGap is how often a machine is asked at most for no other reason than its messages.
-const probeGap = 5 * time.Second
+// probeGap is how often a machine is asked at most for no other reason than its messages, and
+// restartProbeGap how often if one looks as if the machine began anew: until it is told a token,
+// it takes whatever was sent to it before.
+const (
+	probeGap        = 5 * time.Second
+	restartProbeGap = time.Second
+)
 
 // probeWorker asks a machine directly: what it answers is newer than all that came before.
-func (h *Holder) probeWorker(w *worker) {
-	if time.Since(w.probedAt) >= probeGap {
+func (h *Holder) probeWorker(w *worker) { h.probeWithin(w, probeGap) }
+
+// probeWithin asks a machine directly, unless it was asked less than the gap ago.
+func (h *Holder) probeWithin(w *worker, gap time.Duration) {
+	if time.Since(w.probedAt) >= gap {
 		w.probeDue = true
 		h.sendCommands(w)
 	}
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daledyke/internal/board"
+	"daledyke/internal/config"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
@@ -164,13 +165,7 @@
 	}
 	w.seq++
 	orders := protocol.Orders{Token: protocol.NewToken(w.slot.term, w.seq), Session: w.session, Commands: cmds}
-	w.startsSent = false
-	for _, c := range cmds {
-		if c.Verb == protocol.VerbStart {
-			w.entries[c.Task].token = orders.Token
-			w.startsSent = true
-		}
-	}
+	w.noteStarts(orders, now.Add(h.commandLifetime()))
 	w.busy, w.askedAfter, w.probeDue, w.probedAt = true, w.ticket, false, now
 	h.touch(w)
 	addr := w.addr
@@ -180,6 +175,33 @@
 	}()
 }
 
+// commandLifetime is how long after it was sent a direct command that was not answered is taken to be
+// under way. The protocol gives no bound; this is one for machines that begin anew, without which
+// the machine's token and session are proof enough.
+func (h *Holder) commandLifetime() time.Duration { return config.Surely(h.cfg.WorkerLease()) }
+
+// noteStarts takes in that a direct command is sent, which is taken to be under way until a time unless
+// it is answered.
+func (w *worker) noteStarts(o protocol.Orders, until time.Time) {
+	w.startsSent = false
+	for _, c := range o.Commands {
+		if c.Verb == protocol.VerbStart {
+			w.entries[c.Task].token = o.Token
+			w.openStarts[c.Task] = openStart{c.Attempt, until}
+			w.startsSent = true
+		}
+	}
+}
+
+// closeStarts takes in that the outcome of a direct command is known.
+func (w *worker) closeStarts(o protocol.Orders) {
+	for _, c := range o.Commands {
+		if c.Verb == protocol.VerbStart && w.openStarts[c.Task].attempt == c.Attempt {
+			delete(w.openStarts, c.Task)
+		}
+	}
+}
+
 // startingBy are the tasks that an order starts, as far as nothing else is known of them.
 func (w *worker) startingBy(o protocol.Orders) (starting []*entry) {
 	for _, c := range o.Commands {
@@ -247,6 +269,9 @@
 	if h.byID[w.id] != w || h.slots[w.slot.slot] != w.slot {
 		return
 	}
+	if err == nil || errors.Is(err, transport.ErrRefused) {
+		w.closeStarts(o)
+	}
 	if errors.Is(err, transport.ErrRefused) {
 		// Nothing was sent, which says nothing of the machine: what was to be started waits on.
 		for _, e := range w.startingBy(o) {
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -35,22 +35,37 @@
 			pause(o.ctx, 300*time.Millisecond)
 			continue
 		}
-		inc, since = r.Incarnation, r.Version
 		if name != o.cfg.Name && (r.Stray.Machine != "" || !r.TellsStrays) {
 			o.misrouted(r.Stray, r.TellsStrays, time.Now())
 		}
-		o.ask(o.ctx, func() { o.feed(name, &a, &r, sent) })
+		taken := false
+		o.ask(o.ctx, func() { taken = o.feed(name, &a, &r, sent) })
+		if !taken {
+			pause(o.ctx, notEntitledPause)
+			continue
+		}
+		inc, since = r.Incarnation, r.Version
 		pause(o.ctx, 20*time.Millisecond)
 	}
 }
 
-// feed takes in a holder's reply to a request that was sent at the time.
-func (o *Owner) feed(name string, a *FeedArgs, r *board.News, sent time.Time) {
+// notEntitledPause is how long a holder that is not entitled to its slots is left alone: there are
+// always news of it, since none of them are taken in.
+const notEntitledPause = 300 * time.Millisecond
+
+// feed takes in a holder's reply to a request that was sent at the time. It reports whether it did: what
+// a holder says that is not entitled to its slots any more may be long untrue, since others may hold
+// them and have started tasks there. (It goes on saying so until it hears that its session ended.)
+func (o *Owner) feed(name string, a *FeedArgs, r *board.News, sent time.Time) (taken bool) {
 	p := o.peers[name]
-	p.incarnation, p.version, p.valid, p.heard, p.fed = r.Incarnation, r.Version, r.Valid, time.Now(), a.Fence.Term()
+	p.valid, p.heard = r.Valid, time.Now()
 	if r.ServedMs > 0 {
 		p.served = p.heard.Add(-time.Duration(r.ServedMs) * time.Millisecond)
 	}
+	if !r.Valid && !r.Entitled {
+		return false
+	}
+	p.incarnation, p.version, p.fed = r.Incarnation, r.Version, a.Fence.Term()
 	if w := o.window(); o.latest != nil && r.Window == o.latest.Number && w != nil && w.Number < r.Window {
 		o.obey(o.latest) // the holder obeys it already and refuses older ones
 	}
@@ -87,6 +102,7 @@
 			o.settles(js, a, r)
 		}
 	}
+	return true
 }
 
 // touched notes of which jobs the board shows something new.
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -49,6 +49,8 @@
 	// before that is not known here.
 	follows  time.Time
 	adopting bool
+	// sessionsLost counts the sessions that ended.
+	sessionsLost int
 	// releasing are slots given up whose records don't say so yet.
 	releasing    map[int]*heldSlot
 	writingSlots bool
--- a/internal/coordination/messages.go
+++ b/internal/coordination/messages.go
@@ -25,6 +25,9 @@
 	Task    string
 	Attempt uint64
 	Machine string
+	// Term is that of the machine's slot under which the owner saw the machine: under another one the
+	// request is void. A version before it does not say.
+	Term uint64
 	// Evict names tasks on the machine that are to make room.
 	Evict []string
 	// Reserve only keeps the room for a short time. Ahead: also room that is still in use, so
--- a/internal/coordination/records.go
+++ b/internal/coordination/records.go
@@ -36,7 +36,7 @@
 }
 
 func (k *Controller) SlotChanged(slot int, s *bookkeeping.Slot) {
-	k.holder.tell(func() { k.holder.records[slot] = s })
+	k.holder.tell(func() { k.holder.slotChanged(slot, s) })
 	k.owner.tell(func() { k.owner.rosters[slot] = s.Roster })
 }
 
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -42,6 +42,9 @@
 		// An old message that was held up on its way, or a copy: it must not count as an
 		// answer, nor as news. Nor is it used if the worker began anew and counts from the
 		// beginning: that shows once it is asked, or in its next session.
+		if rep.Token == 0 && w.shown > 0 {
+			h.probeWithin(w, restartProbeGap)
+		}
 		return http.StatusServiceUnavailable, nil
 	}
 	if was == rep.Session {
@@ -84,7 +87,7 @@
 func (h *Holder) workerOf(machine string, s *heldSlot) *worker {
 	w := h.byID[machine]
 	if w == nil {
-		w = &worker{id: machine, slot: s, seq: s.issued + 1, firstHeard: time.Now(), entries: map[string]*entry{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
+		w = &worker{id: machine, slot: s, seq: s.issued + 1, firstHeard: time.Now(), entries: map[string]*entry{}, openStarts: map[string]openStart{}, errorsBy: map[string]bool{}, ready: map[string]bool{}}
 		h.byID[machine] = w
 	}
 	return w
@@ -156,9 +159,10 @@
 
 // forgetTasks drops all that was on a machine: it is surely gone.
 func (h *Holder) forgetTasks(w *worker) {
-	for name, e := range w.entries {
+	now := time.Now()
+	for _, e := range w.entries {
 		if e.state != board.TaskReserved && e.state != board.TaskQueued {
-			delete(w.entries, name)
+			w.dropEntry(e, now, !h.over(e.job))
 		}
 	}
 }
@@ -172,6 +176,7 @@
 		h.complete()
 		news = true
 	}
+	now := time.Now()
 	listed := make(map[string]bool, len(rep.Tasks))
 	for _, t := range rep.Tasks {
 		listed[t.Task] = true
@@ -192,7 +197,7 @@
 		if t.Cause == protocol.CauseIncomplete && e.state != "" && !e.exited() {
 			// Its owner says what becomes of its place. (Once others had it at once; it started
 			// elsewhere, fetched its image there, and the rest of the gang waited in vain in turn.)
-			e.until = time.Now().Add(askedFor)
+			e.until = now.Add(askedFor)
 		}
 		e.state, e.cause, e.saved, e.token = t.State, t.Cause, t.Saved, 0
 		if e.state == protocol.TaskRunning && !e.proven && !e.ran.IsZero() && time.Since(e.ran) >= placement.ProvenAfter {
@@ -205,11 +210,11 @@
 		case listed[name] || e.state == board.TaskQueued || e.state == board.TaskReserved:
 		case e.state == board.TaskStarting && rep.Token <= e.token:
 			// The start may still be on its way (invariant 3).
+		case !w.dropEntry(e, now, !h.over(e.job)):
 		default:
 			news = true
-			delete(w.entries, name)
 			if e.exited() && e.keep && !h.over(e.job) && h.startable(w) {
-				w.entries[name] = &entry{task: name, job: e.job, index: e.index, attempt: e.attempt, state: board.TaskReserved, until: time.Now().Add(reservedFor)}
+				w.entries[name] = &entry{task: name, job: e.job, index: e.index, attempt: e.attempt, state: board.TaskReserved, until: now.Add(reservedFor)}
 			}
 		}
 	}
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -55,7 +55,7 @@
 	slog.Debug("placing", "job", js.job.Spec.ID, "index", index, "class", js.job.Spec.Class, "machine", m.ID, "evict", len(c.Evict),
 		"cached", slices.Contains(m.Images, js.job.Spec.Image), "waited", time.Since(js.job.Ready))
 	a := o.to(rq, m)
-	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Evict: c.Evict, Reserve: reserve,
+	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Term: m.Term, Evict: c.Evict, Reserve: reserve,
 		Permit: js.used(index).Permit})
 	ps := &pendingStart{attempt: attempt, machine: m.ID, holder: m.Holder, inc: o.peers[m.Holder].incarnation, slot: m.Slot, term: m.Term,
 		need: js.job.Spec.Need()}
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -74,6 +74,9 @@
 	if !ok || w == nil || h.slots[w.slot.slot] != w.slot {
 		return "not held here"
 	}
+	if st.Term != 0 && st.Term != w.slot.term {
+		return "asked for under another term"
+	}
 	j := h.jobs[jobID]
 	if refusal := h.refusesJob(a.Caller, j, index, now); refusal != "" {
 		return refusal
@@ -266,7 +269,7 @@
 
 // summary is the reply to a feed request as things stand.
 func (h *Holder) summary(a FeedArgs) board.News {
-	r := board.News{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid()}
+	r := board.News{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid(), Entitled: h.entitled()}
 	if h.served != nil {
 		r.ServedMs = max(1, time.Since(h.served()).Milliseconds())
 	}
--- a/internal/coordination/slots.go
+++ b/internal/coordination/slots.go
@@ -18,12 +18,34 @@
 // others may have taken them.
 func (h *Holder) reset() {
 	h.moratoriumUntil = time.Time{}
+	h.sessionsLost++
 	h.slots = map[int]*heldSlot{}
 	h.byID = map[string]*worker{}
 	h.gone = nil
 	h.bump()
 }
 
+// slotChanged takes in a slot's record. One of a higher term than this holder's says that somebody took
+// the slot since: this holder stops acting for it at once.
+func (h *Holder) slotChanged(slot int, record *bookkeeping.Slot) {
+	h.records[slot] = record
+	if s := h.slots[slot]; s != nil && record.Term > s.term {
+		slog.Info("a slot was taken by another", "slot", slot, "holder", record.Holder, "term", record.Term, "was", s.term)
+		h.forgetSlot(s)
+	}
+}
+
+// forgetSlot stops acting for a slot.
+func (h *Holder) forgetSlot(s *heldSlot) {
+	delete(h.slots, s.slot)
+	for id, w := range h.byID {
+		if w.slot == s {
+			delete(h.byID, id)
+		}
+	}
+	h.bump()
+}
+
 func (h *Holder) wants(slot int) bool {
 	return h.latest != nil && slot < len(h.latest.Assignment) && h.latest.Assignment[slot] == h.cfg.Name
 }
@@ -37,7 +59,7 @@
 	if h.adopting || !h.session.Valid() || h.latest == nil {
 		return
 	}
-	incarnation := h.session.Term()
+	incarnation, sessionsLost := h.session.Term(), h.sessionsLost
 	claims := h.claims(incarnation)
 	if len(claims) == 0 {
 		return
@@ -52,15 +74,20 @@
 			h.tell(func() { h.adopting = false })
 			return
 		}
-		h.tell(func() {
-			h.adopting = false
-			if h.session.Term() == incarnation {
-				h.adopted(claims, term)
-			}
-		})
+		h.tell(func() { h.claimed(claims, term, sessionsLost) })
 	}()
 }
 
+// claimed takes in that slots were taken, after so many sessions had been lost. The session that they
+// were taken for may have ended since, also where the next one has not begun: others may take them
+// then, and this holder would act for them beside those.
+func (h *Holder) claimed(claims []bookkeeping.Claim, term uint64, sessionsLost int) {
+	h.adopting = false
+	if h.sessionsLost == sessionsLost {
+		h.adopted(claims, term)
+	}
+}
+
 // claims are the slots to take now, as many as one transaction takes.
 func (h *Holder) claims(incarnation uint64) (claims []bookkeeping.Claim) {
 	for slot := range h.latest.Assignment {
@@ -205,13 +232,7 @@
 			continue
 		}
 		// Stop acting first, then say so.
-		delete(h.slots, slot)
-		for id, w := range h.byID {
-			if w.slot == s {
-				delete(h.byID, id)
-			}
-		}
-		h.bump()
+		h.forgetSlot(s)
 		h.releasing[slot] = s
 	}
 	h.releaseUnheard()
--- /dev/null
+++ b/internal/coordination/two_places_test.go
@@ -0,0 +1,226 @@
+package coordination
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"daledyke/internal/board"
+	"daledyke/internal/bookkeeping"
+	"daledyke/internal/config"
+	"daledyke/internal/protocol"
+)
+
+// The ways in which a task could run in two places at once (docs/incidents/ran-twice.md), each
+// on a state written down by hand.
+
+// rebooted is the first report of the tests' machine after it began anew.
+func rebooted() *protocol.Report { return report(1, 1, 0) }
+
+// A direct command to start is held up on its way. Its machine shows a higher token meanwhile, so
+// that it would refuse the command; then it reboots, and would not. The task stays where the command
+// may start it for as long as the command may be under way, whatever shows that it is not there.
+func TestAStartThatMayStillArriveKeepsItsTask(t *testing.T) {
+	for name, happens := range map[string]func(h *Holder, w *worker, lease time.Duration){
+		"a higher token is shown": func(h *Holder, w *worker, _ time.Duration) {
+			w.entries["wk-1/0"].until = time.Now() // no answer starts it
+			_, body := h.Report(report(1, 6, protocol.NewToken(7, 1)))
+			h.Report(report(1, 7, body.(protocol.ReportAnswer).Token))
+		},
+		"a later session begins": func(h *Holder, w *worker, _ time.Duration) {
+			h.Report(report(2, 7, protocol.NewToken(7, w.seq)))
+		},
+		"the lease lapses": func(h *Holder, w *worker, lease time.Duration) {
+			w.lastAnswer, w.answered = time.Now().Add(-lease-time.Second), time.Time{}
+			w.slot.adopted = w.lastAnswer
+			h.told()
+			if !w.lapsed {
+				t.Error("the lease has not lapsed")
+			}
+		},
+		"it ran and is gone": func(h *Holder, w *worker, _ time.Duration) {
+			w.entries["wk-1/0"].state = protocol.TaskRunning
+			w.seq++
+			h.Report(report(1, 7, protocol.NewToken(7, w.seq)))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withStart(t, func(t *testing.T, h *Holder, w *worker, _ protocol.Orders) {
+				lease := config.Surely(h.cfg.WorkerLease())
+				time.Sleep(time.Second)
+				happens(h, w, lease)
+				if e := w.entries["wk-1/0"]; e == nil || e.state != board.TaskStarting {
+					t.Fatalf("it counts as not being there: %+v", e)
+				}
+				time.Sleep(lease)
+				shown := protocol.NewToken(7, w.seq)
+				for ticket := range uint64(4) {
+					if !w.lapsed { // it is heard again, and shows what it was answered with
+						_, body := h.Report(report(w.session, 20+ticket, shown))
+						answer, _ := body.(protocol.ReportAnswer)
+						shown = max(shown, answer.Token)
+					}
+					h.told()
+				}
+				if e := w.entries["wk-1/0"]; e != nil {
+					t.Errorf("it is there for ever: %+v", e)
+				}
+			})
+		})
+	}
+}
+
+// What was answered is not under way any more, and keeps nothing.
+func TestAnAnsweredStartKeepsNothing(t *testing.T) {
+	withStart(t, func(t *testing.T, h *Holder, w *worker, sent protocol.Orders) {
+		h.commandAnswered(w, sent, report(1, 6, sent.Token), false, nil)
+		if e := w.entries["wk-1/0"]; e != nil || len(w.openStarts) != 0 {
+			t.Errorf("refused for good: %+v, open %v", e, w.openStarts)
+		}
+	})
+}
+
+// A machine that looks as if it began anew is told a token at once: until then it would carry out
+// whatever was sent to it before.
+func TestAMachineThatBeginsAnewIsToldATokenAtOnce(t *testing.T) {
+	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
+		h.Report(report(1, 50, protocol.NewToken(7, 1)))
+		h.told()
+		w := h.byID["host-000004"]
+		w.busy, w.holdOff = false, time.Time{}
+		time.Sleep(2 * time.Second)
+		asked := w.seq
+		if status, _ := h.Report(rebooted()); status != http.StatusServiceUnavailable || w.seq == asked || !w.busy {
+			t.Errorf("answered %d, asked %v", status, w.busy)
+		}
+		w.busy = false
+		if h.Report(report(1, 40, protocol.NewToken(7, 1))); w.busy {
+			t.Error("a copy of an old report has it asked at once, too")
+		}
+	})
+}
+
+// ownerOf is an owner of all jobs, with one slot, that waits for what others have started of wk-1.
+func ownerOf(t *testing.T) (*Owner, *jobState) {
+	o := &Owner{actor: newActor(context.Background()), cfg: &config.Config{}, board: board.New(), slots: 1, session: &Session{base: time.Now()},
+		peers: map[string]*peerState{"c1": {}, "c2": {}}, unclear: map[string]*jobState{}, active: map[string]*jobState{}, jobs: map[string]*jobState{}, unmetNeeds: map[kind]unmetNeed{}}
+	o.session.term.Store(1)
+	js := &jobState{job: pendingJob("wk-1"), pending: map[int]*pendingStart{}, known: time.Now().Add(-time.Minute)}
+	js.shares = []*share{{to: 1, tenure: &tenure{gain: 4, seen: map[int]bool{}}}}
+	o.unclear["wk-1"], o.active["wk-1"], o.jobs["wk-1"] = js, js, js
+	return o, js
+}
+
+// newsOf are news of a holder that has the slot under a term, and of a machine with these tasks.
+func newsOf(term uint64, complete bool, tasks ...board.TaskView) *board.News {
+	return &board.News{Incarnation: term, Version: term, Window: 4, Valid: true,
+		Slots:    []board.SlotView{{Slot: 0, Term: term, Complete: complete}},
+		Machines: []board.MachineView{{ID: "host-000004", Slot: 0, Term: term, Tasks: tasks}}}
+}
+
+var seenRunning = board.TaskView{Task: "wk-1/0", Attempt: 3, State: protocol.TaskRunning}
+
+// A holder that was stopped, or cut off from the state service, has lost its slot to another and goes
+// on telling that it knows all of it. Who has just become a job's owner does not take that for
+// knowing what runs there: only the slot's newest holder can say so.
+func TestOnlyTheNewestHolderKnowsASlot(t *testing.T) {
+	o, js := ownerOf(t)
+	asked := &FeedArgs{Fence: protocol.NewToken(1, 0), Window: 4}
+	o.feed("c2", asked, newsOf(9, false), time.Now())
+	o.feed("c1", asked, newsOf(5, true), time.Now())
+	if js.shares[0].settled {
+		t.Fatal("settled by a former holder's news")
+	}
+	o.feed("c2", asked, newsOf(9, true, seenRunning), time.Now())
+	if !js.shares[0].settled || o.board.Tasks["wk-1"][0] == nil {
+		t.Errorf("not settled by the newest holder's, or its task is unknown: %+v", o.board.Tasks)
+	}
+}
+
+// What a holder says that is not entitled to its slots is not believed: it took the lease of a machine
+// for lapsed which the slot's next holder, of whom nothing was heard yet, has answered since.
+func TestNewsOfAHolderThatIsNotEntitledAreNotBelieved(t *testing.T) {
+	o, js := ownerOf(t)
+	asked := &FeedArgs{Fence: protocol.NewToken(1, 0), Window: 4}
+	if !o.feed("c1", asked, newsOf(5, false, seenRunning), time.Now()) {
+		t.Fatal("news of an entitled holder are not taken")
+	}
+	stale := newsOf(5, true)
+	stale.Valid, stale.Full = false, true
+	if o.feed("c1", asked, stale, time.Now()) || js.shares[0].settled || o.board.Tasks["wk-1"][0] == nil {
+		t.Errorf("believed: settled %v, tasks %v", js.shares[0].settled, o.board.Tasks)
+	}
+	stale.Entitled = true // all siblings granted it a moratorium
+	if !o.feed("c1", asked, stale, time.Now()) || !js.shares[0].settled || o.board.Tasks["wk-1"] != nil {
+		t.Errorf("not believed: settled %v, tasks %v", js.shares[0].settled, o.board.Tasks)
+	}
+}
+
+// A machine that nobody had registered went silent and was dropped; it came back, and has tasks. Who
+// hears of both at once keeps it.
+func TestAMachineThatCameBackIsNotGone(t *testing.T) {
+	b := board.New()
+	r := newsOf(5, true, seenRunning)
+	r.Gone = []string{"host-000004"}
+	b.Apply("c1", r, time.Now(), time.Now())
+	if b.Machines["host-000004"] == nil || b.Tasks["wk-1"][0] == nil {
+		t.Error("it is gone, with what runs there")
+	}
+}
+
+// A request that was made under one term of a slot is void under the next: its owner may have found
+// out from the news of that what became of it, and have started the task elsewhere.
+func TestARequestIsForOneTermOfASlot(t *testing.T) {
+	withStart(t, func(t *testing.T, h *Holder, w *worker, _ protocol.Orders) {
+		h.jobs["wk-2"] = pendingJob("wk-2")
+		h.window = &bookkeeping.Window{Number: 4, Owners: []string{"c0"}}
+		h.types = map[string]protocol.MachineType{"small": {Name: "small", Cores: 8, Accels: 2, RAM: 64}}
+		w.ack = ackState{}
+		ask := func(term uint64) string {
+			return h.start(&AskArgs{Caller: "c0", Window: 4}, Start{Task: "wk-2/0", Attempt: 9, Machine: w.id, Term: term}, time.Now())
+		}
+		if why := ask(6); why == "" || w.entries["wk-2/0"] != nil {
+			t.Error("taken on under a later term")
+		}
+		if why := ask(7); why != "" {
+			t.Errorf("refused under its own term: %s", why)
+		}
+		delete(w.entries, "wk-2/0")
+		if why := ask(0); why != "" {
+			t.Errorf("a version that does not say is refused: %s", why)
+		}
+	})
+}
+
+// A slot's record shows that another has taken it, while this holder has not heard yet that its
+// session ended: it stops acting for the slot at once.
+func TestASlotThatWasTakenIsNotActedFor(t *testing.T) {
+	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, s *heldSlot) {
+		h.Report(report(1, 5, protocol.NewToken(7, 1)))
+		h.slotChanged(s.slot, &bookkeeping.Slot{Holder: "c0", Term: 7})
+		if h.slots[s.slot] != s {
+			t.Fatal("its own record has it give the slot up")
+		}
+		h.slotChanged(s.slot, &bookkeeping.Slot{Holder: "c1", Term: 8})
+		if h.slots[s.slot] != nil || h.byID["host-000004"] != nil {
+			t.Error("it goes on acting for the slot")
+		}
+		if status, _ := h.Report(report(1, 6, protocol.NewToken(7, 1))); status == http.StatusOK {
+			t.Error("it answers the slot's machines")
+		}
+	})
+}
+
+// Slots were taken for a session that ended before the answer came, while the next one has not begun:
+// they are not acted for, since others may take them.
+func TestSlotsTakenForALostSessionAreNotActedFor(t *testing.T) {
+	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
+		before := h.sessionsLost
+		h.reset()
+		h.claimed([]bookkeeping.Claim{{Slot: 3}}, 8, before)
+		if len(h.slots) != 0 || h.adopting {
+			t.Errorf("held: %v", h.slots)
+		}
+	})
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -69,10 +69,17 @@
 
 // confirm gives a user's answer, unless it says that the job is cancelled and that may not be
 // said yet (membership.MayConfirm, MayTell): from then on its tasks have only so long to live, wherever
-// they are and whoever knows of it.
+// they are and whoever knows of it. Nor is a job called unfinished that is known to be cancelled by now:
+// another user may have been told so while the question waited for its read.
 func (k *Controller) confirm(ctx context.Context, s *standing) (*protocol.JobStatus, error) {
-	if s.job.State == protocol.Cancelled {
-		if !k.holder.confirmCancelled(ctx, s.job.Spec.ID) {
+	id := s.job.Spec.ID
+	switch {
+	case s.job.State == protocol.Cancelled:
+		if !k.holder.confirmCancelled(ctx, id) {
+			return nil, ErrLater
+		}
+	case !s.job.Final():
+		if known, ok := askFor(ctx, &k.holder.actor, func() bool { return k.holder.over(id) }); known || !ok {
 			return nil, ErrLater
 		}
 	}
--- a/internal/coordination/worker.go
+++ b/internal/coordination/worker.go
@@ -35,13 +35,16 @@
 	probeDue bool
 	probedAt time.Time
 	// lapsed: the lease of session lapsedIn and all before surely ended.
-	lapsedIn     uint64
-	lapsed       bool
-	notice       bool
-	entries      map[string]*entry
-	images       []image // most recently used last
-	ready        map[string]bool
-	busy         bool // a direct command is under way
+	lapsedIn uint64
+	lapsed   bool
+	notice   bool
+	entries  map[string]*entry
+	images   []image // most recently used last
+	ready    map[string]bool
+	busy     bool // a direct command is under way
+	// openStarts are direct commands to start that were not answered, by task: they may still be
+	// carried out.
+	openStarts   map[string]openStart
 	startsSent   bool // the direct command under way, or the last one, carries starts
 	settled      bool // nothing is wanted of it until something changes
 	holdOff      time.Time
@@ -88,6 +91,13 @@
 	proven bool
 }
 
+// openStart is a direct command to start an attempt of a task whose outcome is not known.
+type openStart struct {
+	attempt uint64
+	// until is when it is taken not to be under way any more.
+	until time.Time
+}
+
 func (e *entry) unconfirmed() bool { return board.Unconfirmed(e.state) }
 
 func (e *entry) exited() bool { return e.state == protocol.TaskExited }
@@ -113,6 +123,7 @@
 		h.drop(w.id)
 		return
 	}
+	h.expireOpenStarts(w, now)
 	if !w.doubted.IsZero() {
 		h.judge(w)
 	}
@@ -131,11 +142,49 @@
 	w.lapsed, w.lapsedIn = true, w.session
 	// Should it have begun anew: whatever it shows from now on is newer than all before.
 	w.shown, w.seq = 0, w.seq+1
-	clear(w.entries)
+	for _, e := range w.entries {
+		w.dropEntry(e, time.Now(), !h.over(e.job))
+	}
 	h.touch(w)
 	slog.Info("lease lapsed", "machine", w.id)
 }
 
+// dropEntry drops a task that is not on its machine any more, unless a direct command to start it may
+// still arrive: a higher token and a later session keep such a command from being carried out only
+// until the machine begins anew and remembers neither. wanted tells whether it is still to run. It
+// reports whether the entry was dropped or changed.
+//
+// Once a start that was held up on its way was taken for void as soon as its machine had shown a higher
+// token. The task was started elsewhere, the machine rebooted, and then the command arrived: the
+// machine accepted it, and the task ran in two places (trace rebooted-while-commands-are-held).
+func (w *worker) dropEntry(e *entry, now time.Time, wanted bool) (changed bool) {
+	open, isOpen := w.openStarts[e.task]
+	if !isOpen || open.attempt != e.attempt || !now.Before(open.until) || !wanted || e.cause == protocol.CauseDone {
+		delete(w.entries, e.task)
+		return true
+	}
+	if e.state == board.TaskStarting {
+		return false
+	}
+	w.entries[e.task] = &entry{task: e.task, job: e.job, index: e.index, attempt: e.attempt, state: board.TaskStarting, stop: true}
+	return true
+}
+
+// expireOpenStarts forgets direct commands to start that are not under way any more. Where the lease has
+// lapsed, nothing else kept the tasks that they start; otherwise the next report tells.
+func (h *Holder) expireOpenStarts(w *worker, now time.Time) {
+	for task, open := range w.openStarts {
+		if now.Before(open.until) {
+			continue
+		}
+		delete(w.openStarts, task)
+		if e := w.entries[task]; w.lapsed && e != nil && e.attempt == open.attempt {
+			delete(w.entries, task)
+			h.touch(w)
+		}
+	}
+}
+
 // noteResponsiveness finds out whether a worker is silent, or answers directly while its reports don't come.
 func (h *Holder) noteResponsiveness(w *worker, now time.Time) {
 	// While this controller answers nobody, nobody is silent: after an outage of the
