Older reports are answered with a token; a start under way outlives its holder

Change: all boards keep a task that was about to be started when its machine changed hands as lost there (board.CauseLost) for as long as the command may be under way; and an answer to a report that is older by its numbers tells a token that nobody else is told. Only a worker that began anew hears it, shows it next, and is known by it at once; what was started there by a command from before goes.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -4,6 +4,7 @@
 package board
 
 import (
+	"slices"
 	"time"
 
 	"daledyke/internal/protocol"
@@ -22,6 +23,9 @@
 	// Tasks by job and task index. There is one instance of a task, or none,
 	// unless something went wrong.
 	Tasks map[string]map[int][]*Instance
+	// StartsLastFor is how long a command to start may be on its way: so long a task that was about to
+	// be started when its machine changed hands is kept as lost there, unless it is seen.
+	StartsLastFor time.Duration
 }
 
 // Machine is a machine as its holder last showed it.
@@ -67,6 +71,8 @@
 	Since   time.Time
 	Ran     time.Time // since when it is seen to run
 	Asked   time.Time // when a stop or forget was last asked for
+	// lostUntil is until when it is kept though its machine's holder does not show it; zero: it does.
+	lostUntil time.Time
 }
 
 // New makes an empty board.
@@ -140,7 +146,7 @@
 		b.Machines[v.ID] = m
 		b.Slots[v.Slot].Machines[v.ID] = m
 	}
-	old := m.Instances
+	old, handedOver := m.Instances, m.Term < v.Term
 	for _, i := range old {
 		b.unlink(i, touched)
 	}
@@ -162,14 +168,35 @@
 		if n.Running() && n.Ran.IsZero() {
 			n.Ran = now
 		}
-		m.Instances = append(m.Instances, n)
-		if b.Tasks[job] == nil {
-			b.Tasks[job] = map[int][]*Instance{}
-		}
-		b.Tasks[job][index] = append(b.Tasks[job][index], n)
-		touched[job] = true
+		b.link(n, touched)
 	}
 	m.Tasks = nil
+	for _, o := range old {
+		if until := b.keptUntil(o, handedOver, now); now.Before(until) && !m.has(o.Task) {
+			lost := TaskView{Task: o.Task, Attempt: o.Attempt, State: protocol.TaskExited, Cause: CauseLost}
+			b.link(&Instance{TaskView: lost, Job: o.Job, Index: o.Index, Machine: m, Since: o.Since, Asked: o.Asked, lostUntil: until}, touched)
+		}
+	}
+	m.noteEmpty(now)
+}
+
+// keptUntil is until when an instance is kept that its machine's newest view may lack, after the
+// machine changed hands or not. A command of the former holder's to start it may be on its way: the
+// new holder's token voids it, unless the machine begins anew and forgets the token.
+func (b *Board) keptUntil(i *Instance, handedOver bool, now time.Time) time.Time {
+	if handedOver && i.State == TaskStarting {
+		return now.Add(b.StartsLastFor)
+	}
+	return i.lostUntil
+}
+
+// has tells whether an instance of a task is shown on the machine.
+func (m *Machine) has(task string) bool {
+	return slices.ContainsFunc(m.Instances, func(i *Instance) bool { return i.Task == task })
+}
+
+// noteEmpty notes since when nothing is on the machine.
+func (m *Machine) noteEmpty(now time.Time) {
 	switch {
 	case len(m.Instances) > 0:
 		m.EmptySince = time.Time{}
@@ -178,6 +205,32 @@
 	}
 }
 
+// DropLost drops the instances that were kept as lost for long enough, and tells of which jobs.
+func (b *Board) DropLost(now time.Time) (touched map[string]bool) {
+	touched = map[string]bool{}
+	for _, m := range b.Machines {
+		m.Instances = slices.DeleteFunc(m.Instances, func(i *Instance) bool {
+			over := !i.lostUntil.IsZero() && !now.Before(i.lostUntil)
+			if over {
+				b.unlink(i, touched)
+			}
+			return over
+		})
+		m.noteEmpty(now)
+	}
+	return touched
+}
+
+// link adds an instance to its machine and to its job's tasks.
+func (b *Board) link(i *Instance, touched map[string]bool) {
+	i.Machine.Instances = append(i.Machine.Instances, i)
+	if b.Tasks[i.Job] == nil {
+		b.Tasks[i.Job] = map[int][]*Instance{}
+	}
+	b.Tasks[i.Job][i.Index] = append(b.Tasks[i.Job][i.Index], i)
+	touched[i.Job] = true
+}
+
 func (b *Board) unlink(i *Instance, touched map[string]bool) {
 	list := b.Tasks[i.Job][i.Index]
 	for k, o := range list {
--- a/internal/board/news.go
+++ b/internal/board/news.go
@@ -23,6 +23,10 @@
 	TaskStarting = "starting" // the command is on its way
 )
 
+// CauseLost is the holder's own cause of an exit: the task is gone from its machine, and a command to
+// start it there may still be on its way, so that it is not to be started elsewhere yet.
+const CauseLost = "lost"
+
 // Unconfirmed tells whether a state is one of the holder's own.
 func Unconfirmed(state string) bool {
 	return state == TaskReserved || state == TaskQueued || state == TaskStarting
--- a/internal/coordination/acks.go
+++ b/internal/coordination/acks.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"daledyke/internal/protocol"
@@ -88,33 +89,50 @@
 	return at
 }
 
-// probeGap is how often a machine is asked at most for no other reason than its messages, and
-// restartProbeGap how often if one looks as if the machine began anew: until it is told a token,
-// it takes whatever was sent to it before.
-const (
-	probeGap        = 5 * time.Second
-	restartProbeGap = time.Second
-)
+// probeGap is how often a machine is asked at most for no other reason than its messages.
+const probeGap = 5 * time.Second
 
 // probeWorker asks a machine directly: what it answers is newer than all that came before.
-func (h *Holder) probeWorker(w *worker) { h.probeWithin(w, probeGap) }
-
-// probeWithin asks a machine directly, unless it was asked less than the gap ago.
-func (h *Holder) probeWithin(w *worker, gap time.Duration) {
-	if time.Since(w.probedAt) >= gap {
+func (h *Holder) probeWorker(w *worker) {
+	if time.Since(w.probedAt) >= probeGap {
 		w.probeDue = true
 		h.sendCommands(w)
 	}
 }
 
+// answerOlder answers a report that is older by its numbers than what was heard: a copy, or one that was
+// held up on its way, whose answer nobody hears, or its worker began anew and counts from the
+// beginning. Then it takes whatever was sent to it before until it is told a token of this holder's,
+// so that is what it gets at once. A token that nobody else is told shows in its next report
+// which of the two it was; until then the report is no news. What it runs that is not
+// expected there was started by a command from before, and goes.
+func (h *Holder) answerOlder(w *worker, rep *protocol.Report) (status int, body any) {
+	commands, known := h.stopsCancelled(w, rep)
+	if !known || w.ack.ignoresAnswers() {
+		return http.StatusServiceUnavailable, nil
+	}
+	for _, t := range rep.Tasks {
+		e := w.entries[t.Task]
+		if t.State != protocol.TaskExited && (e == nil || e.attempt != t.Attempt) {
+			commands = append(commands, stopCommand(t.Task, t.Attempt, 0))
+		}
+	}
+	w.seq++
+	w.restartToken = protocol.NewToken(w.slot.term, w.seq)
+	w.seq++ // nothing else is sent under that token
+	w.lastAnswer = time.Now()
+	return http.StatusOK, protocol.ReportAnswer{Token: w.restartToken, Commands: commands}
+}
+
 // noteRestart takes in that a machine's direct answer has lower numbers than what was heard of it,
-// though nothing came since it was asked: it counts from the beginning. Its lease may count from
+// though nothing came since it was asked, or that it shows a token which only a worker that
+// remembers nothing was told: it counts from the beginning. Its lease may count from
 // any time before now: counted from the last answer, it was once over for this holder and not for
 // what had been started since. Before it is used again it shows a token newer than all before.
 func (h *Holder) noteRestart(w *worker, rep *protocol.Report) {
 	slog.Info("machine began anew", "machine", w.id, "was", w.session, "is", rep.Session)
 	now := time.Now()
-	w.session, w.ticket, w.shown, w.lapsedIn = rep.Session, rep.Ticket-1, 0, 0
+	w.session, w.ticket, w.shown, w.lapsedIn, w.restartToken = rep.Session, rep.Ticket-1, 0, 0, 0
 	w.lastAnswer, w.answered = now, time.Time{}
 	w.seq++
 	w.ack.requireAck(protocol.NewToken(w.slot.term, w.seq), now)
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -165,7 +165,7 @@
 	}
 	w.seq++
 	orders := protocol.Orders{Token: protocol.NewToken(w.slot.term, w.seq), Session: w.session, Commands: cmds}
-	w.noteStarts(orders, now.Add(h.commandLifetime()))
+	w.noteStarts(orders, now.Add(commandLifetime(h.cfg)))
 	w.busy, w.askedAfter, w.probeDue, w.probedAt = true, w.ticket, false, now
 	h.touch(w)
 	addr := w.addr
@@ -178,7 +178,7 @@
 // commandLifetime is how long after it was sent a direct command that was not answered is taken to be
 // under way. The protocol gives no bound; this is one for machines that begin anew, without which
 // the machine's token and session are proof enough.
-func (h *Holder) commandLifetime() time.Duration { return config.Surely(h.cfg.WorkerLease()) }
+func commandLifetime(c *config.Config) time.Duration { return config.Surely(c.WorkerLease()) }
 
 // noteStarts takes in that a direct command is sent, which is taken to be under way until a time unless
 // it is answered.
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -160,8 +160,10 @@
 
 // NewOwner makes the actor.
 func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller, found func(*bookkeeping.Job), think func(string, placement.Opinion), lenders map[string]LendCaller) *Owner {
+	known := board.New()
+	known.StartsLastFor = commandLifetime(c)
 	return &Owner{quotas: newQuotas(c.Quotas, lenders), actor: newActor(ctx), cfg: c, session: session, store: store, holders: holders, found: found, think: think,
-		slots: ring.SlotCount(len(c.Siblings) + 1), board: board.New(), types: map[string]protocol.MachineType{},
+		slots: ring.SlotCount(len(c.Siblings) + 1), board: known, types: map[string]protocol.MachineType{},
 		jobs: map[string]*jobState{}, active: map[string]*jobState{}, unclear: map[string]*jobState{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), machReg: map[string]*bookkeeping.Machine{},
 		rosters: map[int]bookkeeping.Roster{},
@@ -274,6 +276,7 @@
 	o.archive()
 	if now.Sub(o.judged) >= time.Second {
 		o.judged = now
+		o.touched(o.board.DropLost(now))
 		o.judgeJobs(now)
 		o.lookUp()
 		o.tellStandstill(now)
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -38,14 +38,13 @@
 	w := h.workerOf(rep.Machine, s)
 	was := w.session
 	late := time.Since(w.lastHeard) > h.cfg.ReportEvery()*2
-	if !w.isNewer(rep) {
-		// An old message that was held up on its way, or a copy: it must not count as an
-		// answer, nor as news. Nor is it used if the worker began anew and counts from the
-		// beginning: that shows once it is asked, or in its next session.
-		if rep.Token == 0 && w.shown > 0 {
-			h.probeWithin(w, restartProbeGap)
-		}
-		return http.StatusServiceUnavailable, nil
+	switch {
+	case w.isNewer(rep):
+	case w.restartToken != 0 && rep.Token == w.restartToken:
+		h.noteRestart(w, rep) // only a worker that began anew was given this token
+		was = w.session
+	default:
+		return h.answerOlder(w, rep)
 	}
 	if was == rep.Session {
 		h.noteAck(w, rep.Token)
--- a/internal/coordination/worker.go
+++ b/internal/coordination/worker.go
@@ -20,6 +20,8 @@
 	// the ticket last heard when the direct command under way was sent.
 	shown      protocol.Token
 	askedAfter uint64
+	// restartToken was told to a worker that may have begun anew, and to nobody else; 0: none was.
+	restartToken protocol.Token
 	// verified: a report under this slot's term has come (invariant 3).
 	verified   bool
 	firstHeard time.Time
@@ -166,8 +168,10 @@
 	if e.state == board.TaskStarting {
 		return false
 	}
-	w.entries[e.task] = &entry{task: e.task, job: e.job, index: e.index, attempt: e.attempt, state: board.TaskStarting, stop: true}
-	return true
+	lost := &entry{task: e.task, job: e.job, index: e.index, attempt: e.attempt, state: protocol.TaskExited, cause: board.CauseLost}
+	changed = e.cause != lost.cause
+	w.entries[e.task] = lost
+	return changed
 }
 
 // expireOpenStarts forgets direct commands to start that are not under way any more. Where the lease has
