A copy of a new beginning's first report is a copy; the model holds commands up

The random model of a holder and a machine has commands to start that are held up and arrive, also after the machine began anew: no holder takes a task for gone that such a command of its own may still start. Its job is pending now, not of no state, which counted as over.

A question is never answered with a state from before a cancellation that is known by then (test).

--- a/internal/coordination/acks.go
+++ b/internal/coordination/acks.go
@@ -105,10 +105,11 @@
 // beginning. Then it takes whatever was sent to it before until it is told a token of this holder's,
 // so that is what it gets at once. A token that nobody else is told shows in its next report
 // which of the two it was; until then the report is no news. What it runs that is not
-// expected there was started by a command from before, and goes.
+// expected there was started by a command from before, and goes. While a direct command with
+// starts is waited for, no new token is given out, since the next answer's would void it.
 func (h *Holder) answerOlder(w *worker, rep *protocol.Report) (status int, body any) {
 	commands, known := h.stopsCancelled(w, rep)
-	if !known || w.ack.ignoresAnswers() {
+	if !known || w.ack.ignoresAnswers() || w.busy && w.startsSent {
 		return http.StatusServiceUnavailable, nil
 	}
 	for _, t := range rep.Tasks {
--- a/internal/coordination/acks_test.go
+++ b/internal/coordination/acks_test.go
@@ -349,6 +349,20 @@
 	sent  []protocol.Report
 	// calls are direct commands, which the test's goroutine has the machine carry out.
 	calls chan func()
+	// held is a direct command to start that is held up on its way since heldAt; nil: none is.
+	held   *protocol.Orders
+	heldAt time.Time
+}
+
+// longestHeld is how long a command of the model is held up at most, as on the users' bench.
+const longestHeld = 16 * time.Second
+
+// arrive has the command that was held up arrive.
+func (m *modelWorker) arrive() {
+	if o := m.held; o.Token >= m.token && o.Session == m.session {
+		m.token, m.running, m.next = o.Token, true, time.Now()
+	}
+	m.held = nil
 }
 
 func (m *modelWorker) snapshot() protocol.Report {
@@ -423,10 +437,11 @@
 }
 
 // Whatever comes of reports, copies of them, answers, cuts in either direction, machines that
-// begin anew and holders that follow each other: no holder ever takes a task for gone that
-// runs, and once all is well it knows again what is there. (Found by it with the mistake put
-// in: numbers not compared, the newest answer not counted, reports believed under an older
-// term.)
+// begin anew, commands that are held up and holders that follow each other: no holder ever takes a
+// task for gone that runs, or that a command of its own which is held up may still start, and once
+// all is well it knows again what is there. (What a former holder sent is kept by the boards of
+// owners.) Found by it with the mistake put in: numbers not compared, the newest answer not
+// counted, reports believed under an older term, a start that may still arrive taken for void.
 func TestNothingIsGoneThatRuns(t *testing.T) {
 	c, err := config.Load(settingsWith(t, "", ""), "")
 	if err != nil {
@@ -439,16 +454,22 @@
 			defer end()
 			term := uint64(2)
 			h, s := holderOf(ctx, c, dial, term, "host-000004")
-			h.jobs["wk-1"] = &bookkeeping.Job{Spec: &protocol.JobSpec{ID: "wk-1", Tasks: 1}}
+			h.jobs["wk-1"] = pendingJob("wk-1")
 			live := func(d time.Duration) {
 				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 					m.live(h, c.WorkerLease(), c.ReportEvery())
 					m.obey()
 					h.told()
 					w := h.byID["host-000004"]
-					if s.complete && m.running && (w == nil || w.lapsed || w.entries["wk-1/0"] == nil) {
+					if s.complete && m.running && (w == nil || w.entries["wk-1/0"] == nil || w.lapsed && len(w.openStarts) == 0) {
 						rt.Fatalf("taken for gone %v after the slot was taken: %+v", time.Since(s.adopted), w)
 					}
+					if m.held != nil && time.Since(m.heldAt) > longestHeld {
+						m.held = nil
+					}
+					if m.held != nil && m.held.Token.Term() == term && (w == nil || w.entries["wk-1/0"] == nil) {
+						rt.Fatalf("taken for gone %v after a start was sent that may still arrive: %+v", time.Since(m.heldAt), w)
+					}
 				}
 			}
 			rt.Repeat(map[string]func(*rapid.T){
@@ -474,6 +495,24 @@
 				"it begins anew": func(rt *rapid.T) {
 					m.session, m.ticket, m.token, m.renewed, m.running, m.again, m.next = 1, 0, 0, time.Now(), false, true, time.Now()
 				},
+				"a start is held up": func(rt *rapid.T) {
+					w := h.byID["host-000004"]
+					if w == nil || w.lapsed || w.busy || !s.complete || !h.startable(w) || m.running || m.held != nil || w.entries["wk-1/0"] != nil {
+						return
+					}
+					w.seq++
+					o := protocol.Orders{Token: protocol.NewToken(term, w.seq), Session: w.session, Commands: []protocol.Command{{Verb: protocol.VerbStart, Task: "wk-1/0", Attempt: 1}}}
+					w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 1, state: board.TaskStarting}
+					w.noteStarts(o, time.Now().Add(commandLifetime(c)))
+					w.busy, w.askedAfter = true, w.ticket
+					m.held, m.heldAt = &o, time.Now()
+					h.commandAnswered(w, o, nil, false, transport.ErrUnknown)
+				},
+				"what was held up arrives": func(rt *rapid.T) {
+					if m.held != nil && m.held.Token.Term() == term {
+						m.arrive()
+					}
+				},
 				"a task runs there": func(rt *rapid.T) {
 					// Started by whoever holds it, by a direct command, who knows it to be there: only
 					// where it is known. Whether its answer comes or not, unless it began anew unseen.
--- a/internal/coordination/announce_test.go
+++ b/internal/coordination/announce_test.go
@@ -118,3 +118,31 @@
 		}
 	})
 }
+
+// A question waited for its read while another user was told that the job is cancelled, which this
+// controller knows by then: it is not answered with the state as it was before.
+func TestNoJobIsCalledUnfinishedThatIsKnownToBeCancelled(t *testing.T) {
+	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() {
+			for {
+				select {
+				case f := <-h.inbox:
+					f()
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+		k := &Controller{holder: h}
+		asked := &standing{job: pendingJob("wk-1")}
+		if st, err := k.confirm(ctx, asked); err != nil || st.Status != protocol.Pending {
+			t.Fatalf("%+v, %v", st, err)
+		}
+		h.tell(func() { h.cancelled.Learn("wk-1", time.Now()) })
+		if st, err := k.confirm(ctx, asked); !errors.Is(err, ErrLater) {
+			t.Errorf("%+v, %v", st, err)
+		}
+	})
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -124,6 +124,9 @@
 	}
 	now := time.Now()
 	w.shown = rep.Token
+	if rep.Token >= w.restartToken {
+		w.restartToken = 0 // it was heard of since: what comes with that token now is a copy
+	}
 	news := rep.Session > w.session || w.lapsed || w.unresponsive || w.notice != (rep.NoticeS != nil)
 	was := w.verified
 	if rep.Session > w.session && w.session != 0 {
--- a/internal/coordination/two_places_test.go
+++ b/internal/coordination/two_places_test.go
@@ -105,8 +105,8 @@
 		if w.ticket != 50 || w.entries["wk-1/0"] == nil {
 			t.Errorf("it is taken at its word: %+v", w)
 		}
-		if !h.startable(w) {
-			t.Error("what may be a copy keeps the machine from being used")
+		if !h.startable(w) || time.Since(w.entitled()) > 0 {
+			t.Errorf("what may be a copy keeps the machine from being used, or is taken not to be heard: %+v", w)
 		}
 		// That it shows the token proves that it began anew: what ran there is gone.
 		heard := report(1, 2, answer.Token)
@@ -273,3 +273,27 @@
 		t.Errorf("%+v", there)
 	}
 }
+
+// A machine that began anew was heard again by its answer to a direct command. A copy of its report from
+// before that shows the token which only it was told, and is a copy all the same: what was started
+// since is not gone.
+func TestACopyOfTheFirstReportsIsNoNewBeginning(t *testing.T) {
+	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
+		h.jobs["wk-1"] = pendingJob("wk-1")
+		h.Report(report(1, 2, protocol.NewToken(7, 1)))
+		h.told()
+		w := h.byID["host-000004"]
+		_, body := h.Report(rebooted())
+		told := body.(protocol.ReportAnswer).Token
+		w.seq++
+		direct := report(1, 3, protocol.NewToken(7, w.seq))
+		direct.Tasks = []protocol.TaskReport{{Task: "wk-1/0", Attempt: 3, State: protocol.TaskRunning}}
+		h.commandAnswered(w, protocol.Orders{Session: 1}, direct, true, nil)
+		if w.entries["wk-1/0"] == nil {
+			t.Fatalf("not heard: %+v", w)
+		}
+		if h.Report(report(1, 2, told)); w.entries["wk-1/0"] == nil || w.ticket != 3 {
+			t.Errorf("taken for gone by a copy: %+v", w)
+		}
+	})
+}
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -111,7 +111,7 @@
 		return Fault{At: after(4 * time.Second), Verb: "crash", Args: []string{away, name}}
 	}
 	few := fmt.Sprint(2 + rng.IntN(8))
-	switch rng.IntN(10) {
+	switch rng.IntN(11) {
 	case 0: // the state service refuses one alone and then is away for all, and somebody may end
 		all := []Fault{{At: after(time.Second), Verb: "state-refuses", Args: []string{lasts(d.Lease / 2), node}},
 			{At: after(8 * time.Second), Verb: "state-outage", Args: []string{lasts(d.CancelWithin * 3 / 2)}}}
@@ -137,6 +137,11 @@
 		return []Fault{{At: after(time.Second), Verb: "state-unheard", Args: []string{lasts(20 * time.Second), "0.4"}}, crash(node), crash(other)}
 	case 8: // copies of reports are kept, and come as somebody has just begun
 		return []Fault{{At: after(time.Second), Verb: "kept-reports", Args: []string{lasts(d.Lease / 2)}}, crash(node), crash(other)}
+	case 9: // machines reboot while commands are held up, and who sent these ends
+		reboot := func() Fault {
+			return Fault{At: after(6 * time.Second), Verb: "machines", Args: []string{"reboot", few}}
+		}
+		return []Fault{{At: after(time.Second), Verb: "late-commands", Args: []string{lasts(d.Lease * 2), "0.5"}}, reboot(), crash(node), reboot(), crash(other), reboot()}
 	default: // copies of old reports come to who has just begun
 		return []Fault{{At: after(time.Second), Verb: "echoes", Args: []string{lasts(d.Lease * 2), lasts(d.Lease)}}, crash(node),
 			{At: after(5 * time.Second), Verb: "machines", Args: []string{"reboot", few}}}
