--- a/internal/coordination/two_places_test.go
+++ b/internal/coordination/two_places_test.go
@@ -95,6 +95,7 @@
 		h.told()
 		w := h.byID["host-000004"]
 		shown := protocol.NewToken(7, w.seq)
+		time.Sleep(2 * time.Second)
 		late := rebooted() // a command from before has started a task there already
 		late.Tasks = []protocol.TaskReport{{Task: "wk-1/1", Attempt: 2, State: protocol.TaskPulling}}
 		status, body := h.Report(late)
