--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -24,6 +25,7 @@
 	"daledyke/internal/history"
 	"daledyke/internal/protocol"
 	"daledyke/internal/quota"
+	"daledyke/internal/ring"
 	"daledyke/internal/transport"
 )
 
@@ -384,6 +386,8 @@
 		w.em.KeepReports(onOff(args))
 	case "state-refuses":
 		w.em.State.Refuse(args[0], onOff(args))
+	case "renewals-refused": // renewals-refused CONTROLLER on|off: for the rate, while all else it asks is served
+		w.em.State.Starve(args[0], onOff(args))
 	case "older-records": // as a version left them that kept no rosters
 		return w.olderRecords()
 	case "older": // older CONTROLLER: its session is of the version before chains
@@ -420,6 +424,8 @@
 			return err
 		}
 		return w.strikeSome(count, emulator.Trouble(args[1]))
+	case "machines-of": // machines-of CONTROLLER mutes|speaks|...: all machines with tasks whose slots are at home there
+		return w.strikeHome(args[0], emulator.Trouble(args[1]))
 	case "echoes": // echoes TIME: copies of all reports come so much later, 0s for no more
 		by, err := time.ParseDuration(args[0])
 		w.em.Echo(by)
@@ -455,6 +461,30 @@
 	return nil
 }
 
+// strikeHome has something happen to all machines with tasks whose slots are a controller's if all
+// controllers are there.
+func (w *world) strikeHome(controller string, trouble emulator.Trouble) error {
+	var ids []string
+	w.em.Rules(func(r *history.Checker) {
+		for _, job := range r.Running() {
+			for _, id := range r.Machines(job) {
+				home := w.names[ring.SlotOf(id, ring.SlotCount(len(w.names)))%len(w.names)]
+				if home == controller && !slices.Contains(ids, id) {
+					ids = append(ids, id)
+				}
+			}
+		}
+	})
+	if len(ids) == 0 {
+		return errors.New("it has no machines with tasks")
+	}
+	var failed error
+	for _, id := range ids {
+		failed = errors.Join(failed, w.em.Strike(id, trouble))
+	}
+	return failed
+}
+
 func (w *world) cut(args []string) {
 	if args[0] == "off" {
 		w.net.Sever(func(string, string) bool { return false })
--- a/internal/emulator/state.go
+++ b/internal/emulator/state.go
@@ -24,6 +24,8 @@
 	changed chan struct{} // closed at the next change
 	down    bool
 	refuses map[string]bool
+	// starved are controllers whose renewals of leases are refused for the rate.
+	starved map[string]bool
 	lags    map[string]time.Duration
 	slow    time.Duration
 	late    time.Duration
@@ -51,7 +53,7 @@
 // NewState makes a state service that lives as long as ctx. With a directory it goes
 // on with the state that is kept there.
 func NewState(ctx context.Context, l Limits, dir string) (*State, error) {
-	s := &State{store: newStore(), changed: make(chan struct{}), refuses: map[string]bool{}, losesNext: map[string]string{}, lags: map[string]time.Duration{}, page: pageKeys, rng: rand.New(rand.NewPCG(0, 0x57a7e))}
+	s := &State{store: newStore(), changed: make(chan struct{}), refuses: map[string]bool{}, starved: map[string]bool{}, losesNext: map[string]string{}, lags: map[string]time.Duration{}, page: pageKeys, rng: rand.New(rand.NewPCG(0, 0x57a7e))}
 	if dir != "" {
 		var err error
 		if s.disk, err = openDisk(dir); err != nil {
@@ -103,6 +105,9 @@
 	s.loop.do(func() { s.refuses[node] = refuse; s.wake() })
 }
 
+// Starve has a controller's renewals of leases refused for the rate, while all else it asks is served.
+func (s *State) Starve(node string, starve bool) { s.loop.do(func() { s.starved[node] = starve }) }
+
 // Lag has a controller's watches tell it of changes so much later.
 func (s *State) Lag(node string, by time.Duration) { s.loop.do(func() { s.lags[node] = by }) }
 
--- a/internal/emulator/state_http.go
+++ b/internal/emulator/state_http.go
@@ -168,6 +168,10 @@
 func (s stateDoor) touch(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	id, err := strconv.ParseUint(p.ByName("id"), 10, 64)
 	s.serve(w, r, func() (int, any) {
+		if s.starved[s.node] {
+			s.counts.Refused++
+			return http.StatusTooManyRequests, nil
+		}
 		if err != nil || !s.store.touch(id, time.Now()) {
 			return http.StatusNotFound, problem(errNoLease.Error())
 		}
