--- /dev/null
+++ b/internal/coordination/feed.go
@@ -0,0 +1,121 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"daledyke/internal/board"
+	"daledyke/internal/placement"
+	"daledyke/internal/protocol"
+)
+
+// What a holder tells of its machines: the feed that all controllers follow.
+
+// feed answers a request for news, after a wait if there are none.
+func (h *Holder) feed(a FeedArgs, r *board.News) error {
+	deadline := time.NewTimer(time.Duration(a.WaitMs) * time.Millisecond)
+	defer deadline.Stop()
+	for first := true; ; first = false {
+		var wait chan struct{}
+		news := false
+		if !h.ask(h.ctx, func() {
+			if first {
+				h.fences[a.Caller] = max(h.fences[a.Caller], a.Fence)
+				h.obeyUpTo(a.Window)
+			}
+			wait = h.changed
+			news = h.version != a.Since || h.session.Term() != a.Incarnation
+		}) {
+			return h.ctx.Err()
+		}
+		if !news {
+			select {
+			case <-wait:
+				// Let what belongs together come together, the more the more
+				// controllers ask.
+				pause(h.ctx, time.Duration(len(h.cfg.Siblings)+1)*feedPause)
+				continue
+			case <-deadline.C:
+			case <-h.ctx.Done():
+				return h.ctx.Err()
+			}
+		}
+		// Not into r itself: a controller that ends may do it after r is on its way.
+		reply, ok := askFor(h.ctx, &h.actor, func() board.News { return h.summary(a) })
+		if !ok {
+			return h.ctx.Err()
+		}
+		*r = reply
+		return nil
+	}
+}
+
+// feedPause is how long a controller's news wait for more, for each controller
+// that they go to.
+const feedPause = 40 * time.Millisecond
+
+// summary is the reply to a feed request as things stand.
+func (h *Holder) summary(a FeedArgs) board.News {
+	r := board.News{Incarnation: h.session.Term(), Version: h.version, Valid: h.session.Valid(), Entitled: h.entitled()}
+	if h.served != nil {
+		r.ServedMs = max(1, time.Since(h.served()).Milliseconds())
+	}
+	r.TellsStrays = true
+	if s := h.misrouted[a.Caller]; time.Since(s.at) < h.misroutedRecently() {
+		r.Stray = s.Stray
+		r.Stray.AgoMs = time.Since(s.at).Milliseconds()
+	}
+	if h.window != nil {
+		r.Window = h.window.Number
+	}
+	since := a.Since
+	if a.Incarnation != r.Incarnation || len(h.gone) == maxGone && since < h.gone[0].version {
+		r.Full, since = true, 0
+	}
+	for _, s := range h.slots {
+		sv := board.SlotView{Slot: s.slot, Term: s.term, Complete: s.complete}
+		if time.Since(s.adopted) > h.unresponsiveAfter()+2*time.Second {
+			for id := range s.awaited {
+				sv.Awaited = append(sv.Awaited, id)
+			}
+		}
+		r.Slots = append(r.Slots, sv)
+	}
+	for _, w := range h.byID {
+		if w.version > since && (w.verified || w.lapsed) {
+			r.Machines = append(r.Machines, h.view(w))
+		}
+	}
+	for _, g := range h.gone {
+		if g.version > since {
+			r.Gone = append(r.Gone, g.id)
+		}
+	}
+	return r
+}
+
+func (h *Holder) view(w *worker) board.MachineView {
+	v := board.MachineView{ID: w.id, Type: w.rig, Zone: w.zone, Spot: w.spot, Slot: w.slot.slot, Term: w.slot.term,
+		Free: h.free(w, true), Usable: h.startable(w), Silent: w.unresponsive || w.lapsed, Suspect: w.suspect, Leaving: w.notice}
+	if time.Now().Before(w.drainTill) {
+		if v.Vacates = w.vacates; len(w.entries) == 0 && !w.busy {
+			v.Drained = w.drainWish
+		}
+	}
+	v.Sound = time.Since(w.soundAt) < placement.SoundFor
+	for job := range w.errorsBy {
+		if len(v.Failed) < placement.MaxFailed {
+			v.Failed = append(v.Failed, job)
+		}
+	}
+	for _, i := range w.images {
+		v.Images = append(v.Images, i.name)
+	}
+	for _, e := range w.entries {
+		if j := h.jobs[e.job]; j != nil && (e.state == protocol.TaskPulling || e.unconfirmed()) && !slices.Contains(v.Pulling, j.Spec.Image) && !w.ready[j.Spec.Image] {
+			v.Pulling = append(v.Pulling, j.Spec.Image)
+		}
+		v.Tasks = append(v.Tasks, board.TaskView{Task: e.task, Attempt: e.attempt, State: e.state, Cause: e.cause, Saved: e.saved})
+	}
+	return v
+}
