A refused attempt hides no other of its task in a report

A worker that refuses a start since another attempt is there lists both; the holder went by the last in the list, and so could lose sight of what runs. Test: both orders, live and completed.

--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -168,6 +168,34 @@
 	}
 }
 
+// countedAttempts are a report's tasks without the attempts that another of the same task hides. A worker
+// that refuses a start since another attempt is there lists both: the one that is there counts,
+// and of those that ended the one that completed.
+func countedAttempts(reported []protocol.TaskReport) []protocol.TaskReport {
+	weight := func(t *protocol.TaskReport) int {
+		switch {
+		case t.State != protocol.TaskExited:
+			return 2
+		case t.Cause == protocol.CauseDone:
+			return 1
+		}
+		return 0
+	}
+	at := make(map[string]int, len(reported))
+	counted := make([]protocol.TaskReport, 0, len(reported))
+	for _, t := range reported {
+		k, seen := at[t.Task]
+		switch {
+		case !seen:
+			at[t.Task] = len(counted)
+			counted = append(counted, t)
+		case weight(&t) > weight(&counted[k]):
+			counted[k] = t
+		}
+	}
+	return counted
+}
+
 // believe makes a report the truth about its machine; it tells whether that
 // changed anything.
 func (h *Holder) believe(w *worker, rep *protocol.Report) (news bool) {
@@ -179,7 +207,7 @@
 	}
 	now := time.Now()
 	listed := make(map[string]bool, len(rep.Tasks))
-	for _, t := range rep.Tasks {
+	for _, t := range countedAttempts(rep.Tasks) {
 		listed[t.Task] = true
 		e := w.entries[t.Task]
 		if e != nil && e.attempt != t.Attempt {
--- a/internal/coordination/two_places_test.go
+++ b/internal/coordination/two_places_test.go
@@ -298,3 +298,22 @@
 		}
 	})
 }
+
+// A worker refuses a start since another attempt of the task is there, and lists both: the one that is
+// there counts, in whichever order they stand, until it has ended; then its result does.
+func TestARefusedAttemptHidesNoOther(t *testing.T) {
+	there := protocol.TaskReport{Task: "wk-1/0", Attempt: 3, State: protocol.TaskRunning}
+	refused := protocol.TaskReport{Task: "wk-1/0", Attempt: 9, State: protocol.TaskExited, Cause: "in_use"}
+	done := protocol.TaskReport{Task: "wk-1/0", Attempt: 3, State: protocol.TaskExited, Cause: protocol.CauseDone}
+	for _, listed := range [][]protocol.TaskReport{{there, refused}, {refused, there}, {done, refused}, {refused, done}} {
+		withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
+			h.jobs["wk-1"] = pendingJob("wk-1")
+			rep := report(1, 5, protocol.NewToken(7, 1))
+			rep.Tasks = listed
+			h.Report(rep)
+			if e := h.byID["host-000004"].entries["wk-1/0"]; e == nil || e.attempt != 3 || e.state == protocol.TaskExited && e.cause != protocol.CauseDone {
+				t.Errorf("%+v of %+v", e, listed)
+			}
+		})
+	}
+}
