--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -62,15 +62,24 @@
 		return
 	}
 	js.moveAt = now.Add(2 * time.Second)
+	if c, ok := o.placeElsewhere(js, next); ok {
+		o.moves++
+		slog.Info("moving", "task", next.Task, "from", next.Machine.ID, "to", c.Machine.ID)
+		o.start(js, next.Index, o.newAttempt(), c, true, rq)
+	}
+}
+
+// placeElsewhere finds a machine to which a replica had better move from where it is.
+func (o *Owner) placeElsewhere(js *jobState, from *board.Instance) (placement.Choice, bool) {
 	p := o.placingFor(js, "")
-	p.Zones[next.Machine.Zone]-- // it is gone from there before it starts
-	if p.Zones[next.Machine.Zone] == 0 {
-		delete(p.Zones, next.Machine.Zone)
+	p.Zones[from.Machine.Zone]-- // it is gone from there before it starts
+	if p.Zones[from.Machine.Zone] == 0 {
+		delete(p.Zones, from.Machine.Zone)
 	}
 	p.Sample = len(o.board.Machines) // it is rare enough to look at all
 	// Away from where it costs far more than elsewhere it may go to a machine that nothing
 	// else keeps, and fetch its image there.
-	misplaced := p.Dear[next.Machine.Type]
+	misplaced := p.Dear[from.Machine.Type]
 	most := time.Duration(0)
 	if misplaced {
 		most = mostFetch
@@ -82,11 +91,8 @@
 		}
 	}
 	p.Gather(to)
-	if c, ok := p.BestFit(); ok && p.Fetch(c.Machine) <= most {
-		o.moves++
-		slog.Info("moving", "task", next.Task, "from", next.Machine.ID, "to", c.Machine.ID)
-		o.start(js, next.Index, o.newAttempt(), c, true, rq)
-	}
+	c, ok := p.BestFit()
+	return c, ok && p.Fetch(c.Machine) <= most
 }
 
 // mostFetch is the longest fetch that a replica is moved for.
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -60,13 +60,31 @@
 		l.tell(func() { l.load, l.loadAt = st.load, now })
 	}
 	l.list(now, st)
-	var gone []string
 	wish := leadership<<24 + l.rounds // rises from round to round, and from leader to leader
 	l.rounds++
 	l.noteBoots(st, now)
+	gone := l.notComing(st, leadFrom, now)
+	gone = append(gone, fleet.Lost(st.silent, st.holder, len(st.reg))...)
+	st.in.Refused = func(k fleet.Kind) bool { return now.Before(l.refusals[k]) }
+	l.tellRefusals(now)
+	st.in.IdleAfter = l.cfg.IdleAfter
+	rent, idle := fleet.Plan(&st.in)
+	slog.Debug("fleet", "machines", len(st.in.Machines), "fillers", fleet.Fillers(st.in.Machines), "idle", len(idle),
+		"kinds to rent", len(rent), "ready", st.ready)
+	vacate := l.vacate(&st.in, rent, now)
+	gone = append(gone, l.keepFree(st, wish, idle, vacate, now)...)
+	l.drain(st, wish)
+	l.giveBack(gone)
+	if st.ready {
+		l.rent(rent)
+	}
+}
+
+// notComing are the registered machines that failed, that never came up or that never came back after their
+// controllers changed; those that are still to come are added to what is planned with.
+func (l *Leader) notComing(st *fleetState, leadFrom, now time.Time) (gone []string) {
 	for id, m := range st.reg {
-		lm, isListed := l.listed[id]
-		if isListed && lm.Status == "failed" {
+		if listed, isListed := l.listed[id]; isListed && listed.Status == "failed" {
 			gone = append(gone, id)
 			continue
 		}
@@ -79,21 +97,22 @@
 		}
 		age := now.Sub(time.UnixMilli(m.RentedMs))
 		late, never := fleet.BootLimits(protocol.Seconds(t.BootS), l.boots[m.Type])
-		if up := st.up[id]; !up && age > never || up && age > protocol.Seconds(t.BootS)+60*time.Second && now.Sub(leadFrom) > time.Minute {
-			gone = append(gone, id) // never came up, or never came back
+		if up := st.up[id]; !up && age > never || up && age > protocol.Seconds(t.BootS)+backWithin && now.Sub(leadFrom) > backWithin {
+			gone = append(gone, id)
 			continue
 		}
 		st.in.Machines = append(st.in.Machines, &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Booting: true,
 			Free: t.Room(), Drains: age > late}) // late ones are not counted on
 	}
-	gone = append(gone, fleet.Lost(st.silent, st.holder, len(st.reg))...)
-	st.in.Refused = func(k fleet.Kind) bool { return now.Before(l.refusals[k]) }
-	l.tellRefusals(now)
-	st.in.IdleAfter = l.cfg.IdleAfter
-	rent, idle := fleet.Plan(&st.in)
-	slog.Debug("fleet", "machines", len(st.in.Machines), "fillers", fleet.Fillers(st.in.Machines), "idle", len(idle),
-		"kinds to rent", len(rent), "ready", st.ready)
-	vacate := l.vacate(&st.in, rent, now)
+	return gone
+}
+
+// backWithin is for how long a machine on which tasks may be is waited for that nobody shows, from when
+// it should be up and from when this controller began to lead.
+const backWithin = 60 * time.Second
+
+// keepFree has machines kept free that are idle, suspect or to be vacated; it gives those that may go back.
+func (l *Leader) keepFree(st *fleetState, wish uint64, idle, vacate []string, now time.Time) (gone []string) {
 	unwanted := map[string]bool{}
 	for _, id := range slices.Concat(idle, st.suspect, vacate) {
 		unwanted[id] = true
@@ -110,11 +129,7 @@
 		}
 	}
 	maps.DeleteFunc(l.draining, func(id string, _ drainWish) bool { return !unwanted[id] })
-	l.drain(st, wish)
-	l.giveBack(gone)
-	if st.ready {
-		l.rent(rent)
-	}
+	return gone
 }
 
 // drainWish is since when a machine is to be kept free of new tasks.
