A holder that is not entitled to its slots says nothing of them

It was not believed by siblings of this version, which would have asked for the same news over and over as long as it lasts, and was believed by those of the version before. It answers after the usual wait, with nothing and at the asker's own position, so that none of either version misses anything.

--- a/internal/coordination/feed.go
+++ b/internal/coordination/feed.go
@@ -24,7 +24,7 @@
 				h.obeyUpTo(a.Window)
 			}
 			wait = h.changed
-			news = h.version != a.Since || h.session.Term() != a.Incarnation
+			news = h.entitled() && (h.version != a.Since || h.session.Term() != a.Incarnation)
 		}) {
 			return h.ctx.Err()
 		}
@@ -68,6 +68,11 @@
 	if h.window != nil {
 		r.Window = h.window.Number
 	}
+	if !r.Entitled {
+		// Others may hold the slots: nothing is said of them, and whoever asks stays where it is.
+		r.Incarnation, r.Version = a.Incarnation, a.Since
+		return r
+	}
 	since := a.Since
 	if a.Incarnation != r.Incarnation || len(h.gone) == maxGone && since < h.gone[0].version {
 		r.Full, since = true, 0
--- a/internal/coordination/two_places_test.go
+++ b/internal/coordination/two_places_test.go
@@ -317,3 +317,24 @@
 		})
 	}
 }
+
+// A holder that is not entitled to its slots says nothing of them, and keeps whoever asks where it is: a
+// version that believes all news is not misled, and misses none once they are told again.
+func TestAHolderThatIsNotEntitledSaysNothing(t *testing.T) {
+	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
+		h.Report(report(1, 5, protocol.NewToken(7, 1)))
+		h.told()
+		asked := FeedArgs{Caller: "c1", Incarnation: h.session.Term(), Since: 1}
+		if r := h.summary(asked); !r.Entitled || len(r.Slots) != 1 || len(r.Machines) != 1 || r.Version == asked.Since {
+			t.Fatalf("%+v", r)
+		}
+		h.session.until.Store(0)
+		if r := h.summary(asked); r.Entitled || r.Valid || len(r.Slots)+len(r.Machines)+len(r.Gone) != 0 || r.Version != asked.Since || r.Incarnation != asked.Incarnation {
+			t.Errorf("%+v", r)
+		}
+		asked.Incarnation = 1 // of a former session
+		if r := h.summary(asked); r.Full || r.Incarnation != 1 {
+			t.Errorf("%+v", r)
+		}
+	})
+}
