What became of news is told by the actor's answer, not by a shared variable

A controller that ends stops waiting while its owner may still take the news in: a data race, seen once by the race detector in a whole run of the tests on a fresh clone.

--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -38,9 +38,8 @@
 		if name != o.cfg.Name && (r.Stray.Machine != "" || !r.TellsStrays) {
 			o.misrouted(r.Stray, r.TellsStrays, time.Now())
 		}
-		taken := false
-		o.ask(o.ctx, func() { taken = o.feed(name, &a, &r, sent) })
-		if !taken {
+		// The actor may do it after a controller that ends has stopped waiting: nothing is shared with it.
+		if taken, _ := askFor(o.ctx, &o.actor, func() bool { return o.feed(name, &a, &r, sent) }); !taken {
 			pause(o.ctx, notEntitledPause)
 			continue
 		}
