--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// notEntitledPause is how long a holder that is not entitled to its slots is left alone: there are
-// always news of it, since none of them are taken in.
+// notEntitledPause is how long a holder that is not entitled to its slots is left alone: one of a
+// version that tells its news all the same has always some, since none of them are taken in.
 const notEntitledPause = 300 * time.Millisecond
 
 // feed takes in a holder's reply to a request that was sent at the time. It reports whether it did: what
