Calls of actors: completed, or never run

Also possible: a holder whose controller ends answers "request is void" for a request that it carries out, and an owner takes that for a refusal.

Cause: actor.ask (and loop.do of the emulator) returned false as soon as a context ended, whether its function was queued, running or completed. returnMachines ignored the result and went on with the maps that its function writes.

On the code as found these fail every time: TestEndedLeaderReturnsNoMachines (the race detector reports returnMachines reading what returnMachines.func1 writes), TestCallWaitsForItsRunningFunction, TestFunctionOfEndedCallNeverRuns, TestCompletedFunctionIsReported, TestRequestCarriedOutByEndingHolderIsNotVoid ("carried out: true, answered: request is void").

Fix: internal/inbox. Actor and caller claim a function; whoever is first has it. A caller that gives up withdraws a function that has not begun and waits for one that has. Reports of workers, confirmations of cancellations and requests of quota owners take effect whatever becomes of the caller: they are submitted, their results leave by value. A holder that has ended answers errControllerEnded, which owners take for an unknown outcome. Copies in feed.go, follow.go and serve.go that worked round the old contract are gone.

--- a/internal/coordination/actor.go
+++ b/internal/coordination/actor.go
@@ -2,70 +2,72 @@
 // may act), holder (the workers of the slots that this controller holds), owner (the jobs in this
 // controller's range of the ring) and leader (windows, assignments of slots, renting). Each owns its state;
 // they communicate through their inboxes.
+//
+// Three ways lead into an actor's inbox. tell is for what has to happen whatever becomes of the caller, such as
+// a change of a record. ask and askFor are for what only the caller wants: when they return, the function has
+// completed or never runs. submitFor is for what has to happen and has a result, such as a worker's report.
 package coordination
 
 import (
 	"context"
+	"log/slog"
 	"time"
+
+	"daledyke/internal/inbox"
 )
 
 // actor runs the functions in its inbox one after the other.
 type actor struct {
-	inbox chan func()
+	inbox inbox.Inbox
 	ctx   context.Context
 }
 
+// inboxCapacity is the number of functions that may wait in an actor's inbox.
+const inboxCapacity = 1024
+
 func newActor(ctx context.Context) actor {
-	return actor{inbox: make(chan func(), 1024), ctx: ctx}
+	return actor{inbox: make(inbox.Inbox, inboxCapacity), ctx: ctx}
 }
 
 // tell queues f, which is dropped once the actor has ended.
-func (a *actor) tell(f func()) {
-	select {
-	case a.inbox <- f:
-	case <-a.ctx.Done():
-	}
+func (a *actor) tell(f func()) { a.inbox.Post(a.ctx, a.ctx, f) }
+
+// ask runs f on the actor and waits for it; false if ctx or the actor ended before f began, in which case f
+// never runs.
+func (a *actor) ask(ctx context.Context, f func()) bool { return a.inbox.Call(ctx, a.ctx, f) }
+
+// askFor runs f on an actor and returns its result; false if ctx or the actor ended before f began, in which
+// case f never runs.
+func askFor[T any](ctx context.Context, a *actor, f func() T) (result T, ok bool) {
+	ok = a.ask(ctx, func() { result = f() })
+	return result, ok
 }
 
-// ask runs f on the actor and waits for it; false if ctx or the actor ended first, in which case f may still
-// run later.
-func (a *actor) ask(ctx context.Context, f func()) bool {
-	done := make(chan struct{})
-	g := func() { f(); close(done) }
-	select {
-	case a.inbox <- g:
-	case <-ctx.Done():
-		return false
-	case <-a.ctx.Done():
-		return false
+// submitFor runs f on an actor and returns its result. It returns false if ctx or the actor ended before the
+// result was there. Once queued, f runs all the same unless the actor ends, so f must not use variables that
+// the caller goes on to use.
+func submitFor[T any](ctx context.Context, a *actor, f func() T) (result T, ok bool) {
+	answer := make(chan T, 1)
+	if !a.inbox.Post(ctx, a.ctx, func() { answer <- f() }) {
+		return result, false
 	}
 	select {
-	case <-done:
-		return true
+	case result = <-answer:
+		return result, true
 	case <-ctx.Done():
-		return false
 	case <-a.ctx.Done():
-		return false
-	}
-}
-
-// askFor runs f on an actor and returns its result; false if ctx or the actor ended first, in which case
-// there is no result even if f runs later.
-func askFor[T any](ctx context.Context, a *actor, f func() T) (t T, ok bool) {
-	answer := make(chan T, 1)
-	if !a.ask(ctx, func() { answer <- f() }) {
-		return t, false
 	}
-	return <-answer, true
+	return result, false
 }
 
 // loop runs the inbox and a regular tick until the actor ends.
-func (a *actor) loop(every time.Duration, tick func()) {
+func (a *actor) loop(name string, every time.Duration, tick func()) {
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
 		select {
 		case <-a.ctx.Done():
+			slog.Info("actor ended", "actor", name, "calls not run", len(a.inbox))
 			return
 		case f := <-a.inbox:
 			f()
--- a/internal/coordination/announce.go
+++ b/internal/coordination/announce.go
@@ -40,7 +40,7 @@
 // holder renews or starts their tasks any more.
 func (r HolderRPC) Announce(a AnnounceArgs, _ *Nothing) error {
 	if !r.h.ask(r.h.ctx, func() { r.h.learnCancelled(a.Cancelled, time.Now()) }) {
-		return errRequestVoid
+		return errControllerEnded
 	}
 	return nil
 }
@@ -73,7 +73,8 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for {
-		c, ok := askFor(ctx, &h.actor, func() confirmation { return h.confirmation(job, time.Now()) })
+		// The holder learns of the cancellation and announces it even if the user gives up.
+		c, ok := submitFor(ctx, &h.actor, func() confirmation { return h.confirmation(job, time.Now()) })
 		if !ok || c.allowed || c.changed == nil {
 			return ok && c.allowed
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -71,7 +71,7 @@
 	controllers := float64(len(c.Siblings) + 1)
 	state := transport.NewState(dial, c.Services.State, d.State.RPS/controllers, d.State.WriteRPS/controllers)
 	k := &Controller{cfg: c, started: time.Now(), state: state, store: bookkeeping.NewStore(state, d.State.TxnOps, c.ValueBytes())}
-	k.session = NewSession(c, k.store, func() { k.holder.ask(ctx, k.holder.dropAllSlots) })
+	k.session = NewSession(c, k.store, func() { k.holder.ask(ctx, k.holder.dropAllSlots) }) // a holder that has ended holds nothing
 	k.holder = NewHolder(ctx, c, k.session, k.store, transport.NewWorkers(dial, c.MaxWorkerConnections()))
 	k.holder.stateLastServed = k.state.Counts.LastServed
 	holders := map[string]HolderCaller{c.Name: localHolder{HolderRPC{k.holder}}}
@@ -158,13 +158,19 @@
 	return k.session.Valid() || !k.owner.siblingSessionValid.Load()
 }
 
-// Report passes the report of a worker to the holder.
+// Report passes the report of a worker to the holder. The holder processes it even if the worker no longer waits
+// for the answer: otherwise a holder that is slow for a while would take all its machines for silent.
 func (k *Controller) Report(ctx context.Context, rep *protocol.Report) (status int, body any) {
-	status = http.StatusServiceUnavailable
-	var s int
-	var b any
-	if k.holder.ask(ctx, func() { s, b = k.holder.Report(rep) }) {
-		return s, b
+	type answer struct {
+		status int
+		body   any
 	}
-	return status, nil
+	a, ok := submitFor(ctx, &k.holder.actor, func() (a answer) {
+		a.status, a.body = k.holder.Report(rep)
+		return a
+	})
+	if !ok {
+		return http.StatusServiceUnavailable, nil
+	}
+	return a.status, a.body
 }
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -18,14 +18,15 @@
 
 // What an owner knows of the fleet, and which machines its jobs need.
 
-func (o *Owner) isRemoved(ctx context.Context, id string) bool {
-	gone, _ := askFor(ctx, &o.actor, func() bool { return o.removedMachines.has(id) })
-	return gone
+// mayBeRegistered reports whether a machine that the cloud lists is not known to be removed.
+func (o *Owner) mayBeRegistered(ctx context.Context, id string) bool {
+	removed, ok := askFor(ctx, &o.actor, func() bool { return o.removedMachines.has(id) })
+	return ok && !removed
 }
 
 // addRentedMachines registers rented machines before the replica shows their records.
 func (o *Owner) addRentedMachines(batch bookkeeping.RentalBatch) {
-	o.ask(o.ctx, func() {
+	o.tell(func() {
 		for _, id := range batch.Machines {
 			if o.registeredMachines[id] == nil && !o.removedMachines.has(id) {
 				o.registeredMachines[id] = batch.Machine(id)
--- a/internal/coordination/feed.go
+++ b/internal/coordination/feed.go
@@ -26,7 +26,7 @@
 			wait = h.versionChanged
 			hasNews = h.entitled() && (h.version != a.Since || h.session.Term() != a.Incarnation)
 		}) {
-			return h.ctx.Err()
+			return errControllerEnded
 		}
 		if !hasNews {
 			select {
@@ -36,16 +36,12 @@
 				continue
 			case <-deadline.C:
 			case <-h.ctx.Done():
-				return h.ctx.Err()
+				return errControllerEnded
 			}
 		}
-		// The actor does not write into *r itself: if the controller ends, it might do so while the reply is
-		// being sent.
-		reply, ok := askFor(h.ctx, &h.actor, func() board.News { return h.newsSince(a) })
-		if !ok {
-			return h.ctx.Err()
+		if !h.ask(h.ctx, func() { *r = h.newsSince(a) }) {
+			return errControllerEnded
 		}
-		*r = reply
 		return nil
 	}
 }
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -39,9 +39,11 @@
 		if name != o.cfg.Name && (news.Stray.Machine != "" || !news.TellsStrays) {
 			o.handleMisrouted(news.Stray, news.TellsStrays, time.Now())
 		}
-		// The actor may run the function after followFeed has stopped waiting (its controller ends), so the
-		// two share no variable.
-		if applied, _ := askFor(o.ctx, &o.actor, func() bool { return o.applyNews(name, &args, &news, sent) }); !applied {
+		applied := false
+		if !o.ask(o.ctx, func() { applied = o.applyNews(name, &args, &news, sent) }) {
+			return
+		}
+		if !applied {
 			pause(o.ctx, notEntitledPause)
 			continue
 		}
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -154,7 +154,7 @@
 // Run runs the actor until its context ends.
 func (h *Holder) Run() {
 	go h.learnOutstandingGrants()
-	h.loop(250*time.Millisecond, h.tick)
+	h.loop("holder", 250*time.Millisecond, h.tick)
 }
 
 func (h *Holder) slotOf(machine string) int {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -66,7 +66,7 @@
 }
 
 // Run runs the actor until its context ends.
-func (l *Leader) Run() { l.loop(250*time.Millisecond, l.tick) }
+func (l *Leader) Run() { l.loop("leader", 250*time.Millisecond, l.tick) }
 
 // isLeader reports whether the current incarnation of this controller holds the leadership and its session is
 // valid.
--- a/internal/coordination/moratorium.go
+++ b/internal/coordination/moratorium.go
@@ -86,7 +86,7 @@
 func (r HolderRPC) Owed(_ OwedArgs, reply *OwedReply) error {
 	remaining, ok := askFor(r.h.ctx, &r.h.actor, func() time.Duration { return membership.RemainingMoratorium(r.h.moratoriumRequested, time.Now()) })
 	if !ok {
-		return errRequestVoid
+		return errControllerEnded
 	}
 	reply.ForMs = remaining.Milliseconds() + 1
 	return nil
@@ -141,7 +141,7 @@
 func (r HolderRPC) Promise(a PromiseArgs, reply *PromiseReply) error {
 	answer, ok := askFor(r.h.ctx, &r.h.actor, func() PromiseReply { return r.h.answerMoratoriumRequest(&a) })
 	if !ok {
-		return errRequestVoid
+		return errControllerEnded
 	}
 	*reply = answer
 	return nil
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -177,7 +177,7 @@
 		o.peers[name] = &peerState{}
 		go o.followFeed(name, h)
 	}
-	o.loop(100*time.Millisecond, o.tick)
+	o.loop("owner", 100*time.Millisecond, o.tick)
 }
 
 func (o *Owner) jobChanged(j *bookkeeping.Job) {
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -86,11 +86,15 @@
 		quota.Reply
 		ok bool
 	}
-	a, asked := askFor(ctx, &o.actor, func() (a answer) {
+	// The authority learns what the owner uses even if the reply comes too late.
+	a, answered := submitFor(ctx, &o.actor, func() (a answer) {
 		a.Reply, a.ok = o.lend(&r, time.Now())
 		return a
 	})
-	if !asked || !a.ok {
+	switch {
+	case !answered:
+		return errNotAnswered
+	case !a.ok:
 		return errRequestVoid
 	}
 	*reply = a.Reply
--- a/internal/coordination/renting.go
+++ b/internal/coordination/renting.go
@@ -53,7 +53,11 @@
 func (l *Leader) fleetRound(leadingSince time.Time, leadership uint64) {
 	now := time.Now()
 	state := l.owner.summarizeFleet(l.ctx, now, l.started)
-	if state == nil || !l.session.Valid() {
+	switch {
+	case state == nil:
+		return // the controller has ended
+	case !l.session.Valid():
+		slog.Info("fleet round abandoned: the session has ended", "term", l.session.Term())
 		return
 	}
 	if state.ready {
@@ -219,7 +223,7 @@
 	l.listedMachines = listed
 	var unexpected []bookkeeping.Machine
 	for id, m := range listed {
-		if state.registered[id] == nil && !state.seen[id] && m.Status != "failed" && m.AgeS > 10 && !l.owner.isRemoved(l.ctx, id) {
+		if state.registered[id] == nil && !state.seen[id] && m.Status != "failed" && m.AgeS > 10 && l.owner.mayBeRegistered(l.ctx, id) {
 			unexpected = append(unexpected, bookkeeping.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, RentedMs: now.Add(-protocol.Seconds(m.AgeS)).UnixMilli()})
 		}
 	}
@@ -265,19 +269,9 @@
 	// Only machines named in a rental batch are returned: their removal from the batch is what informs all
 	// controllers.
 	batches, registered := map[string]*bookkeeping.RentalBatch{}, map[string]bool{}
-	l.ask(l.ctx, func() {
-		wanted := make(map[string]bool, len(ids))
-		for _, id := range ids {
-			wanted[id] = true
-		}
-		for name, batch := range l.batches {
-			for _, id := range batch.Machines {
-				if wanted[id] && (registered[id] || len(registered) < protocol.MaxReturn) {
-					registered[id], batches[name] = true, batch
-				}
-			}
-		}
-	})
+	if !l.ask(l.ctx, func() { l.findBatches(ids, batches, registered) }) {
+		return // the controller has ended
+	}
 	if ids = slices.Sorted(maps.Keys(registered)); len(ids) == 0 {
 		return
 	}
@@ -296,6 +290,22 @@
 	}
 }
 
+// findBatches adds the machines that rental batches name to registered, up to as many as one request may
+// return, and their batches to batches.
+func (l *Leader) findBatches(ids []string, batches map[string]*bookkeeping.RentalBatch, registered map[string]bool) {
+	wanted := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		wanted[id] = true
+	}
+	for name, batch := range l.batches {
+		for _, id := range batch.Machines {
+			if wanted[id] && (registered[id] || len(registered) < protocol.MaxReturn) {
+				registered[id], batches[name] = true, batch
+			}
+		}
+	}
+}
+
 // reportRefusedKinds reports to the owner which kinds of machines the cloud has no capacity for.
 func (l *Leader) reportRefusedKinds(now time.Time) {
 	var refused []fleet.Kind
--- a/internal/coordination/serve.go
+++ b/internal/coordination/serve.go
@@ -12,16 +12,23 @@
 // HolderRPC is the service that siblings, and the controller itself, may call.
 type HolderRPC struct{ h *Holder }
 
-var errRequestVoid = errors.New("request is void or the holder may not act")
+// Errors of calls between controllers. Only errRequestVoid says that a request was refused; whoever gets
+// another error does not know the outcome.
+var (
+	errRequestVoid     = errors.New("request is void or the holder may not act")
+	errControllerEnded = errors.New("the controller has ended")
+	errNotAnswered     = errors.New("not answered in time")
+)
 
 // Ask carries out an owner's request.
 func (r HolderRPC) Ask(a AskArgs, reply *AskReply) error {
-	ok := false
-	var out AskReply
-	if !r.h.ask(r.h.ctx, func() { out, ok = r.h.handleAsk(&a) }) || !ok {
+	accepted := false
+	if !r.h.ask(r.h.ctx, func() { *reply, accepted = r.h.handleAsk(&a) }) {
+		return errControllerEnded
+	}
+	if !accepted {
 		return errRequestVoid
 	}
-	*reply = out
 	return nil
 }
 
--- a/internal/emulator/balancer.go
+++ b/internal/emulator/balancer.go
@@ -58,19 +58,11 @@
 
 // Close closes the connection and removes it from its node's list.
 func (c *balanced) Close() error {
-	c.b.tell(func() { delete(c.node.open, c) })
+	// Not waited for, because net/http closes connections while it holds locks.
+	c.b.loop.tell(func() { delete(c.node.open, c) })
 	return c.Conn.Close()
 }
 
-// tell runs f on the loop without waiting for it, because net/http closes connections while it holds
-// locks.
-func (b *Balancer) tell(f func()) {
-	select {
-	case b.loop.inbox <- f:
-	case <-b.loop.ctx.Done():
-	}
-}
-
 // NewBalancer returns a balancer over the named nodes and their addresses. It runs until ctx ends.
 func NewBalancer(ctx context.Context, dial transport.Dialer, names []string, doors map[string]string, seed uint64) *Balancer {
 	b := &Balancer{loop: newLoop(ctx), dial: dial, rng: rand.New(rand.NewPCG(seed, 0xba1a))}
--- a/internal/emulator/loop.go
+++ b/internal/emulator/loop.go
@@ -4,12 +4,14 @@
 	"container/heap"
 	"context"
 	"time"
+
+	"daledyke/internal/inbox"
 )
 
 // loop is an actor with timers: one goroutine runs the functions it receives and the timers that expire, one
 // at a time. One loop owns all state of the world except that of the state service, which has its own loop.
 type loop struct {
-	inbox chan func()
+	inbox inbox.Inbox
 	ctx   context.Context
 	due   timers
 	seq   uint64
@@ -39,8 +41,11 @@
 	return x
 }
 
+// inboxCapacity is the number of functions that may wait for a loop.
+const inboxCapacity = 256
+
 func newLoop(ctx context.Context) *loop {
-	l := &loop{inbox: make(chan func(), 256), ctx: ctx, began: time.Now()}
+	l := &loop{inbox: make(inbox.Inbox, inboxCapacity), ctx: ctx, began: time.Now()}
 	go l.run()
 	return l
 }
@@ -67,22 +72,12 @@
 	}
 }
 
-// do runs f on the loop and waits for it. It returns false if the loop has ended; f may then not have run. It
-// must not be called on the loop.
-func (l *loop) do(f func()) bool {
-	done := make(chan struct{})
-	select {
-	case l.inbox <- func() { f(); close(done) }:
-	case <-l.ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-l.ctx.Done():
-		return false
-	}
-}
+// do runs f on the loop and waits for it. It returns false if the loop ended before f began, in which case f
+// never runs. It must not be called on the loop.
+func (l *loop) do(f func()) bool { return l.inbox.Call(l.ctx, l.ctx, f) }
+
+// tell queues f and does not wait for it to run.
+func (l *loop) tell(f func()) { l.inbox.Post(l.ctx, l.ctx, f) }
 
 // after schedules f to run after d. It must be called on the loop.
 func (l *loop) after(d time.Duration, f func()) *timer {
