Team limits: what the owner counted, in the log, the overview and the metrics

The owner now logs since which window and term it places a limited team's jobs, when all starts of former owners are known, how many starts were in flight when a job ended, and one error line when its own board shows more than a limit: the parts of the use, the last twelve starts with what was counted before each, the team's tasks, and which holder's version each slot was read from (once in 10 s a team). LOG_LEVEL=debug adds a line a start. The overview and /metrics show the parts of a limited team's use at its owner.

The sums moved from placing.go to team_limits.go. No decision changes: what is lost is shown and not counted.

--- a/internal/board/news.go
+++ b/internal/board/news.go
@@ -35,6 +35,10 @@
 // Exited reports whether the task ended, in whatever way, and its worker still remembers it.
 func (t *TaskView) Exited() bool { return t.State == protocol.TaskExited }
 
+// Lost reports whether the task is gone from its machine although a command to start it there may still be in
+// transit.
+func (t *TaskView) Lost() bool { return t.Exited() && t.Cause == CauseLost }
+
 // Running reports whether the task is seen to run.
 func (t *TaskView) Running() bool { return t.State == protocol.TaskRunning }
 
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -100,6 +100,8 @@
 	refusedKinds       []fleet.Kind
 
 	quotas quotas
+	// teamTrails holds, by limited team, what this owner decided for it.
+	teamTrails map[string]*teamTrail
 
 	// siblingSessionValid: some sibling reports that its session is valid. siblingHeard: some sibling
 	// answered recently. siblingServedMs is when the state service last served a request of any sibling, in
@@ -207,6 +209,7 @@
 		}
 		delete(o.active, id)
 		delete(o.unresolved, id)
+		logStartsInFlight(js)
 		o.keepOrphanedStarts(js)
 		js.pending, js.retryAt, js.failedOn, js.permits = nil, nil, nil, nil
 	}
@@ -280,6 +283,7 @@
 		o.judgeJobs(now)
 		o.lookUpUnknownJobs()
 		o.logStandstill(now)
+		o.logTeamsOverLimit(now)
 	}
 	var anyValid, anyHeard bool
 	for name, p := range o.peers {
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -79,48 +79,6 @@
 	}, o.machineTypes)
 }
 
-// teamUsage is the room that the teams' work takes, computed once a round: computing it for each placed task
-// took half of a large team's owner's time at 1,500 machines.
-type teamUsage struct {
-	// placed is the room of tasks on the board, pending that of starts in progress.
-	placed, pending map[string]protocol.Room
-	// hasUnknownJobs: the board shows tasks of unknown jobs, which may be of any team.
-	hasUnknownJobs bool
-}
-
-// currentTeamUsage is the room that the teams' work takes, computed once a round.
-func (o *Owner) currentTeamUsage() *teamUsage {
-	if o.teamUsageCache != nil {
-		return o.teamUsageCache
-	}
-	t := &teamUsage{placed: map[string]protocol.Room{}, pending: map[string]protocol.Room{}}
-	for job, tasks := range o.board.Tasks {
-		js := o.jobs[job]
-		if js == nil {
-			t.hasUnknownJobs = true
-			continue
-		}
-		s := js.job.Spec
-		n := 0.0
-		for _, list := range tasks {
-			for _, i := range list {
-				if !i.Exited() {
-					n++
-				}
-			}
-		}
-		t.placed[s.Team] = t.placed[s.Team].Add(s.Need().Scale(n))
-	}
-	for _, js := range o.active {
-		if n := len(js.pending); n > 0 {
-			s := js.job.Spec
-			t.pending[s.Team] = t.pending[s.Team].Add(s.Need().Scale(float64(n)))
-		}
-	}
-	o.teamUsageCache = t
-	return t
-}
-
 // claim is a job as preemption compares it with others, given the teams' usage.
 func (o *Owner) claim(j *bookkeeping.Job, usage map[string]protocol.Room) placement.Claim {
 	s := j.Spec
@@ -142,38 +100,6 @@
 	}
 }
 
-// teamLimitAllows reports whether the team's limit leaves room for more tasks of the job. All jobs of a limited
-// team have one owner, whose board and pending starts show all that may be running.
-func (o *Owner) teamLimitAllows(js *jobState, more int) bool {
-	t := o.cfg.Team(js.job.Spec.Team)
-	if t == nil || !t.LimitAppliesTo(js.job.Spec.Need()) {
-		return t != nil
-	}
-	if o.newJobRevision(js.gainWindow) == 0 {
-		return false // some running tasks may not be known yet
-	}
-	if o.blockedByTurn(js, t.Name) {
-		return false
-	}
-	usage := o.currentTeamUsage()
-	if usage.hasUnknownJobs {
-		return false // the unknown job may be the team's
-	}
-	total := usage.placed[t.Name].Add(usage.pending[t.Name]).Add(js.job.Spec.Need().Scale(float64(more)))
-	return t.Admits(total)
-}
-
-// blockedByTurn reports whether a job has to wait because it is the turn of a larger job of its team, which
-// still waits.
-func (o *Owner) blockedByTurn(js *jobState, team string) bool {
-	t := o.turns[team]
-	if t == nil || !t.Blocks(js.job.Spec.ID, js.job.Rank, time.Now()) {
-		return false
-	}
-	other := o.active[t.Job]
-	return other != nil && other.missing > 0 && len(other.ownedBlocks) > 0
-}
-
 // placeJob starts the missing tasks of a job as far as there is room. It returns for how many it searched a
 // machine.
 func (o *Owner) placeJob(js *jobState, now time.Time, rq requests) int {
--- a/internal/coordination/ranges.go
+++ b/internal/coordination/ranges.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 
 	"daledyke/internal/board"
@@ -99,6 +100,7 @@
 	for _, js := range o.active {
 		o.updateOwnedBlocks(js)
 	}
+	o.logLimitedTeams()
 	o.dirty = true
 }
 
@@ -202,6 +204,7 @@
 					clear(o.gainRevisions)
 				}
 				o.gainRevisions[window] = revision
+				slog.Info("all starts of former owners are known", "window", window, "revision", revision)
 			}
 		})
 	}()
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -57,6 +57,7 @@
 	a := o.requestFor(rq, m)
 	a.Starts = append(a.Starts, Start{Task: protocol.TaskName(js.job.Spec.ID, index), Attempt: attempt, Machine: m.ID, Term: m.Term, Evict: c.Evict, Reserve: reserve,
 		Permit: js.takePermit(index).Permit})
+	o.noteAdmission(js.job.Spec, &a.Starts[len(a.Starts)-1])
 	ps := &pendingStart{attempt: attempt, machine: m.ID, holder: m.Holder, holderIncarnation: o.peers[m.Holder].incarnation, slot: m.Slot, slotTerm: m.Term,
 		need: js.job.Spec.Need()}
 	js.pending[index] = ps
--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -149,6 +149,7 @@
 		v.NoCapacity = append(v.NoCapacity, k.String())
 	}
 	v.Fleet = o.fleetCounts(now)
+	v.Teams = o.limitedTeamViews()
 	if o.quotas.tree != nil {
 		v.Quotas = o.quotaView(maxShownAccounts)
 	}
--- a/internal/protocol/operators.go
+++ b/internal/protocol/operators.go
@@ -30,10 +30,23 @@
 	// NoCapacity lists kinds of machines that the cloud recently had no capacity for; only the leader knows
 	// them.
 	NoCapacity []string `json:"noCapacity"`
+	// Teams shows the use of the limited teams whose jobs this controller places.
+	Teams []TeamView `json:"teams,omitempty"`
 	// Quotas shows nested quotas, if enabled: the accounts that use most.
 	Quotas *QuotaView `json:"quotas,omitempty"`
 }
 
+// TeamView is a limited team's use, as the controller counts it that places the team's jobs.
+type TeamView struct {
+	Team  string `json:"team"`
+	Limit Room   `json:"limit"`
+	// Placed is the room of tasks on machines, Pending that of starts whose outcome is not known yet, Lost that
+	// of tasks that are gone although a command to start them may still be in transit.
+	Placed  Room `json:"placed"`
+	Pending Room `json:"pending"`
+	Lost    Room `json:"lost"`
+}
+
 // MaxWaiting limits the waiting jobs in an overview.
 const MaxWaiting = 25
 
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -17,6 +17,7 @@
 	set.slots(v)
 	set.machines(v)
 	set.jobs(v)
+	set.teams(v)
 	set.siblings(v)
 	set.services(v)
 	set.quotas(v.Quotas)
@@ -101,6 +102,16 @@
 	}
 }
 
+// teams sets the metrics of the limited teams whose jobs this controller places.
+func (g gauges) teams(v *protocol.Overview) {
+	for _, t := range v.Teams {
+		for part, r := range map[string]protocol.Room{"limit": t.Limit, "placed": t.Placed, "pending": t.Pending, "lost": t.Lost} {
+			g.gauge("team_cpus", r.Cores, "team", t.Team, "part", part)
+			g.gauge("team_gpus", r.Accels, "team", t.Team, "part", part)
+		}
+	}
+}
+
 func (g gauges) siblings(v *protocol.Overview) {
 	for _, s := range v.Siblings {
 		g.gauge("sibling_generation", float64(s.Generation), "name", s.Name)
