Team limits: a start in flight counts although its job ended

Cause: an owner forgot the starts in flight of a job as soon as the job's record was final, so the next round gave their room to other jobs, though holders had carried the starts out, or still did. Nested quotas kept such starts in a list of their own; team limits had none: a check in one path and not in the other.

Fix: the starts in flight are one list for active and ended jobs, team limits and nested quotas. What the board shows is no longer counted a second time as in flight. Renting for a limited team goes by the same sum.

--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -265,12 +265,12 @@
 	})
 }
 
-// remainingTeamLimits is how much each limited team may still use beyond its placed tasks.
+// remainingTeamLimits is how much each limited team may still use beyond what is or may come to be on machines.
 func (o *Owner) remainingTeamLimits() map[string]*fleet.Allowance {
 	left := map[string]*fleet.Allowance{}
 	for i := range o.cfg.Deployment.Teams {
 		if t := &o.cfg.Deployment.Teams[i]; t.HasLimit() {
-			left[t.Name] = fleet.NewAllowance(protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}, o.currentTeamUsage().placed[t.Name])
+			left[t.Name] = fleet.NewAllowance(protocol.Room{Cores: t.CoresMax, Accels: t.AccelsMax}, o.currentTeamUsage().mayBePresent(t.Name))
 		}
 	}
 	return left
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -86,29 +86,30 @@
 	o.markStale(o.board.Apply(name, news, sent, time.Now()))
 	o.dropMetNeeds(news.Machines)
 	o.dirty = true
-	for at, ps := range o.quotas.orphanedStarts {
-		if o.startResolved(ps, name, args, news) {
-			delete(o.quotas.orphanedStarts, at)
-		}
-	}
-	for id, js := range o.unresolved {
+	for _, js := range o.unresolved {
 		for i, ps := range js.pending {
 			if o.startResolved(ps, name, args, news) {
 				delete(js.pending, i)
 				js.stale = true
 			}
 		}
-		if js.allPriorStartsKnown() {
-			if len(js.pending) == 0 {
-				delete(o.unresolved, id)
-			}
-		} else if js.firstSeen.Before(sent) {
+		if !js.job.Final() && !js.allPriorStartsKnown() && js.firstSeen.Before(sent) {
 			o.noteCompleteSlots(js, args, news)
+		} else {
+			o.dropIfResolved(js)
 		}
 	}
 	return true
 }
 
+// dropIfResolved drops a job from the unresolved ones if the outcome of each start is known and, unless the job
+// has ended, all that former owners started.
+func (o *Owner) dropIfResolved(js *jobState) {
+	if len(js.pending) == 0 && (js.job.Final() || js.allPriorStartsKnown()) {
+		delete(o.unresolved, js.job.Spec.ID)
+	}
+}
+
 // markStale marks the jobs for which the board shows changes.
 func (o *Owner) markStale(jobs map[string]bool) {
 	for id := range jobs {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -40,8 +40,8 @@
 	machineTypes map[string]protocol.MachineType
 	jobs         map[string]*jobState
 	active       map[string]*jobState // not final
-	// unresolved are the active jobs for which the outcome of a start, or what former owners started, is not
-	// known yet.
+	// unresolved are the jobs for which the outcome of a start is not known yet, whether or not the job has
+	// ended since, and the active jobs for which it is not known yet what former owners started.
 	unresolved         map[string]*jobState
 	registeredMachines map[string]*bookkeeping.Machine
 	rosters            map[int]bookkeeping.Roster
@@ -129,6 +129,7 @@
 	// gainWindow is the window since which this controller has owned the job itself without a break, 0 if it
 	// does not own it. The job's owner has its first block, records its results and ends it.
 	gainWindow uint64
+	// pending are the starts whose outcome is not known yet, by task. They outlive the job.
 	pending    map[int]*pendingStart
 	retryAt    map[int]time.Time
 	errorCount int
@@ -208,10 +209,9 @@
 			slog.Info("cancelled with another", "job", id, "with", j.CancelledWith)
 		}
 		delete(o.active, id)
-		delete(o.unresolved, id)
+		js.retryAt, js.failedOn, js.permits = nil, nil, nil
 		logStartsInFlight(js)
-		o.keepOrphanedStarts(js)
-		js.pending, js.retryAt, js.failedOn, js.permits = nil, nil, nil, nil
+		o.dropIfResolved(js)
 	}
 	o.updateRunning(id)
 	o.dirty = true
@@ -226,7 +226,7 @@
 func (o *Owner) evictFinalJobs() {
 	n := maxFinalJobs / 4
 	for id, js := range o.jobs {
-		if js.job.Final() && o.board.Tasks[id] == nil {
+		if js.job.Final() && o.board.Tasks[id] == nil && o.unresolved[id] == nil {
 			delete(o.jobs, id)
 			if n--; n == 0 {
 				return
@@ -248,11 +248,6 @@
 	touched := map[string]bool{}
 	o.board.Remove(id, touched)
 	o.markStale(touched)
-	for at, ps := range o.quotas.orphanedStarts {
-		if ps.machine == id {
-			delete(o.quotas.orphanedStarts, at)
-		}
-	}
 	for _, js := range o.unresolved {
 		for i, ps := range js.pending {
 			if ps.machine == id {
@@ -260,6 +255,7 @@
 				js.stale = true
 			}
 		}
+		o.dropIfResolved(js)
 	}
 	o.dirty = true
 }
--- a/internal/coordination/quota_owner.go
+++ b/internal/coordination/quota_owner.go
@@ -122,9 +122,6 @@
 				}
 			}
 		}
-		for attempt := range o.quotas.orphanedStarts {
-			request.Holding = append(request.Holding, attempt)
-		}
 		name := o.window().Owner(protocol.RingToken(team))
 		pending.wants, pending.sentAt = nil, now
 		o.quotas.requestCount++
@@ -219,17 +216,6 @@
 	}
 }
 
-// keepOrphanedStarts keeps the starts in flight of a job that ended. Their permits count as held until the
-// outcome of each start is known.
-func (o *Owner) keepOrphanedStarts(js *jobState) {
-	if o.account(js) == "" {
-		return
-	}
-	for index, ps := range js.pending {
-		o.quotas.orphanedStarts[quota.Attempt{Task: protocol.TaskName(js.job.Spec.ID, index), Number: ps.attempt}] = ps
-	}
-}
-
 // limitingAccount returns the account whose limit prevents more of a job from starting, or "". For this
 // owner's jobs it is what the authority reported; for other owners' jobs it is derived from the board.
 func (o *Owner) limitingAccount(js *jobState, now time.Time) string {
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -32,8 +32,6 @@
 	requestsByTeam map[string]*quotaRequest
 	// withPermits are the jobs that hold unused permits.
 	withPermits map[string]*jobState
-	// orphanedStarts are starts in flight whose job has ended since.
-	orphanedStarts map[quota.Attempt]*pendingStart
 	// yielding are the tasks that have to stop because authorities reclaim their quota.
 	yielding map[string]bool
 	// usage is the use of all accounts according to the board, as of usageAt.
@@ -103,7 +101,7 @@
 
 func newQuotas(t *quota.Tree, callers map[string]LendCaller) quotas {
 	return quotas{tree: t, callers: callers, authorities: map[string]*quota.Authority{}, unknownJobs: map[string]bool{}, requestsByTeam: map[string]*quotaRequest{},
-		withPermits: map[string]*jobState{}, orphanedStarts: map[quota.Attempt]*pendingStart{}, yielding: map[string]bool{}}
+		withPermits: map[string]*jobState{}, yielding: map[string]bool{}}
 }
 
 // authority returns the authority of a team, or nil if this controller is not the authority or does not know
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -9,7 +9,6 @@
 	"daledyke/internal/board"
 	"daledyke/internal/placement"
 	"daledyke/internal/protocol"
-	"daledyke/internal/quota"
 	"daledyke/internal/transport"
 )
 
@@ -106,36 +105,33 @@
 	}
 	for k, st := range a.Starts {
 		job, index, _ := protocol.SplitTask(st.Task)
-		js := o.active[job]
-		attempt := quota.Attempt{Task: st.Task, Number: st.Attempt}
-		if o.quotas.orphanedStarts[attempt] == pendingStarts[k] {
-			// The job is final; the start's outcome still counts for quotas.
-			if refused || err == nil && k < len(r.Refused) && r.Refused[k] != "" {
-				delete(o.quotas.orphanedStarts, attempt)
-			} else if pendingStarts[k].outcomeUnknown = err != nil; err == nil {
-				pendingStarts[k].acked, pendingStarts[k].ackIncarnation, pendingStarts[k].ackVersion = true, r.Incarnation, r.Version
-			}
-			continue
-		}
-		if js == nil || js.pending[index] != pendingStarts[k] {
+		js, ps := o.jobs[job], pendingStarts[k]
+		if js == nil || js.pending[index] != ps {
 			continue
 		}
 		js.stale = true
 		switch {
 		case refused:
-			delete(js.pending, index)
-			js.retryAt[index] = time.Now().Add(500 * time.Millisecond)
+			js.dropStart(index, 500*time.Millisecond)
 		case err != nil:
-			pendingStarts[k].outcomeUnknown = true
+			ps.outcomeUnknown = true
 		case k < len(r.Refused) && r.Refused[k] != "":
-			delete(js.pending, index)
-			js.retryAt[index] = time.Now().Add(300 * time.Millisecond)
+			js.dropStart(index, 300*time.Millisecond)
 		default:
-			pendingStarts[k].acked, pendingStarts[k].ackIncarnation, pendingStarts[k].ackVersion = true, r.Incarnation, r.Version
+			ps.acked, ps.ackIncarnation, ps.ackVersion = true, r.Incarnation, r.Version
 			// The feed may have shown the start before the reply came.
-			if p := o.peers[name]; o.outcomeShown(pendingStarts[k], name, p.incarnation, p.version) {
+			if p := o.peers[name]; o.outcomeShown(ps, name, p.incarnation, p.version) {
 				delete(js.pending, index)
 			}
 		}
 	}
 }
+
+// dropStart drops a start that was refused; unless the job has ended, the task may be started again after a
+// delay.
+func (js *jobState) dropStart(index int, delay time.Duration) {
+	delete(js.pending, index)
+	if !js.job.Final() {
+		js.retryAt[index] = time.Now().Add(delay)
+	}
+}
--- a/internal/coordination/team_limits.go
+++ b/internal/coordination/team_limits.go
@@ -1,8 +1,10 @@
 package coordination
 
 import (
+	"slices"
 	"time"
 
+	"daledyke/internal/board"
 	"daledyke/internal/protocol"
 )
 
@@ -11,7 +13,8 @@
 // teamUsage is the room that the teams' work takes, computed once a round: computing it for each placed task
 // took half of a large team's owner's time at 1,500 machines.
 type teamUsage struct {
-	// placed is the room of tasks on the board, pending that of starts in progress, by team.
+	// placed is the room of tasks on the board, pending that of starts whose outcome is not known and which the
+	// board does not show yet, by team. A start counts until its outcome is known, even if its job has ended.
 	placed, pending map[string]protocol.Room
 	// lost is the room of tasks that are gone from their machines although a command to start them there may
 	// still be in transit, by team.
@@ -20,6 +23,11 @@
 	hasUnknownJobs bool
 }
 
+// mayBePresent is the room of everything of a team that is on a machine or may come to be there.
+func (u *teamUsage) mayBePresent(team string) protocol.Room {
+	return u.placed[team].Add(u.pending[team])
+}
+
 // addRoom adds the room of a number of tasks of a job to the sum of its team.
 func addRoom(sums map[string]protocol.Room, s *protocol.JobSpec, tasks int) {
 	if tasks > 0 {
@@ -53,14 +61,27 @@
 		addRoom(usage.placed, js.job.Spec, placed)
 		addRoom(usage.lost, js.job.Spec, lost)
 	}
-	for _, js := range o.active {
-		addRoom(usage.pending, js.job.Spec, len(js.pending))
+	for id, js := range o.unresolved {
+		pending := 0
+		for index, ps := range js.pending {
+			if !shows(o.board.Tasks[id][index], ps) {
+				pending++
+			}
+		}
+		addRoom(usage.pending, js.job.Spec, pending)
 	}
 	o.teamUsageCache = usage
 	o.logTeamsOverLimit(time.Now())
 	return usage
 }
 
+// shows reports whether a start is among a task's instances that count as placed.
+func shows(instances []*board.Instance, ps *pendingStart) bool {
+	return slices.ContainsFunc(instances, func(i *board.Instance) bool {
+		return i.Attempt == ps.attempt && i.Machine.ID == ps.machine && !i.Exited()
+	})
+}
+
 // teamLimitAllows reports whether the team's limit leaves room for more tasks of the job. All jobs of a limited
 // team have one owner, whose board and pending starts show all that may be running.
 func (o *Owner) teamLimitAllows(js *jobState, more int) bool {
@@ -78,8 +99,7 @@
 	if usage.hasUnknownJobs {
 		return false // the unknown job may be the team's
 	}
-	total := usage.placed[t.Name].Add(usage.pending[t.Name]).Add(js.job.Spec.Need().Scale(float64(more)))
-	return t.Admits(total)
+	return t.Admits(usage.mayBePresent(t.Name).Add(js.job.Spec.Need().Scale(float64(more))))
 }
 
 // blockedByTurn reports whether a job has to wait because it is the turn of a larger job of its team, which
--- a/internal/coordination/team_limits_test.go
+++ b/internal/coordination/team_limits_test.go
@@ -113,6 +113,23 @@
 	}
 }
 
+// A job that is forgotten could not be told from one of another team.
+func TestEndedJobIsKeptWhileItsStartsAreInFlight(t *testing.T) {
+	o, first, _ := newLimitedOwner(t)
+	start := o.request(first, 0, 3)
+	o.end(first, protocol.Cancelled)
+	o.evictFinalJobs()
+	if o.jobs["wk-1"] == nil {
+		t.Error("forgotten while a start is in flight")
+	}
+	o.reply(start, &AskReply{Refused: []string{"not to be run"}}, nil)
+	o.apply(newsOfVersion(6))
+	o.evictFinalJobs()
+	if o.jobs["wk-1"] != nil {
+		t.Error("kept for ever")
+	}
+}
+
 // The command to start a task that its machine does not show may still be carried out there.
 func TestLostTaskCountsAgainstTeamLimit(t *testing.T) {
 	starting := board.TaskView{Task: "wk-1/0", Attempt: 3, State: board.TaskStarting}
