Team limits and quotas: a task whose start may still arrive counts

A task that its machine does not show any more, while the command to start it there may still be in transit, is lost on the board (board.CauseLost). It blocks its own task from starting elsewhere, yet it left the use of its team and of its account, so that others could get its room while the command was still carried out.

The order is shown by tests alone.

Fix: TaskView.MayBePresent says what counts, for team limits and for the running use of an authority. What is lost leaves the count as before: when its holder no longer shows it, or its time on the board ends (StartCommandLifetime).

--- a/internal/board/news.go
+++ b/internal/board/news.go
@@ -39,6 +39,9 @@
 // transit.
 func (t *TaskView) Lost() bool { return t.Exited() && t.Cause == CauseLost }
 
+// MayBePresent reports whether the task is on its machine or may still come to be there.
+func (t *TaskView) MayBePresent() bool { return !t.Exited() || t.Lost() }
+
 // Running reports whether the task is seen to run.
 func (t *TaskView) Running() bool { return t.State == protocol.TaskRunning }
 
--- a/internal/coordination/quotas.go
+++ b/internal/coordination/quotas.go
@@ -134,12 +134,13 @@
 	return quota.Job{Account: config.AccountOf(o.quotas.tree, js.job.Spec), Need: js.job.Spec.Need(), Rank: js.job.Rank}
 }
 
-// setRunning passes to an authority the attempts of a job that the board shows on machines.
+// setRunning passes to an authority the attempts of a job that are on machines or may come to be there by the
+// board.
 func (o *Owner) setRunning(a *quota.Authority, js *jobState) {
 	var attempts []quota.Attempt
 	for _, instances := range o.board.Tasks[js.job.Spec.ID] {
 		for _, i := range instances {
-			if !i.Exited() {
+			if i.MayBePresent() {
 				attempts = append(attempts, quota.Attempt{Task: i.Task, Number: i.Attempt})
 			}
 		}
--- a/internal/coordination/team_limits.go
+++ b/internal/coordination/team_limits.go
@@ -25,7 +25,7 @@
 
 // mayBePresent is the room of everything of a team that is on a machine or may come to be there.
 func (u *teamUsage) mayBePresent(team string) protocol.Room {
-	return u.placed[team].Add(u.pending[team])
+	return u.placed[team].Add(u.pending[team]).Add(u.lost[team])
 }
 
 // addRoom adds the room of a number of tasks of a job to the sum of its team.
@@ -75,10 +75,10 @@
 	return usage
 }
 
-// shows reports whether a start is among a task's instances that count as placed.
+// shows reports whether a start is among a task's instances that count as placed or lost.
 func shows(instances []*board.Instance, ps *pendingStart) bool {
 	return slices.ContainsFunc(instances, func(i *board.Instance) bool {
-		return i.Attempt == ps.attempt && i.Machine.ID == ps.machine && !i.Exited()
+		return i.Attempt == ps.attempt && i.Machine.ID == ps.machine && i.MayBePresent()
 	})
 }
 
--- a/internal/coordination/team_limits_test.go
+++ b/internal/coordination/team_limits_test.go
@@ -8,6 +8,7 @@
 
 	"daledyke/internal/board"
 	"daledyke/internal/protocol"
+	"daledyke/internal/quota"
 )
 
 // request puts a start of a task in flight, as addStart and sendRequest do.
@@ -153,3 +154,28 @@
 		o.expectRoom(second, 2, "no longer in transit")
 	})
 }
+
+// As for team limits, in nested quotas.
+func TestLostTaskKeepsItsQuota(t *testing.T) {
+	o, first, _ := newLimitedOwner(t)
+	tree, err := quota.NewTree([]quota.Account{{Name: "bound", Limit: protocol.Room{Cores: 8}}}, func(string) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.quotas = newQuotas(tree, nil)
+	authority := quota.NewAuthority(tree)
+	o.quotas.authorities["bound"] = authority
+	for _, c := range []struct {
+		task board.TaskView
+		uses float64
+	}{
+		{board.TaskView{Task: "wk-1/0", Attempt: 3, State: board.TaskStarting}, 4},
+		{board.TaskView{Task: "wk-1/0", Attempt: 3, State: protocol.TaskExited, Cause: board.CauseLost}, 4},
+		{board.TaskView{Task: "wk-1/0", Attempt: 3, State: protocol.TaskExited, Cause: protocol.CauseError}, 0},
+	} {
+		o.apply(holderNews(5, true, c.task))
+		if used := authority.Ledger().Used("bound").Cores; used != c.uses {
+			t.Errorf("%s: %s of %s uses %v CPUs", first.job.Spec.ID, c.task.State, c.task.Cause, used)
+		}
+	}
+}
