--- a/internal/coordination/team_limits_test.go
+++ b/internal/coordination/team_limits_test.go
@@ -179,3 +179,42 @@
 		}
 	}
 }
+
+// Replies to a start that is not pending, or to an earlier one, say nothing about the pending one.
+func TestOtherRepliesLeaveAPendingStart(t *testing.T) {
+	o, first, second := newLimitedOwner(t)
+	start := o.request(first, 0, 3)
+	earlier := *start
+	earlier.attempt = 2
+	refusal := &AskReply{Refused: []string{"no room"}}
+	for _, end := range []bool{false, true} {
+		if end {
+			o.end(first, protocol.Cancelled)
+		}
+		o.reply(&earlier, refusal, nil)
+		o.reply(&earlier, nil, errRequestVoid)
+		unknown := &AskArgs{ID: start.requestID, Starts: []Start{{Task: "wk-9/0", Attempt: 3}, {Task: "no task", Attempt: 3}}}
+		o.handleReply("c1", unknown, []*pendingStart{start, start}, refusal, nil)
+		o.reply(start, &AskReply{Incarnation: 4, Version: 1}, nil) // the holder's process before
+		o.apply(newsOfVersion(9))
+		o.expectRoom(second, 1, fmt.Sprintf("job ended: %v", end))
+	}
+	o.apply(holderNews(6, true))
+	o.expectRoom(second, 2, "slot complete at its next holder")
+}
+
+// A limit that falls below what is in flight lets nothing start; one that goes lets all start.
+func TestLimitThatFallsOrGoesWhileStartsAreInFlight(t *testing.T) {
+	o, first, second := newLimitedOwner(t)
+	team := o.cfg.Team("bound")
+	o.request(first, 0, 3)
+	team.CoresMax = 2
+	o.expectRoom(second, 0, "limit below one task")
+	o.end(first, protocol.Cancelled)
+	o.expectRoom(second, 0, "and its job ended")
+	team.CoresMax = 0
+	o.teamUsageCache = nil
+	if !o.teamLimitAllows(second, 100) {
+		t.Error("without a limit nothing may start")
+	}
+}
