Team limits: tests of an ended job's place in memory and of another attempt beside a start

Each was missing for a mistake put in: a start that the board shows as another attempt, and an ended job kept for what former owners started.

--- a/internal/coordination/team_limits_test.go
+++ b/internal/coordination/team_limits_test.go
@@ -131,6 +131,27 @@
 	}
 }
 
+// What former owners started of a job no longer matters once it has ended.
+func TestEndedJobIsNotKeptForStartsOfFormerOwners(t *testing.T) {
+	o, first, _ := newLimitedOwner(t)
+	first.ownedBlocks[0].ownership = &ownership{gainWindow: 4, completeSlots: map[int]bool{}}
+	o.unresolved["wk-1"] = first
+	o.end(first, protocol.Cancelled)
+	if o.unresolved["wk-1"] != nil {
+		t.Error("kept for ever")
+	}
+}
+
+// A start is no other attempt of its task: both take room.
+func TestStartBesideAnotherAttemptCountsAgainstTeamLimit(t *testing.T) {
+	o, first, second := newLimitedOwner(t)
+	o.request(first, 0, 3)
+	o.apply(newsOfVersion(6, board.TaskView{Task: "wk-1/0", Attempt: 2, State: protocol.TaskRunning}))
+	o.expectRoom(second, 0, "another attempt runs")
+	o.apply(newsOfVersion(7, board.TaskView{Task: "wk-1/0", Attempt: 3, State: protocol.TaskRunning}))
+	o.expectRoom(second, 1, "the attempt runs")
+}
+
 // The command to start a task that its machine does not show may still be carried out there.
 func TestLostTaskCountsAgainstTeamLimit(t *testing.T) {
 	starting := board.TaskView{Task: "wk-1/0", Attempt: 3, State: board.TaskStarting}
