--- a/review/_standin/case_guarantee.go
+++ b/review/_standin/case_guarantee.go
@@ -104,12 +104,16 @@
 
 // runningOf counts the tasks of a team that are on machines.
 func (s *setup) runningOf(team string) (n int) {
-	s.cloud.with(func() {
-		for _, j := range s.cloud.jobs {
-			if j.spec.Team == team {
-				n += len(j.on)
-			}
+	s.cloud.with(func() { n = s.on(team) })
+	return n
+}
+
+// on counts the tasks of a team that are on machines; the caller holds the lock.
+func (s *setup) on(team string) (n int) {
+	for _, j := range s.cloud.jobs {
+		if j.spec.Team == team {
+			n += len(j.on)
 		}
-	})
+	}
 	return n
 }
--- a/review/_standin/cloud.go
+++ b/review/_standin/cloud.go
@@ -24,13 +24,11 @@
 	mu       sync.Mutex
 	machines []*machine // in the order of their names
 	bookings map[string][]string
-	// numberStep is the difference between the numbers of two machines: other customers get those between.
-	numberStep int
 	// capacity is how many machines of a type there may be; 0 for other types. down: the interface answers 503.
 	capacity map[string]int
 	down     bool
-	// boot returns how long a machine takes to be up, and its address; an empty address is a new one.
-	boot func(m *machine) (after time.Duration, addr string)
+	// boot returns how long a machine takes to be up; 0 if the case has it come up.
+	boot func(m *machine) time.Duration
 	jobs map[string]*job
 	// broken holds what broke a rule.
 	broken []string
@@ -48,8 +46,8 @@
 }
 
 func newCloud(ctx context.Context, p *site, r *record) *cloud {
-	c := &cloud{record: r, site: p, ctx: ctx, bookings: map[string][]string{}, numberStep: 1, capacity: map[string]int{}, jobs: map[string]*job{}}
-	c.boot = func(*machine) (time.Duration, string) { return 1500 * time.Millisecond, "" }
+	c := &cloud{record: r, site: p, ctx: ctx, bookings: map[string][]string{}, capacity: map[string]int{}, jobs: map[string]*job{}}
+	c.boot = func(*machine) time.Duration { return 1500 * time.Millisecond }
 	return c
 }
 
@@ -142,7 +140,7 @@
 	}
 	var names []string
 	for range min(left, q.Count) {
-		m := &machine{c: c, id: fmt.Sprintf("host-%06d", 231+c.numberStep*len(c.machines)), plaza: q.Zone, spot: q.Spot, rented: time.Now(), changed: make(chan struct{}, 1)}
+		m := &machine{c: c, id: fmt.Sprintf("host-%06d", 231+len(c.machines)), plaza: q.Zone, spot: q.Spot, rented: time.Now(), changed: make(chan struct{}, 1)}
 		for _, t := range c.site.types {
 			if t.Name == q.Type {
 				m.typ = t
@@ -150,8 +148,9 @@
 		}
 		c.machines = append(c.machines, m)
 		names = append(names, m.id)
-		after, addr := c.boot(m)
-		time.AfterFunc(after, func() { m.comeUp(addr) })
+		if after := c.boot(m); after > 0 {
+			time.AfterFunc(after, func() { m.comeUp("") })
+		}
 	}
 	c.add("cloud: rental %+v -> %v", q, names)
 	if len(names) == 0 {
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -54,7 +54,7 @@
 
 func (t *task) exited() bool { return t.State == protocol.TaskExited }
 
-// comeUp starts the worker once the machine has booted.
+// comeUp starts the worker once the machine has booted, at an address of its own if none is given.
 func (m *machine) comeUp(addr string) {
 	m.c.mu.Lock()
 	defer m.c.mu.Unlock()
@@ -94,12 +94,13 @@
 	}
 }
 
-// reboot restarts the machine at once: its tasks end, and its worker begins anew. It holds the lock.
+// reboot restarts the machine at once: its tasks end, and its worker begins anew; its disk, with the images, stays. It
+// holds the lock.
 func (m *machine) reboot() {
 	m.c.add("%s reboots", m.id)
 	m.killTasks()
 	m.boots++
-	m.shift, m.ticket, m.baton, m.renewed, m.images = 1, 0, 0, time.Now(), map[string]time.Time{}
+	m.shift, m.ticket, m.baton, m.renewed = 1, 0, 0, time.Now()
 }
 
 func (m *machine) killTasks() {
