Review, case 1: a job that failed once on one machine is never started again

Need: an independent review before production looks for faults that break the users' rules. Change: review/1, a machine that fails what it starts for 4 s. Result: 95 s after the machine was well again the job still waits, though the machine has room for it and three more could be rented.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -38,7 +38,7 @@
 var cases = map[string]play{}
 
 // limit bounds a whole run.
-const limit = 110 * time.Second
+const limit = 117 * time.Second
 
 func main() {
 	name := ""
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -36,6 +36,8 @@
 	node       int                  // the controller that it reports to
 	changed    chan struct{}
 	server     *http.Server
+	// sick: the machine fails every task that it starts.
+	sick bool
 	// cut: nothing leaves the machine, and what is sent to it is held until the cut ends.
 	cut  bool
 	held []func()
@@ -392,6 +394,10 @@
 		m.c.violate("wrong_place: %s may run on %v and starts on %s, a %s", t.Task, t.job.spec.Types, m.id, m.typ.Name)
 	}
 	m.noteChange()
+	if m.sick {
+		m.exit(t, protocol.CauseError)
+		return
+	}
 	if t.job.done[t.Task] {
 		m.exit(t, protocol.CauseDone)
 		return
