--- a/review/_standin/case_seesaw.go
+++ b/review/_standin/case_seesaw.go
@@ -24,13 +24,14 @@
 		watched             = 75 * time.Second
 	)
 	gate := trainJob("wk-000201", "gatehouse")
-	gate["urgency"], gate["expectedS"] = "normal", 20.0
+	gate["urgency"], gate["expectedS"], gate["plaza"] = "normal", 20.0, "lorient"
 	if err := s.cloud.upload(gate, 20*time.Second); err != nil {
 		return false, err
 	}
 	var ferry []map[string]any
 	for n := range ferries {
 		ferry = append(ferry, trainJob(fmt.Sprintf("wk-%06d", 101+n), "ferry-ops"))
+		ferry[n]["plaza"] = "lorient"
 		if err := s.cloud.upload(ferry[n], 120*time.Second); err != nil {
 			return false, err
 		}
