--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -39,10 +39,12 @@
 	// sick: the machine fails every task that it starts.
 	sick bool
 	// cut: nothing leaves the machine, and what is sent to it is held until the cut ends.
-	cut  bool
-	held []func()
-	end  context.CancelFunc
-	ctx  context.Context
+	// holdStarts: direct commands with starts are held, and nothing else.
+	cut, holdStarts bool
+	held            []func()
+	heldStarts      []string // the tasks that held commands start
+	end             context.CancelFunc
+	ctx             context.Context
 }
 
 // task is an attempt of a task on a machine.
@@ -78,7 +80,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /do", m.do)
 	mux.HandleFunc("GET /inspect", func(w http.ResponseWriter, r *http.Request) {
-		m.reach(r, func() func() { rep := m.report(); return func() { write(w, http.StatusOK, rep) } })
+		m.reach(r, false, func() func() { rep := m.report(); return func() { write(w, http.StatusOK, rep) } })
 	})
 	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go m.server.Serve(l)
@@ -256,7 +258,7 @@
 
 // reach runs f, which returns how to answer, once the machine can be reached. A request that was given up
 // meanwhile is carried out all the same.
-func (m *machine) reach(r *http.Request, f func() (answer func())) {
+func (m *machine) reach(r *http.Request, starts bool, f func() (answer func())) {
 	done := make(chan func(), 1)
 	m.c.with(func() {
 		carryOut := func() {
@@ -264,7 +266,7 @@
 				done <- f()
 			}
 		}
-		if m.cut {
+		if m.cut || m.holdStarts && starts {
 			m.held = append(m.held, carryOut)
 		} else {
 			carryOut()
@@ -284,9 +286,13 @@
 // setCut begins or ends a cut; what was held is then delivered, in order. It holds the lock.
 func (m *machine) setCut(on bool) {
 	m.c.add("%s: cut %v", m.id, on)
-	if m.cut = on; on {
-		return
+	if m.cut = on; !on {
+		m.deliver()
 	}
+}
+
+// deliver carries out what was held, in order; it holds the lock.
+func (m *machine) deliver() {
 	for _, f := range m.held {
 		f()
 	}
@@ -300,7 +306,15 @@
 		write(w, http.StatusBadRequest, map[string]string{"error": "malformed"})
 		return
 	}
-	m.reach(r, func() func() {
+	starts := false
+	m.c.with(func() {
+		for _, c := range o.Commands {
+			if starts = starts || c.Verb == protocol.VerbStart; starts && m.holdStarts {
+				m.heldStarts = append(m.heldStarts, c.Task)
+			}
+		}
+	})
+	m.reach(r, starts, func() func() {
 		status := http.StatusConflict
 		if o.Token >= m.baton && o.Session == m.shift {
 			status = http.StatusOK
