--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -333,7 +333,8 @@
 	w.Write(raw)
 }
 
-// execute carries out commands in order; it holds the lock.
+// execute carries out commands in order; it holds the lock. A stopped task exits at once: in all cases a halt leaves no
+// time to save, or comes for a task that never saves.
 func (m *machine) execute(commands []protocol.Command) {
 	for _, c := range commands {
 		at := slices.IndexFunc(m.tasks, func(t *task) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
