Review: the scripts tell a run that couldn't be from one that held

Need: exit status 2 has to stand for every way in which a case couldn't run, and no run may outlast its time. Change: a run that isn't over after 116 s, a controller that ended by itself, a machine that failed nothing in case 1, and commands held for too long in case 2 give 2. Without trouble case 2 leaves out the end of the controllers too. A worker that goes to another controller waits its full second.

--- a/review/_standin/case_crashed.go
+++ b/review/_standin/case_crashed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -43,14 +44,16 @@
 		return false, err
 	}
 	time.Sleep(500 * time.Millisecond)
-	for n := range s.nodes.cmds {
-		s.nodes.kill(n)
-	}
-	hold(false)
-	time.Sleep(300 * time.Millisecond)
-	for n := range s.nodes.cmds {
-		if err := s.nodes.start(n); err != nil {
-			return false, err
+	if !s.calm {
+		for n := range s.nodes.cmds {
+			s.nodes.kill(n)
+		}
+		hold(false)
+		time.Sleep(300 * time.Millisecond)
+		for n := range s.nodes.cmds {
+			if err := s.nodes.start(n); err != nil {
+				return false, err
+			}
 		}
 	}
 	// Urgent work takes the room of the five machines, so that the tasks are started on others.
@@ -59,6 +62,9 @@
 		return false, err
 	}
 	time.Sleep(time.Until(held.Add(15 * time.Second)))
+	if late := time.Since(held); late > 16*time.Second {
+		return false, fmt.Errorf("the commands would be held for %v", late)
+	}
 	var moved *machine
 	s.cloud.with(func() {
 		for _, m := range s.cloud.machines {
--- a/review/_standin/case_seesaw.go
+++ b/review/_standin/case_seesaw.go
@@ -67,6 +67,9 @@
 	answer := struct{ Status string }{}
 	for answer.Status != "done" && time.Since(submitted) < watched {
 		time.Sleep(5 * time.Second)
+		if ctx.Err() != nil {
+			return false, ctx.Err()
+		}
 		status, raw, err := s.users.request(ctx, http.MethodGet, "/v1/jobs/wk-000201", nil)
 		if err == nil && status == http.StatusOK {
 			err = json.Unmarshal(raw, &answer)
--- a/review/_standin/case_sick.go
+++ b/review/_standin/case_sick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -47,6 +48,14 @@
 	}
 	time.Sleep(sickFor)
 	sick(false)
+	failed, startedSince := false, false
+	s.cloud.with(func() {
+		failed = s.cloud.jobs["wk-000412"].failed
+		s.cloud.jobs["wk-000412"].failed, s.cloud.jobs["wk-000412"].started = false, false
+	})
+	if !s.calm && !failed {
+		return false, errors.New("the second job did not fail on the machine while it was sick")
+	}
 	well, hadRoom := time.Now(), true
 	answer := struct{ Status, Reason string }{}
 	for answer.Status != "done" && time.Since(well) < watched+time.Second {
@@ -59,15 +68,13 @@
 		if err != nil {
 			return false, err
 		}
-		if answer.Status == "running" {
-			hadRoom = false
-		}
 	}
-	s.add("%.0f s after the machine was well again the job is %s (%s); a machine had room all the time: %v", time.Since(well).Seconds(), answer.Status, answer.Reason, hadRoom)
+	s.cloud.with(func() { startedSince = s.cloud.jobs["wk-000412"].started })
+	s.add("%.0f s after the machine was well again the job is %s (%s); started since: %v; a machine had room all the time: %v", time.Since(well).Seconds(), answer.Status, answer.Reason, startedSince, hadRoom)
 	if ctx.Err() != nil {
 		return false, fmt.Errorf("not watched to the end: %w", ctx.Err())
 	}
-	if answer.Status == "done" || !hadRoom {
+	if startedSince || answer.Status == "done" || !hadRoom {
 		return false, nil
 	}
 	s.add("RULE BROKEN: a job is left waiting for 90 s while a machine that fits has room")
--- a/review/_standin/cloud.go
+++ b/review/_standin/cloud.go
@@ -43,6 +43,8 @@
 	// done has the tasks that completed: their results are kept. on has the machine that each task is on.
 	done map[string]bool
 	on   map[string]*machine
+	// started and failed: some task has started, or failed.
+	started, failed bool
 }
 
 func newCloud(ctx context.Context, p *site, r *record) *cloud {
--- a/review/_standin/controllers.go
+++ b/review/_standin/controllers.go
@@ -82,6 +82,8 @@
 	files  []string
 	fronts []string
 	cmds   []*exec.Cmd
+	// exited has a channel for each process, closed once it has ended.
+	exited []chan struct{}
 }
 
 // randomHost returns a loopback address of this run's own, so that nothing else takes its ports meanwhile.
@@ -111,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &controllers{record: r, run: run, fronts: addrs[:len(p.zones)], cmds: make([]*exec.Cmd, len(p.zones))}
+	c := &controllers{record: r, run: run, fronts: addrs[:len(p.zones)], cmds: make([]*exec.Cmd, len(p.zones)), exited: make([]chan struct{}, len(p.zones))}
 	inner := addrs[len(p.zones):]
 	for n := range p.zones {
 		c.files = append(c.files, filepath.Join(dir, nodeName(n)+".toml"))
@@ -143,25 +145,42 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	c.cmds[n] = cmd
+	exited := make(chan struct{})
+	go func() {
+		cmd.Wait()
+		close(exited)
+	}()
+	c.cmds[n], c.exited[n] = cmd, exited
 	c.add("%s starts (process %d, front %s)", nodeName(n), cmd.Process.Pid, c.fronts[n])
 	return nil
 }
 
-// kill kills the process of a controller.
-func (c *controllers) kill(n int) {
-	if cmd := c.cmds[n]; cmd != nil {
+// kill kills the process of a controller. It reports whether the process had ended by itself before.
+func (c *controllers) kill(n int) (ended bool) {
+	cmd := c.cmds[n]
+	if cmd == nil {
+		return false
+	}
+	select {
+	case <-c.exited[n]:
+		ended = true
+	default:
 		cmd.Process.Kill()
-		cmd.Wait()
-		c.cmds[n] = nil
+		<-c.exited[n]
 		c.add("%s is killed", nodeName(n))
 	}
+	c.cmds[n] = nil
+	return ended
 }
 
-func (c *controllers) killAll() {
+// killAll kills all processes, and names one that had ended by itself, if any had.
+func (c *controllers) killAll() (ended string) {
 	for n := range c.cmds {
-		c.kill(n)
+		if c.kill(n) {
+			ended = nodeName(n)
+		}
 	}
+	return ended
 }
 
 // settings is the settings file of a controller.
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -37,8 +37,8 @@
 
 var cases = map[string]play{}
 
-// limit bounds a whole run.
-const limit = 117 * time.Second
+// limit bounds a whole run. A run that isn't over by then is ended, and counts as one that couldn't run.
+const limit = 116 * time.Second
 
 func main() {
 	name := ""
@@ -64,6 +64,7 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	done := make(chan int, 1)
 	r, err := newRecord(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -77,22 +78,38 @@
 	}
 	defer os.RemoveAll(dir)
 	s := &setup{record: r, calm: calm, site: p.site()}
-	broken := false
 	if err = s.start(ctx, dir, run); err == nil {
-		broken, err = p.run(ctx, s)
+		go func() { done <- s.outcome(p.run(ctx, s)) }()
+	} else {
+		done <- s.outcome(false, err)
+	}
+	code := 2
+	select {
+	case code = <-done:
+	case <-ctx.Done():
+		r.add("couldn't run: %v before the end", ctx.Err())
 	}
 	if s.nodes != nil {
-		s.nodes.killAll()
+		if name := s.nodes.killAll(); name != "" {
+			r.add("couldn't run: %s ended by itself", name)
+			code = 2
+		}
 	}
+	r.add("exit status %d", code)
+	return code
+}
+
+// outcome is the exit status for the outcome of a case.
+func (s *setup) outcome(broken bool, err error) int {
 	switch {
 	case err != nil:
-		r.add("couldn't run: %v", err)
+		s.add("couldn't run: %v", err)
 		return 2
 	case broken:
-		r.add("the rule was broken")
+		s.add("the rule was broken")
 		return 1
 	}
-	r.add("the rule held")
+	s.add("the rule held")
 	return 0
 }
 
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -189,9 +189,13 @@
 			}
 			wait = m.answered(status, raw, rep, sent, wait)
 		})
+		changed := m.changed
+		if wait <= time.Second {
+			changed = nil // it goes to another controller
+		}
 		select {
 		case <-time.After(wait):
-		case <-m.changed:
+		case <-changed:
 			time.Sleep(min(wait, 500*time.Millisecond-min(500*time.Millisecond, time.Since(sent))))
 		case <-m.ctx.Done():
 		}
@@ -399,7 +403,7 @@
 	if t.exited() || m.gone {
 		return
 	}
-	t.State, t.here, t.began = protocol.TaskRunning, true, time.Now()
+	t.State, t.here, t.began, t.job.started = protocol.TaskRunning, true, time.Now(), true
 	m.c.add("%s (attempt %d) starts on %s", t.Task, t.Attempt, m.id)
 	if other := t.job.on[t.Task]; other != nil && other != m {
 		m.c.violate("ran_twice: %s starts on %s while it is on %s", t.Task, m.id, other.id)
@@ -410,6 +414,7 @@
 	}
 	m.noteChange()
 	if m.sick {
+		t.job.failed = true
 		m.exit(t, protocol.CauseError)
 		return
 	}
