Emulator: a direct command with a higher token makes a worker report

Need: by the protocol a higher token counts as a change, at most once per half lease, whoever sent it. The emulated worker reported for tokens of answers only, so that no test could show what a holder gains by asking directly. Change: machine.noteToken serves answers and direct commands alike. Result: script higher-token fails before (the token is shown by the next regular report only) and passes now.

--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -129,6 +129,15 @@
 	m.watchLease()
 }
 
+// noteToken stores an accepted token. A higher one makes the worker report, at most once per half lease.
+func (m *machine) noteToken(token protocol.Token) {
+	if token > m.token && time.Since(m.triggeredAt) >= m.w.setup.Lease/2 {
+		m.triggeredAt = time.Now()
+		m.triggerReport()
+	}
+	m.token = token
+}
+
 // triggerReport makes the worker report soon.
 func (m *machine) triggerReport() {
 	select {
--- a/internal/emulator/machine_commands.go
+++ b/internal/emulator/machine_commands.go
@@ -59,7 +59,7 @@
 		if held = m.w.delayedCommandShare > 0 && m.w.rng.Float64() < m.w.delayedCommandShare; held {
 			m.w.loop.after(time.Duration(m.w.uniform(2, 16)*float64(time.Second)), func() {
 				if !m.frozen && !m.inboundDropped && !m.dead && o.Token >= m.token && o.Session == m.session {
-					m.token = o.Token
+					m.noteToken(o.Token)
 					m.execute(o.Commands, sent)
 				}
 			})
@@ -73,7 +73,7 @@
 		if o.Token < m.token || o.Session != m.session {
 			status = http.StatusConflict
 		} else {
-			m.token = o.Token
+			m.noteToken(o.Token)
 			m.execute(o.Commands, sent)
 		}
 		rep = m.snapshot()
--- a/internal/emulator/machine_reports.go
+++ b/internal/emulator/machine_reports.go
@@ -126,11 +126,8 @@
 			if json.Unmarshal(body, &a) != nil || a.Token < m.token || rep.Session != m.session || m.frozen || m.dead || boots != m.reboots {
 				return
 			}
-			if a.Token > m.token && time.Since(m.triggeredAt) >= m.w.setup.Lease/2 {
-				m.triggeredAt = time.Now()
-				m.triggerReport()
-			}
-			m.token, m.renewedAt = a.Token, sent
+			m.noteToken(a.Token)
+			m.renewedAt = sent
 			m.execute(a.Commands, m.w.Elapsed())
 			return
 		case http.StatusMisdirectedRequest:
--- a/internal/emulator/machine_test.go
+++ b/internal/emulator/machine_test.go
@@ -197,6 +197,14 @@
 		if status, _ := s.command(args[1], args[2:], s.token); strconv.Itoa(status) != args[0] {
 			return fmt.Errorf("answer %d", status)
 		}
+	case "ask": // ask MACHINE: a direct command without orders
+		s.ask(http.MethodPost, "worker-"+args[0]+":1/do", protocol.Orders{Token: s.token, Session: 1, Commands: []protocol.Command{}})
+	case "shown": // shown MACHINE TOKEN: in the last report that was answered
+		var rep protocol.Report
+		s.loop.do(func() { rep = s.last[args[0]] })
+		if strconv.FormatUint(uint64(rep.Token), 10) != args[1] {
+			return fmt.Errorf("token %d", rep.Token)
+		}
 	case "outdated": // the same, with an old token
 		if status, _ := s.command(args[1], args[2:], s.token-1); strconv.Itoa(status) != args[0] {
 			return fmt.Errorf("answer %d", status)
