Room of a task that ended is free at once

Cause: an entry's time to wait for room (20 s) stood on after its task had started. A task that ended within it counted as keeping its room, as a task of a gang does on purpose, until it was forgotten; until then the machine showed no room beside the demand of the next tasks, and a machine was rented for them. Evidence: at the rental (virtual 97.25 s) the leader's board shows the machine with free 0, no task placed, demand 2. Change: the time ends with the first report of the task.

--- a/internal/coordination/commands_test.go
+++ b/internal/coordination/commands_test.go
@@ -141,3 +141,26 @@
 		}
 	})
 }
+
+// A task that ends soon after it was admitted leaves its room at once: the time for which it might have waited for
+// room does not keep the room of the ended task, for which another machine was rented.
+func TestEndedTaskLeavesItsRoom(t *testing.T) {
+	withHolder(t, func(t *testing.T, _ *config.Config, h *Holder, _ *heldSlot) {
+		j := pendingJob("wk-1")
+		j.Spec.Cores = 8
+		h.jobs["wk-1"], h.machineTypes["small"] = j, protocol.MachineType{Name: "small", Cores: 8, RAM: 64}
+		h.Report(testReport(1, 5, protocol.NewToken(7, 1)))
+		w := h.workersByID["host-000004"]
+		w.entries["wk-1/0"] = &entry{task: "wk-1/0", job: "wk-1", attempt: 3, state: board.TaskStarting, expiresAt: time.Now().Add(queueTimeout)}
+		running := runningReport(6, protocol.NewToken(7, 1), "wk-1/0")
+		if h.Report(running); h.freeRoom(w, true).Cores != 0 {
+			t.Errorf("room beside a running task: %+v", h.freeRoom(w, true))
+		}
+		time.Sleep(queueTimeout / 2)
+		ended := runningReport(7, protocol.NewToken(7, 1), "wk-1/0")
+		ended.Tasks[0].State, ended.Tasks[0].Cause = protocol.TaskExited, protocol.CauseDone
+		if h.Report(ended); h.freeRoom(w, true).Cores != 8 {
+			t.Errorf("room after its end: %+v", h.freeRoom(w, true))
+		}
+	})
+}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -223,6 +223,9 @@
 			e.unanswered = false
 			h.noteState(w, e, t)
 		}
+		if e.unconfirmed() {
+			e.expiresAt = time.Time{} // it waits for room no longer
+		}
 		if t.Cause == protocol.CauseIncomplete && e.state != "" && !e.exited() {
 			// Its owner decides whether its room is kept. If others got the room at once, the task would
 			// start elsewhere and fetch its image there, and the other tasks of the gang would exit meanwhile
