--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -20,8 +20,9 @@
 	Slots map[int]*Slot
 	// Tasks by job and task index. A task has at most one instance unless something went wrong.
 	Tasks map[string]map[int][]*Instance
-	// StartCommandLifetime is how long a start command may be in transit. A task that was about to be
-	// started when its machine got a new holder is kept there as lost for that long, unless it is reported.
+	// StartCommandLifetime is how long a direct command to start a task counts as in transit. Holders of earlier
+	// versions send them. A task that was about to be started so when its machine got a new holder is kept
+	// there as lost for that long, unless it is reported.
 	StartCommandLifetime time.Duration
 }
 
@@ -31,8 +32,10 @@
 	// Holder is the controller that reported it.
 	Holder string
 	// Current: the view was made under the slot's newest term.
-	Current    bool
-	EmptySince time.Time // zero while there are tasks
+	Current bool
+	// startsDirectly: the holder may have sent direct commands to start tasks.
+	startsDirectly bool
+	EmptySince     time.Time // zero while there are tasks
 	// FirstSeen is when the machine was first reported here.
 	FirstSeen time.Time
 	Instances []*Instance
@@ -116,7 +119,7 @@
 		if news.Full {
 			inReply[v.ID] = true
 		}
-		b.applyMachine(holder, v, now, touched)
+		b.applyMachine(holder, v, !news.StartsByAnswers, now, touched)
 	}
 	for _, sv := range news.Slots {
 		s := b.Slots[sv.Slot]
@@ -134,18 +137,18 @@
 	return touched
 }
 
-func (b *Board) applyMachine(holder string, v MachineView, now time.Time, touched map[string]bool) {
+func (b *Board) applyMachine(holder string, v MachineView, startsDirectly bool, now time.Time, touched map[string]bool) {
 	m := b.Machines[v.ID]
 	if m == nil {
 		m = &Machine{FirstSeen: now}
 		b.Machines[v.ID] = m
 		b.Slots[v.Slot].Machines[v.ID] = m
 	}
-	old, handedOver := m.Instances, m.Term < v.Term
+	old, mayStillStart := m.Instances, m.Term < v.Term && m.startsDirectly
 	for _, i := range old {
 		b.unlink(i, touched)
 	}
-	m.MachineView, m.Holder, m.Current, m.Instances = v, holder, true, nil
+	m.MachineView, m.Holder, m.Current, m.startsDirectly, m.Instances = v, holder, true, startsDirectly, nil
 	for _, t := range v.Tasks {
 		job, index, ok := protocol.SplitTask(t.Task)
 		if !ok {
@@ -167,7 +170,7 @@
 	}
 	m.Tasks = nil
 	for _, o := range old {
-		if until := b.keepUntil(o, handedOver, now); now.Before(until) && !m.hasTask(o.Task) {
+		if until := b.keepUntil(o, mayStillStart, now); now.Before(until) && !m.hasTask(o.Task) {
 			lost := TaskView{Task: o.Task, Attempt: o.Attempt, State: protocol.TaskExited, Cause: CauseLost}
 			b.link(&Instance{TaskView: lost, Job: o.Job, Index: o.Index, Machine: m, FirstSeen: o.FirstSeen, StopRequestedAt: o.StopRequestedAt, lostUntil: until}, touched)
 		}
@@ -175,11 +178,11 @@
 	m.updateEmptySince(now)
 }
 
-// keepUntil returns until when an instance is kept if its machine's newest view does not list it; handedOver
-// reports that the machine has a new holder. The former holder's start command may still be in transit: the
-// machine rejects it once it has the new holder's token, but a machine that restarts forgets the token.
-func (b *Board) keepUntil(i *Instance, handedOver bool, now time.Time) time.Time {
-	if handedOver && i.State == TaskStarting {
+// keepUntil returns until when an instance is kept if its machine's newest view does not list it; mayStillStart
+// reports that a direct command of the machine's former holder may be in transit: the machine rejects it once it
+// has the new holder's token, but a machine that restarts forgets the token.
+func (b *Board) keepUntil(i *Instance, mayStillStart bool, now time.Time) time.Time {
+	if mayStillStart && i.State == TaskStarting {
 		return now.Add(b.StartCommandLifetime)
 	}
 	return i.lostUntil
--- a/internal/board/news.go
+++ b/internal/board/news.go
@@ -20,11 +20,11 @@
 const (
 	TaskReserved = "reserved" // room is reserved, nothing is started
 	TaskQueued   = "queued"   // will be started once there is room for it
-	TaskStarting = "starting" // the start command is in transit
+	TaskStarting = "starting" // the start is in transit
 )
 
-// CauseLost is the holder's own cause of an exit: the task is gone from its machine, but a command to start it
-// there may still be in transit, so the task must not be started elsewhere yet.
+// CauseLost is a board's or an older holder's own cause of an exit: the task is gone from its machine, but a direct
+// command to start it there may still be in transit, so the task must not be started elsewhere yet.
 const CauseLost = "lost"
 
 // Unconfirmed reports whether a state is one of the holder's own, of a start that the worker has not confirmed.
@@ -112,6 +112,9 @@
 	// ServedMs is how many milliseconds ago the state service last served a request of the holder's
 	// controller, 0 if that is not known; versions without this field never say.
 	ServedMs int64
+	// StartsByAnswers: the holder starts tasks by its answers to reports alone, which are never late. Versions
+	// without this field send direct commands, too.
+	StartsByAnswers bool
 	// Stray is a recent report to the holder from a machine of the caller's slots, the zero value if there
 	// was none; TellsStrays: the holder reports strays, which versions without this field do not.
 	Stray       Stray
--- a/internal/coordination/acks.go
+++ b/internal/coordination/acks.go
@@ -104,12 +104,11 @@
 // restarted worker accepts any earlier command until it gets a token of this holder, so the answer gives it
 // one at once. No other message uses this token: if the next report shows it, the worker restarted; until
 // then the report is ignored. Tasks in the report that are not expected there were started by an earlier
-// command and are stopped. While a direct command with starts is in flight no new token is given, because the
-// next answer's token would void that command.
-func (h *Holder) answerStaleReport(w *worker, rep *protocol.Report) (status int, body any) {
+// answer and are stopped.
+func (h *Holder) answerStaleReport(w *worker, rep *protocol.Report) reportAnswer {
 	commands, known := h.cancellationStops(w, rep)
-	if !known || w.ack.ignoresAnswers() || w.commandInFlight && w.commandHasStarts {
-		return http.StatusServiceUnavailable, nil
+	if !known || w.ack.ignoresAnswers() {
+		return unavailable
 	}
 	for _, t := range rep.Tasks {
 		e := w.entries[t.Task]
@@ -121,7 +120,7 @@
 	w.restartToken = protocol.NewToken(w.slot.term, w.tokenSeq)
 	w.tokenSeq++ // no other message uses that token
 	w.lastAnswer = time.Now()
-	return http.StatusOK, protocol.ReportAnswer{Token: w.restartToken, Commands: commands}
+	return reportAnswer{http.StatusOK, protocol.ReportAnswer{Token: w.restartToken, Commands: commands}}
 }
 
 // noteRestart records that a machine restarted and counts from the beginning: its direct answer has lower
--- a/internal/coordination/actor.go
+++ b/internal/coordination/actor.go
@@ -5,7 +5,8 @@
 //
 // Three ways lead into an actor's inbox. tell is for what has to happen whatever becomes of the caller, such as
 // a change of a record. ask and askFor are for what only the caller wants: when they return, the function has
-// completed or never runs. submitFor is for what has to happen and has a result, such as a worker's report.
+// completed or never runs. submitFor is for what has to happen and has a result, such as the confirmation of a
+// cancellation.
 package coordination
 
 import (
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"daledyke/internal/board"
-	"daledyke/internal/config"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
@@ -73,24 +72,6 @@
 			}
 		}
 	}
-	if !mayAct {
-		return out
-	}
-	room := h.freeRoom(w, false)
-	for _, e := range w.entries {
-		if e.state != board.TaskQueued {
-			continue
-		}
-		if h.jobs[e.job] == nil || h.isJobOver(e.job) || !h.startable(w) {
-			delete(w.entries, e.task)
-			continue
-		}
-		if need := h.need(e); room.Fits(need) {
-			room = room.Sub(need)
-			e.state = board.TaskStarting
-			out = append(out, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
-		}
-	}
 	return out
 }
 
@@ -142,26 +123,33 @@
 	return stops, true
 }
 
-// sendCommands sends a worker the commands that are due. One direct command is in flight at a time. Each has
-// its own token, so that a report with a higher one proves that the command was carried out or never will be.
+// sendCommands sends a worker the commands that are due. One direct command is in flight at a time. A direct
+// command stops and forgets tasks and never starts one: see starts.go.
 func (h *Holder) sendCommands(w *worker) {
 	now := time.Now()
+	h.dropUnstartable(w)
+	h.completeIfStartsDue(w, now)
 	if w.commandInFlight || w.lapsed || w.session == 0 || now.Before(w.backoffUntil) || !h.entitled() || h.slots[w.slot.slot] != w.slot {
 		return
 	}
 	mayAct := h.session.Valid() && h.mayAnswer()
 	var cmds []protocol.Command
 	if w.verified {
-		if cmds = h.desiredCommands(w, now, mayAct); len(cmds) == 0 && !(mayAct && w.probeDue) {
+		cmds = h.desiredCommands(w, now, mayAct)
+		if len(cmds) == 0 && mayAct && h.needsReport(w, now) {
+			w.probeDue = true
+		}
+		if len(cmds) == 0 && !(mayAct && w.probeDue) {
 			w.reconciled = mayAct && h.isReconciled(w)
 			return
 		}
 	} else if !mayAct {
 		return
 	}
-	w.tokenSeq++
-	orders := protocol.Orders{Token: protocol.NewToken(w.slot.term, w.tokenSeq), Session: w.session, Commands: cmds}
-	w.noteStarts(orders, now.Add(commandLifetime(h.cfg)))
+	if len(cmds) == 0 || w.probeDue {
+		w.tokenSeq++ // a higher token makes the worker report
+	}
+	orders := protocol.Orders{Token: h.tokenToSend(w, now), Session: w.session, Commands: cmds}
 	w.commandInFlight, w.ticketAtSend, w.probeDue, w.probedAt = true, w.ticket, false, now
 	h.markChanged(w)
 	addr := w.addr
@@ -171,43 +159,6 @@
 	}()
 }
 
-// commandLifetime is how long after it was sent an unanswered direct command counts as in flight. The
-// protocol gives no bound. This one is for machines that restart; for all others token and session are proof
-// enough.
-func commandLifetime(c *config.Config) time.Duration { return config.LocalUpperBound(c.WorkerLease()) }
-
-// noteStarts records the starts of a direct command that is sent; they count as in flight until the given
-// time unless the command is answered.
-func (w *worker) noteStarts(orders protocol.Orders, until time.Time) {
-	w.commandHasStarts = false
-	for _, c := range orders.Commands {
-		if c.Verb == protocol.VerbStart {
-			w.entries[c.Task].startToken = orders.Token
-			w.openStarts[c.Task] = openStart{c.Attempt, until}
-			w.commandHasStarts = true
-		}
-	}
-}
-
-// closeStarts notes that the outcome of a direct command is known.
-func (w *worker) closeStarts(orders protocol.Orders) {
-	for _, c := range orders.Commands {
-		if c.Verb == protocol.VerbStart && w.openStarts[c.Task].attempt == c.Attempt {
-			delete(w.openStarts, c.Task)
-		}
-	}
-}
-
-// startingEntries returns the tasks that a direct command starts and of which nothing newer is known.
-func (w *worker) startingEntries(orders protocol.Orders) (starting []*entry) {
-	for _, c := range orders.Commands {
-		if e := w.entries[c.Task]; c.Verb == protocol.VerbStart && e != nil && e.state == board.TaskStarting && e.startToken == orders.Token {
-			starting = append(starting, e)
-		}
-	}
-	return starting
-}
-
 // noteUnanswered marks the tasks of a direct command that got no answer.
 func (w *worker) noteUnanswered(orders protocol.Orders) {
 	for _, c := range orders.Commands {
@@ -217,45 +168,25 @@
 	}
 }
 
-// repeatUnanswered returns the commands that an answer to a report repeats because no direct command for them
-// was answered: a direct command may be delayed for long, while an answer is received at once or never. All
-// of them may be repeated. A start gets the answer's token, which is new, so that the earlier command can't
-// be carried out after it and the next report shows the outcome.
-func (h *Holder) repeatUnanswered(w *worker, now time.Time) (commands []protocol.Command) {
+// repeatUnanswered returns the stops and forgets that an answer to a report repeats because the direct command
+// for them was not answered: a direct command may be delayed for long, while an answer is received at once or
+// never. Both may be repeated.
+func (h *Holder) repeatUnanswered(w *worker) (commands []protocol.Command) {
 	if !w.verified || !h.session.Valid() {
 		return nil
 	}
-	var starts []*entry
 	for _, e := range w.entries {
 		switch {
 		case !e.unanswered:
-		case e.state == board.TaskStarting:
-			starts = append(starts, e)
 		case e.exited() && e.forgetRequested:
 			commands = append(commands, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
 		case !e.exited() && e.stopRequested && !h.isJobOver(e.job) && (e.state != protocol.TaskFlushing || e.graceS == 0):
 			commands = append(commands, stopCommand(e.task, e.attempt, e.graceS))
 		}
 	}
-	if len(starts) == 0 || w.commandInFlight && w.commandHasStarts {
-		return commands
-	}
-	w.tokenSeq++
-	for _, e := range starts {
-		if h.mayRepeatStart(w, e, now) {
-			e.startToken = protocol.NewToken(w.slot.term, w.tokenSeq)
-			commands = append(commands, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
-		}
-	}
 	return commands
 }
 
-// mayRepeatStart reports whether a task whose start was not answered is still to be started: by what is known
-// now, and for as long as it might have waited for room.
-func (h *Holder) mayRepeatStart(w *worker, e *entry, now time.Time) bool {
-	return h.usable(w) && !e.stopRequested && h.jobs[e.job] != nil && !h.isJobOver(e.job) && now.Sub(h.syncedAt) <= maxRecordsAge && now.Before(e.expiresAt)
-}
-
 // unresponsiveBackoff is how long an unresponsive machine gets no command after an unanswered one.
 const unresponsiveBackoff = 8 * time.Second
 
@@ -264,21 +195,15 @@
 	if h.workersByID[w.id] != w || h.slots[w.slot.slot] != w.slot {
 		return
 	}
-	if err == nil || errors.Is(err, transport.ErrRefused) {
-		w.closeStarts(orders)
-	}
 	if errors.Is(err, transport.ErrRefused) {
-		// Nothing was sent, so nothing new is known of the machine: the tasks to be started wait on.
-		for _, e := range w.startingEntries(orders) {
-			e.state, e.startToken = board.TaskQueued, 0
-		}
+		// Nothing was sent, so nothing new is known of the machine.
 		w.backoffUntil = time.Now().Add(time.Second)
 		return
 	}
 	if err != nil {
-		// The outcome is unknown. The next answer's higher token fences the command, and shows whether the
-		// machine receives answers. The machine is probed once, which is faster than waiting for reports, and
-		// until it answers nothing more is started there.
+		// The outcome is unknown. The next answer's higher token shows whether the machine receives answers. The
+		// machine is probed once, which is faster than waiting for reports, and until it answers nothing more
+		// is started there.
 		w.noteUnanswered(orders)
 		w.tokenSeq++
 		w.probeDue = len(orders.Commands) > 0
@@ -293,10 +218,6 @@
 		return
 	}
 	if !executed {
-		// Refused for good: its starts will never happen.
-		for _, e := range w.startingEntries(orders) {
-			delete(w.entries, e.task)
-		}
 		w.backoffUntil = time.Now().Add(500 * time.Millisecond)
 	}
 	if rep.Machine == w.id && rep.Token.Term() <= w.slot.term {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -161,16 +160,14 @@
 // Report passes the report of a worker to the holder. The holder processes it even if the worker no longer waits
 // for the answer: otherwise a holder that is slow for a while would take all its machines for silent.
 func (k *Controller) Report(ctx context.Context, rep *protocol.Report) (status int, body any) {
-	type answer struct {
-		status int
-		body   any
-	}
-	a, ok := submitFor(ctx, &k.holder.actor, func() (a answer) {
-		a.status, a.body = k.holder.Report(rep)
-		return a
-	})
-	if !ok {
-		return http.StatusServiceUnavailable, nil
+	answer := make(chan reportAnswer, 1)
+	a := unavailable
+	if k.holder.inbox.Post(ctx, k.holder.ctx, func() { k.holder.HandleReport(rep, answer) }) {
+		select {
+		case a = <-answer:
+		case <-ctx.Done():
+		case <-k.holder.ctx.Done():
+		}
 	}
 	return a.status, a.body
 }
--- a/internal/coordination/feed.go
+++ b/internal/coordination/feed.go
@@ -55,7 +55,7 @@
 	if h.stateLastServed != nil {
 		r.ServedMs = max(1, time.Since(h.stateLastServed()).Milliseconds())
 	}
-	r.TellsStrays = true
+	r.TellsStrays, r.StartsByAnswers = true, true
 	if s := h.misrouted[a.Caller]; time.Since(s.at) < h.misroutedMaxAge() {
 		r.Stray = s.Stray
 		r.Stray.AgoMs = time.Since(s.at).Milliseconds()
--- a/internal/coordination/holder.go
+++ b/internal/coordination/holder.go
@@ -241,6 +241,7 @@
 	if w == nil {
 		return
 	}
+	w.dropPendingAnswer()
 	w.slot.highestDroppedSeq = max(w.slot.highestDroppedSeq, w.tokenSeq)
 	delete(h.workersByID, id)
 	if len(h.removed) == maxRemoved {
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -164,7 +164,7 @@
 // NewOwner creates an owner; Run starts it.
 func NewOwner(ctx context.Context, c *config.Config, session *Session, store *bookkeeping.Store, holders map[string]HolderCaller, addFinalJob func(*bookkeeping.Job), publishVerdict func(string, placement.Verdict), lenders map[string]LendCaller) *Owner {
 	newBoard := board.New()
-	newBoard.StartCommandLifetime = commandLifetime(c)
+	newBoard.StartCommandLifetime = config.LocalUpperBound(c.WorkerLease())
 	return &Owner{
 		actor:              newActor(ctx),
 		cfg:                c,
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -13,8 +13,8 @@
 
 // Workers' reports: how a holder processes and answers them.
 
-// Report processes a worker's report and returns the answer to it.
-func (h *Holder) Report(rep *protocol.Report) (status int, body any) {
+// acceptReport takes in a worker's report. It returns the worker, or the answer if there is nothing to take in.
+func (h *Holder) acceptReport(rep *protocol.Report) (accepted *worker, refusal reportAnswer) {
 	slot := h.slotOf(rep.Machine)
 	s := h.slots[slot]
 	holder := h.otherHolder(slot)
@@ -22,17 +22,17 @@
 		h.misrouted[holder] = misroutedReport{board.Stray{Machine: rep.Machine, Session: rep.Session, Ticket: rep.Ticket}, time.Now()}
 	}
 	if !h.mayAnswer() {
-		return http.StatusServiceUnavailable, nil
+		return nil, unavailable
 	}
 	if s == nil {
-		return h.redirect(slot, holder)
+		return nil, h.redirect(slot, holder)
 	}
 	// A report that shows a higher term than this holder's: another controller took the slot.
 	if rep.Token.Term() > s.term {
-		return http.StatusMisdirectedRequest, protocol.Redirect{}
+		return nil, reportAnswer{http.StatusMisdirectedRequest, protocol.Redirect{}}
 	}
 	if h.returnedMachines.has(rep.Machine) {
-		return http.StatusServiceUnavailable, nil
+		return nil, unavailable
 	}
 	w := h.workerOf(rep.Machine, s)
 	previousSession := w.session
@@ -43,13 +43,14 @@
 		h.noteRestart(w, rep) // only a restarted worker was given this token
 		previousSession = w.session
 	default:
-		return h.answerStaleReport(w, rep)
+		return nil, h.answerStaleReport(w, rep)
 	}
+	w.dropPendingAnswer()
 	if previousSession == rep.Session {
 		h.noteAck(w, rep.Token)
 	}
 	if !h.applyReport(w, rep) {
-		return http.StatusServiceUnavailable, nil
+		return nil, unavailable
 	}
 	w.lastReported = w.lastHeard
 	if late && previousSession != 0 {
@@ -58,7 +59,7 @@
 		h.markChanged(w)
 	}
 	h.sendCommands(w)
-	return h.answerReport(w, rep)
+	return w, reportAnswer{}
 }
 
 // otherHolder is the other controller that holds a slot by the records, "" if there is none.
@@ -71,21 +72,21 @@
 
 // redirect answers a report of a slot that is not held here: with its holder, or with the controller to which
 // it is assigned.
-func (h *Holder) redirect(slot int, holder string) (status int, body any) {
+func (h *Holder) redirect(slot int, holder string) reportAnswer {
 	if h.members[holder] != nil {
-		return http.StatusMisdirectedRequest, protocol.Redirect{Node: holder}
+		return reportAnswer{http.StatusMisdirectedRequest, protocol.Redirect{Node: holder}}
 	}
 	if h.latestWindow != nil && slot < len(h.latestWindow.Assignment) && !h.isAssignedHere(slot) && h.members[h.latestWindow.Assignment[slot]] != nil {
-		return http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latestWindow.Assignment[slot]}
+		return reportAnswer{http.StatusMisdirectedRequest, protocol.Redirect{Node: h.latestWindow.Assignment[slot]}}
 	}
-	return http.StatusServiceUnavailable, nil
+	return unavailable
 }
 
 // workerOf returns the worker of a machine, and creates it if it is new.
 func (h *Holder) workerOf(machine string, s *heldSlot) *worker {
 	w := h.workersByID[machine]
 	if w == nil {
-		w = &worker{id: machine, slot: s, tokenSeq: s.highestDroppedSeq + 1, firstHeard: time.Now(), entries: map[string]*entry{}, openStarts: map[string]openStart{}, failedJobs: map[string]bool{}, readyImages: map[string]bool{}}
+		w = &worker{id: machine, slot: s, tokenSeq: s.highestDroppedSeq + 1, firstHeard: time.Now(), entries: map[string]*entry{}, failedJobs: map[string]bool{}, readyImages: map[string]bool{}}
 		h.workersByID[machine] = w
 	}
 	return w
@@ -93,19 +94,20 @@
 
 // answerReport answers an accepted report, which renews the lease of the tasks there, unless the worker
 // receives no answers or a task's job is unknown.
-func (h *Holder) answerReport(w *worker, rep *protocol.Report) (status int, body any) {
+func (h *Holder) answerReport(w *worker, rep *protocol.Report, now time.Time) reportAnswer {
 	if w.ack.ignoresAnswers() {
 		// It receives no answers, and further ones would count as possible renewals. It is probed directly.
 		h.probeWorker(w)
-		return http.StatusServiceUnavailable, nil
+		return unavailable
 	}
 	commands, known := h.cancellationStops(w, rep)
 	if !known {
-		return http.StatusServiceUnavailable, nil // owners look such jobs up
+		return unavailable // owners look such jobs up
 	}
-	commands = append(commands, h.repeatUnanswered(w, time.Now())...)
-	w.unackedAnswer, w.unackedAnswerToken = time.Now(), protocol.NewToken(w.slot.term, w.tokenSeq)
-	return http.StatusOK, protocol.ReportAnswer{Token: w.unackedAnswerToken, Commands: commands}
+	commands = append(commands, h.repeatUnanswered(w)...)
+	commands = append(commands, h.startCommands(w, now)...)
+	w.unackedAnswer, w.unackedAnswerToken = now, h.tokenToSend(w, now)
+	return reportAnswer{http.StatusOK, protocol.ReportAnswer{Token: w.unackedAnswerToken, Commands: commands}}
 }
 
 // isNewer reports whether a report is newer than all received from its machine: by its session and
@@ -160,10 +162,9 @@
 
 // forgetTasks drops the tasks that were on a machine and have surely ended.
 func (h *Holder) forgetTasks(w *worker) {
-	now := time.Now()
 	for _, e := range w.entries {
 		if e.state != board.TaskReserved && e.state != board.TaskQueued {
-			w.dropEntry(e, now, !h.isJobOver(e.job))
+			delete(w.entries, e.task)
 		}
 	}
 }
@@ -243,8 +244,8 @@
 		case listed[name] || e.state == board.TaskQueued || e.state == board.TaskReserved:
 		case e.state == board.TaskStarting && rep.Token <= e.startToken:
 			// The start may still be in flight (invariant 3).
-		case !w.dropEntry(e, now, !h.isJobOver(e.job)):
 		default:
+			delete(w.entries, name)
 			changed = true
 			if e.exited() && e.keepRoom && !h.isJobOver(e.job) && h.startable(w) {
 				w.entries[name] = &entry{task: name, job: e.job, index: e.index, attempt: e.attempt, state: board.TaskReserved, expiresAt: now.Add(reservationLifetime)}
--- a/internal/coordination/slots.go
+++ b/internal/coordination/slots.go
@@ -19,6 +19,9 @@
 func (h *Holder) dropAllSlots() {
 	h.moratoriumUntil = time.Time{}
 	h.sessionsLost++
+	for _, w := range h.workersByID {
+		w.dropPendingAnswer()
+	}
 	h.slots = map[int]*heldSlot{}
 	h.workersByID = map[string]*worker{}
 	h.removed = nil
@@ -40,6 +43,7 @@
 	delete(h.slots, s.slot)
 	for id, w := range h.workersByID {
 		if w.slot == s {
+			w.dropPendingAnswer()
 			delete(h.workersByID, id)
 		}
 	}
--- a/internal/coordination/trace_faults_test.go
+++ b/internal/coordination/trace_faults_test.go
@@ -65,6 +65,27 @@
 	return failed
 }
 
+// keepRebooting reboots all machines that have tasks of a job now, at once and then regularly for a while.
+func (w *world) keepRebooting(job string, every, during time.Duration) error {
+	var ids []string
+	w.em.WithChecker(func(r *history.Checker) {
+		for _, id := range r.Machines(job) {
+			ids = append(ids, id)
+		}
+	})
+	if len(ids) == 0 {
+		return errors.New("the job has no tasks on machines")
+	}
+	for after := time.Duration(0); after < during; after += every {
+		time.AfterFunc(after, func() {
+			for _, id := range ids {
+				w.em.InjectFault(id, emulator.Reboot) // the machine may have been returned since
+			}
+		})
+	}
+	return nil
+}
+
 // cutController cuts the connections of a controller to the given peers, or ends all cuts.
 func (w *world) cutController(args []string) {
 	if args[0] == "off" {
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -422,6 +422,13 @@
 		return w.faultRandomMachines(count, emulator.MachineFault(args[1]))
 	case "machines-of": // machines-of CONTROLLER mutes|speaks|...: all machines with tasks in slots that the controller holds when all are up
 		return w.faultMachinesOf(args[0], emulator.MachineFault(args[1]))
+	case "keep-rebooting": // keep-rebooting JOB EVERY FOR: all machines that have tasks of the job now, again and again
+		every, err1 := time.ParseDuration(args[1])
+		during, err2 := time.ParseDuration(args[2])
+		if err := errors.Join(err1, err2); err != nil {
+			return err
+		}
+		return w.keepRebooting(args[0], every, during)
 	case "echoes": // echoes TIME: a copy of each report arrives later by TIME; 0s ends it
 		by, err := time.ParseDuration(args[0])
 		w.em.DuplicateReports(by)
--- a/internal/coordination/worker.go
+++ b/internal/coordination/worker.go
@@ -44,9 +44,12 @@
 	cachedImages    []image // most recently used last
 	readyImages     map[string]bool
 	commandInFlight bool // a direct command is in flight
-	// openStarts are the unanswered direct commands to start, by task, that may still be carried out.
-	openStarts       map[string]openStart
-	commandHasStarts bool // the newest direct command contains starts
+	// pendingAnswer is the report whose answer is held back; nil if there is none.
+	pendingAnswer *pendingAnswer
+	// tokenSent is the highest token sent to the worker, and tokenRaisedAt when a higher token last made it
+	// report.
+	tokenSent        protocol.Token
+	tokenRaisedAt    time.Time
 	reconciled       bool // no command is due until something changes
 	backoffUntil     time.Time
 	drainUntil       time.Time
@@ -75,14 +78,14 @@
 	state   string
 	cause   string
 	saved   bool
-	// startToken is the token of the start command while its outcome is unknown.
+	// startToken is the token of the answer that starts the task while its outcome is unknown.
 	startToken    protocol.Token
 	expiresAt     time.Time // of a reservation, of the wait for room, or of an exited task's kept room
 	reservedAhead bool      // reserved while its room is still in use
 	stopRequested bool
 	graceS        float64
 	lastSentAt    time.Time // when the last stop or forget was sent
-	// unanswered: its last direct command got no answer, so answers to reports repeat the command.
+	// unanswered: the last direct command for it got no answer, so answers to reports repeat the command.
 	unanswered      bool
 	forgetRequested bool
 	keepRoom        bool // once it is forgotten its room is reserved for the same attempt
@@ -92,13 +95,6 @@
 	proven       bool
 }
 
-// openStart is a direct command to start an attempt of a task whose outcome is unknown.
-type openStart struct {
-	attempt uint64
-	// expiresAt is when the command no longer counts as in flight.
-	expiresAt time.Time
-}
-
 func (e *entry) unconfirmed() bool { return board.Unconfirmed(e.state) }
 
 func (e *entry) exited() bool { return e.state == protocol.TaskExited }
@@ -124,7 +120,6 @@
 		h.dropWorker(w.id)
 		return
 	}
-	h.expireOpenStarts(w, now)
 	if !w.quarantinedSince.IsZero() {
 		h.judgeMachine(w)
 	}
@@ -144,50 +139,12 @@
 	// In case the machine restarts: whatever it shows from now on is newer than all before.
 	w.highestToken, w.tokenSeq = 0, w.tokenSeq+1
 	for _, e := range w.entries {
-		w.dropEntry(e, time.Now(), !h.isJobOver(e.job))
+		delete(w.entries, e.task)
 	}
 	h.markChanged(w)
 	slog.Info("lease lapsed", "machine", w.id)
 }
 
-// dropEntry drops a task that is no longer on its machine, unless a direct command to start it may still
-// arrive: a higher token and a later session fence such a command only until the machine restarts and forgets
-// both. wanted is set if the task is still to run. dropEntry reports whether the entry was dropped or
-// changed.
-//
-// If a delayed start counted as void once its machine had shown a higher token, the task could be started
-// elsewhere, the machine could reboot, and the command arrive only then: the machine would accept it, and the
-// task run in two places (trace rebooted-while-commands-are-held).
-func (w *worker) dropEntry(e *entry, now time.Time, wanted bool) (changed bool) {
-	open, isOpen := w.openStarts[e.task]
-	if !isOpen || open.attempt != e.attempt || !now.Before(open.expiresAt) || !wanted || e.cause == protocol.CauseDone {
-		delete(w.entries, e.task)
-		return true
-	}
-	if e.state == board.TaskStarting {
-		return false
-	}
-	lost := &entry{task: e.task, job: e.job, index: e.index, attempt: e.attempt, state: protocol.TaskExited, cause: board.CauseLost}
-	changed = e.cause != lost.cause
-	w.entries[e.task] = lost
-	return changed
-}
-
-// expireOpenStarts forgets direct commands to start that are no longer in flight. If the lease has lapsed,
-// their tasks were kept only because of them and are dropped; otherwise the next report shows whether they run.
-func (h *Holder) expireOpenStarts(w *worker, now time.Time) {
-	for task, open := range w.openStarts {
-		if now.Before(open.expiresAt) {
-			continue
-		}
-		delete(w.openStarts, task)
-		if e := w.entries[task]; w.lapsed && e != nil && e.attempt == open.attempt {
-			delete(w.entries, task)
-			h.markChanged(w)
-		}
-	}
-}
-
 // noteResponsiveness updates whether a worker is unresponsive, or answers directly while its reports do not
 // arrive.
 func (h *Holder) noteResponsiveness(w *worker, now time.Time) {
