--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -200,7 +200,7 @@
 			missing = fleet.ConcurrentTasks(missing, s.Estimate(), o.targetFinish(js).Sub(now)-ready)
 		}
 		out = append(out, fleet.Demand{Spec: s, RaisedRank: js.job.Rank, Count: missing, Filler: js.job.Filler,
-			TimeLeft: max(0, o.startObjective(s.Class, time.Hour)-now.Sub(js.job.Ready)), ZoneLeft: o.remainingPerZone(s, zones)})
+			TimeLeft: max(0, o.startObjective(s.Class, time.Hour)-now.Sub(js.job.Ready)), ZoneLeft: o.remainingPerZone(s, zones), Avoid: maps.Clone(js.avoidedMachines(now))})
 	}
 	return append(out, o.spareDemands(now, started)...)
 }
--- a/internal/coordination/failures.go
+++ b/internal/coordination/failures.go
@@ -76,19 +76,34 @@
 // ---- the owner's side: jobs
 
 // noteFailedJobs records which jobs failed on a machine.
-func (o *Owner) noteFailedJobs(v *board.MachineView) {
+func (o *Owner) noteFailedJobs(v *board.MachineView, now time.Time) {
+	for _, t := range v.Tasks {
+		id, _, _ := protocol.SplitTask(t.Task)
+		if js := o.active[id]; js != nil && t.Exited() && t.Cause == protocol.CauseError {
+			js.lastFailedAt = now
+		}
+	}
 	for _, id := range v.Failed {
 		js := o.active[id]
 		if js == nil || len(js.failedOn) >= 64 {
 			continue
 		}
 		if _, known := js.failedOn[v.ID]; !known {
-			js.failedOn[v.ID] = v.Sound
+			js.failedOn[v.ID], js.lastFailedAt = v.Sound, now
 			o.failingJobs[id] = js
 		}
 	}
 }
 
+// avoidedMachines are the machines on which a job's tasks are not placed for now, since tasks of the job failed
+// there lately. For a job at fault no machine is to blame.
+func (js *jobState) avoidedMachines(now time.Time) map[string]bool {
+	if js.verdict == placement.AtFault || now.Sub(js.lastFailedAt) >= placement.AvoidFor {
+		return nil
+	}
+	return js.failedOn
+}
+
 // judgeJobs updates the verdicts on the failing jobs.
 func (o *Owner) judgeJobs(now time.Time) {
 	for id, js := range o.failingJobs {
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -81,7 +81,7 @@
 	}
 	news.Machines = kept
 	for i := range news.Machines {
-		o.noteFailedJobs(&news.Machines[i])
+		o.noteFailedJobs(&news.Machines[i], time.Now())
 	}
 	o.markStale(o.board.Apply(name, news, sent, time.Now()))
 	o.dropMetNeeds(news.Machines)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -135,10 +135,12 @@
 	errorCount int
 	// failedOn are the machines on which tasks of the job failed, each with whether it was sound otherwise.
 	// verdict is the resulting verdict on the job.
-	failedOn    map[string]bool
-	verdict     placement.Verdict
-	trialCount  int
-	nextTrialAt time.Time
+	failedOn map[string]bool
+	// lastFailedAt is when a task of the job was last seen to have failed.
+	lastFailedAt time.Time
+	verdict      placement.Verdict
+	trialCount   int
+	nextTrialAt  time.Time
 	// incompleteSince is since when a running gang has lacked a task.
 	incompleteSince time.Time
 	blockedUntil    time.Time // no room was found; the next search is then
--- a/internal/coordination/placing.go
+++ b/internal/coordination/placing.go
@@ -34,7 +34,7 @@
 // placingFor prepares the placement of a job's tasks on machines of a zone, or of any zone if it is empty.
 func (o *Owner) placingFor(js *jobState, zone string) *placement.Placer {
 	s := js.job.Spec
-	p := &placement.Placer{Spec: s, Zone: zone, Avoid: js.failedOn, Types: o.machineTypes, Scarce: o.scarceTypes, SampleSize: o.cfg.Sample, Rand: o.rng}
+	p := &placement.Placer{Spec: s, Zone: zone, Avoid: js.avoidedMachines(time.Now()), Types: o.machineTypes, Scarce: o.scarceTypes, SampleSize: o.cfg.Sample, Rand: o.rng}
 	if s.Shape == protocol.Service && placement.HasNonScarceType(s, o.machineTypes, o.scarceTypes) {
 		// Other machines become available in about their boot time.
 		ready, _ := fleet.FastestReady(o.machineTypes, s, s.ImageGB)
@@ -46,9 +46,6 @@
 		aim, waited := o.startObjective(s.Class, 0), time.Since(js.job.Ready)
 		p.AvoidExpensive = waited > aim && waited < aim+2*ready && o.obtainable(s, p.Expensive)
 	}
-	if js.verdict == placement.AtFault {
-		p.Avoid = nil // no machine is to blame
-	}
 	p.TasksByZone = map[string]int{}
 	if s.OneZone || s.Scatter {
 		for _, list := range o.board.Tasks[s.ID] {
--- a/internal/fleet/packing.go
+++ b/internal/fleet/packing.go
@@ -102,7 +102,7 @@
 }
 
 func (d *Demand) allows(b *Machine) bool {
-	if !d.Spec.Allows(b.Type, b.Zone, b.Spot) {
+	if _, avoided := d.Avoid[b.ID]; avoided || !d.Spec.Allows(b.Type, b.Zone, b.Spot) {
 		return false
 	}
 	left, bound := d.ZoneLeft[b.Zone]
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -31,6 +31,8 @@
 	// the tasks.
 	expensive                   map[string]bool
 	onlyExpensive, preemptLower bool
+	// Avoid holds the machines on which the tasks will not be placed, since tasks of the job failed there.
+	Avoid map[string]bool
 	// ZoneLeft is how many of the tasks each zone may still take, nil if all may go anywhere.
 	ZoneLeft map[string]int
 }
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -54,6 +54,9 @@
 		{ID: "m5", Type: "small", Zone: "a", Booting: true, Free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}}, idleWork); total(rent) != 0 {
 		t.Errorf("machines that run or boot for filler work must be counted, but rented %+v", rent)
 	}
+	if rent, _ := plan([]*Machine{idle()}, Demand{Spec: protocoltest.Job(nil), Count: 1, Avoid: map[string]bool{"m2": true}}); total(rent) != 1 {
+		t.Errorf("room on a machine that the job avoids must not be counted, but rented %+v", rent)
+	}
 	filled := &Machine{ID: "m3", Type: "small", Zone: "a", FillerRoom: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
 	high := protocoltest.Job(func(s *protocol.JobSpec) { s.Priority = "high" })
 	for _, spare := range []bool{false, true} {
--- a/internal/placement/fault.go
+++ b/internal/placement/fault.go
@@ -23,6 +23,9 @@
 	SoundFor = 3 * time.Minute
 	// maxQuarantine is how long a machine gets no tasks while it is undecided whether it is at fault.
 	maxQuarantine = time.Minute
+	// AvoidFor is how long after its last failure a job avoids the machines on which its tasks failed. Longer,
+	// and a job could wait for ever where no other machine is to be had, though its machine is well again.
+	AvoidFor = time.Minute
 	// MaxFailedJobs bounds the failed jobs that a machine's view names.
 	MaxFailedJobs = 8
 )
