Stale reports start nothing: a test, and a log line with their place

Change: TestStaleReportsStartNothing, nine kinds; a debug line for each stale report names machine, its numbers and the newest.

--- a/internal/coordination/acks.go
+++ b/internal/coordination/acks.go
@@ -106,6 +106,7 @@
 // then the report is ignored. Tasks in the report that are not expected there were started by an earlier
 // answer and are stopped.
 func (h *Holder) answerStaleReport(w *worker, rep *protocol.Report) reportAnswer {
+	slog.Debug("stale report", "machine", w.id, "session", rep.Session, "ticket", rep.Ticket, "token", rep.Token, "newest session", w.session, "newest ticket", w.ticket)
 	commands, known := h.cancellationStops(w, rep)
 	if !known || w.ack.ignoresAnswers() {
 		return unavailable
--- a/internal/coordination/commands_test.go
+++ b/internal/coordination/commands_test.go
@@ -186,6 +186,52 @@
 	})
 }
 
+// Reports from before a machine restarted or its slot changed hands, late and repeated, with lower, equal and higher
+// numbers, start nothing, however the answer is waited for; the machine's next report does.
+func TestStaleReportsStartNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		session, ticket uint64
+		term, seq       uint64
+	}{
+		"repeated":                             {1, 5, 7, 1},
+		"from before the newest":               {1, 4, 7, 1},
+		"of the first holder":                  {1, 3, 6, 9},
+		"of a later session before a restart":  {4, 90, 6, 9},
+		"of higher number before a restart":    {1, 90, 6, 9},
+		"without a token":                      {1, 1, 0, 0},
+		"of a later session, without a token":  {2, 1, 0, 0},
+		"of the next holder":                   {1, 6, 8, 1},
+		"of the next holder, of later session": {2, 9, 8, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withUsableMachine(t, func(t *testing.T, h *Holder, w *worker) {
+				shown := testReport(1, 5, protocol.NewToken(7, w.tokenSeq))
+				shown.Ticket++
+				h.Report(shown)
+				w.queueStart()
+				for range 2 {
+					answer := make(chan reportAnswer, 1)
+					h.HandleReport(testReport(c.session, c.ticket, protocol.NewToken(c.term, c.seq)), answer)
+					time.Sleep(h.idleAnswerDelay() + time.Millisecond)
+					h.runQueuedAndTick()
+					if len(answer) == 0 {
+						t.Fatal("no answer")
+					}
+					if a := <-answer; len(carriedTasks(a.body, protocol.VerbStart)) != 0 {
+						t.Fatalf("starts a task: %+v", a)
+					}
+				}
+				if w.entries["wk-1/0"] == nil {
+					t.Fatal("the task does not wait any more")
+				}
+				if _, body := h.Report(testReport(1, 7, protocol.NewToken(7, w.tokenSeq))); len(carriedTasks(body, protocol.VerbStart)) != 1 {
+					t.Errorf("the machine's own report starts nothing: %+v", body)
+				}
+			})
+		})
+	}
+}
+
 // A task is to be started on a machine whose report was answered already: a command with a higher token makes it
 // report, at most once per half lease.
 func TestMachineIsMadeToReportForStart(t *testing.T) {
