--- a/internal/coordination/acks.go
+++ b/internal/coordination/acks.go
@@ -37,6 +37,16 @@
 	return first
 }
 
+// token is the newest token for the worker.
+func (w *worker) token() protocol.Token { return protocol.NewToken(w.slot.term, w.tokenSeq) }
+
+// requireAck makes the worker show a token that is new from here on before it is used again. It reports whether no
+// acknowledgement was required before.
+func (w *worker) requireAck(now time.Time) (first bool) {
+	w.tokenSeq++
+	return w.ack.requireAck(w.token(), now)
+}
+
 // observe records the token of a report. It reports whether this was the required acknowledgement.
 func (a *ackState) observe(token protocol.Token) (acked bool) {
 	if a.requiredSince.IsZero() || token < a.requiredToken {
@@ -118,7 +128,7 @@
 		}
 	}
 	w.tokenSeq++
-	w.restartToken = protocol.NewToken(w.slot.term, w.tokenSeq)
+	w.restartToken = w.token()
 	w.tokenSeq++ // no other message uses that token
 	w.lastAnswer = time.Now()
 	return reportAnswer{http.StatusOK, protocol.ReportAnswer{Token: w.restartToken, Commands: commands}}
@@ -134,7 +144,6 @@
 	now := time.Now()
 	w.session, w.ticket, w.highestToken, w.lapsedIn, w.restartToken = rep.Session, rep.Ticket-1, 0, 0, 0
 	w.lastAnswer, w.unackedAnswer = now, time.Time{}
-	w.tokenSeq++
-	w.ack.requireAck(protocol.NewToken(w.slot.term, w.tokenSeq), now)
+	w.requireAck(now)
 	h.markChanged(w)
 }
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -205,13 +205,12 @@
 		// machine is probed once, which is faster than waiting for reports, and until it answers nothing more
 		// is started there.
 		w.noteUnanswered(orders)
-		w.tokenSeq++
 		w.probeDue = len(orders.Commands) > 0
 		w.backoffUntil = time.Now().Add(time.Second)
 		if w.unresponsive { // many may be, and each attempt holds a connection until it is given up
 			w.backoffUntil = time.Now().Add(unresponsiveBackoff)
 		}
-		if w.ack.requireAck(protocol.NewToken(w.slot.term, w.tokenSeq), time.Now()) {
+		if w.requireAck(time.Now()) {
 			h.markChanged(w)
 		}
 		slog.Debug("direct command unanswered", "machine", w.id, "err", err)
--- a/internal/coordination/starts.go
+++ b/internal/coordination/starts.go
@@ -143,8 +143,7 @@
 func (h *Holder) startCommands(w *worker, now time.Time) (commands []protocol.Command) {
 	due := h.queuedStarts(w, now)
 	if w.hasUnseenStart() {
-		w.tokenSeq++
-		w.ack.requireAck(protocol.NewToken(w.slot.term, w.tokenSeq), now)
+		w.requireAck(now)
 		h.markChanged(w)
 	}
 	for _, e := range w.entries {
@@ -153,7 +152,7 @@
 		}
 	}
 	for _, e := range due {
-		e.state, e.startToken = board.TaskStarting, protocol.NewToken(w.slot.term, w.tokenSeq)
+		e.state, e.startToken = board.TaskStarting, w.token()
 		commands = append(commands, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
 	}
 	if len(due) > 0 {
@@ -189,7 +188,7 @@
 
 // tokenToSend returns the token of a message to a worker, and notes when it makes the worker report.
 func (h *Holder) tokenToSend(w *worker, now time.Time) protocol.Token {
-	token := protocol.NewToken(w.slot.term, w.tokenSeq)
+	token := w.token()
 	if token > w.tokenSent && now.Sub(w.tokenRaisedAt) > h.tokenReportInterval() {
 		w.tokenRaisedAt = now
 	}
