Starts in answers: tests for mistakes that none saw

Change: TestHeldAnswerIsJudgedWhenGiven, TestDroppedStartIsReported, a case of TestMachineIsMadeToReportForStart, two Fatal for Error.

--- a/internal/coordination/commands_test.go
+++ b/internal/coordination/commands_test.go
@@ -232,8 +232,45 @@
 	}
 }
 
+// An answer that was held back starts nothing once its holder may not answer any more, or the machine has moved on to
+// another session, which drops it.
+func TestHeldAnswerIsJudgedWhenGiven(t *testing.T) {
+	for name, event := range map[string]func(h *Holder, w *worker){
+		"session of the holder lost": func(h *Holder, _ *worker) { h.session.validUntil.Store(0) },
+		"next session of the machine": func(h *Holder, w *worker) {
+			h.commandAnswered(w, protocol.Orders{Session: 1}, testReport(2, 1, protocol.NewToken(7, w.tokenSeq)), false, nil)
+			w.ack = ackState{}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withUsableMachine(t, func(t *testing.T, h *Holder, w *worker) {
+				answer := make(chan reportAnswer, 1)
+				h.HandleReport(testReport(1, 6, protocol.NewToken(7, w.tokenSeq)), answer)
+				event(h, w)
+				w.queueStart()
+				time.Sleep(h.idleAnswerDelay() + time.Millisecond)
+				if h.runQueuedAndTick(); len(answer) == 0 || (<-answer).status != http.StatusServiceUnavailable {
+					t.Error("it was answered as if nothing had happened")
+				}
+			})
+		})
+	}
+}
+
+// A task that waits for room on a machine that may not be used any more is dropped, and its owner hears of it.
+func TestDroppedStartIsReported(t *testing.T) {
+	withUsableMachine(t, func(t *testing.T, h *Holder, w *worker) {
+		w.queueStart()
+		w.suspect = true
+		before := w.version
+		if h.sendCommands(w); w.entries["wk-1/0"] != nil || w.version == before {
+			t.Errorf("kept, or dropped without a word: %+v", w)
+		}
+	})
+}
+
 // A task is to be started on a machine whose report was answered already: a command with a higher token makes it
-// report, at most once per half lease.
+// report, at most once per half lease, and not while an answer is on its way, which it could void.
 func TestMachineIsMadeToReportForStart(t *testing.T) {
 	withUsableMachine(t, func(t *testing.T, h *Holder, w *worker) {
 		w.backoffUntil, w.tokenRaisedAt = time.Time{}, time.Time{}
@@ -247,6 +284,13 @@
 			t.Error("asked twice")
 		}
 	})
+	withUnseenStart(t, func(t *testing.T, h *Holder, w *worker, _ protocol.ReportAnswer) {
+		w.backoffUntil, w.tokenRaisedAt = time.Time{}, time.Time{}
+		w.entries["wk-1/1"] = &entry{task: "wk-1/1", job: "wk-1", index: 1, attempt: 3, state: board.TaskQueued, expiresAt: time.Now().Add(queueTimeout)}
+		if h.sendCommands(w); w.commandInFlight {
+			t.Error("asked while an answer may be on its way")
+		}
+	})
 }
 
 // Where a direct command got no answer, the answer to a report forgets a task that ended and stops one that
--- a/internal/coordination/two_places_test.go
+++ b/internal/coordination/two_places_test.go
@@ -24,12 +24,12 @@
 	withUnseenStart(t, func(t *testing.T, h *Holder, w *worker, sent protocol.ReportAnswer) {
 		direct := testReport(1, 7, sent.Token)
 		if h.commandAnswered(w, protocol.Orders{Session: 1}, direct, true, nil); w.entries["wk-1/0"] == nil {
-			t.Error("dropped by what was heard while the answer was on its way")
+			t.Fatal("dropped by what was heard while the answer was on its way")
 		}
 		w.entries["wk-1/0"].expiresAt = time.Now() // no answer repeats the start
 		_, body := h.Report(testReport(1, 8, sent.Token))
 		if w.entries["wk-1/0"] == nil {
-			t.Error("dropped under a token that the machine may have had before the answer")
+			t.Fatal("dropped under a token that the machine may have had before the answer")
 		}
 		if h.Report(testReport(1, 9, body.(protocol.ReportAnswer).Token)); w.entries["wk-1/0"] != nil {
 			t.Errorf("its entry is kept for ever: %+v", w.entries["wk-1/0"])
