--- a/review/_stage/stage.go
+++ b/review/_stage/stage.go
@@ -98,6 +98,8 @@
 	txnOps                            int
 	// nextSettings are further lines of the section deployment.state.next.
 	nextSettings string
+	// objectives are the sections deployment.objectives.
+	objectives   string
 	restartDelay time.Duration
 }
 
@@ -245,6 +247,7 @@
 	for _, t := range d.teams {
 		fmt.Fprintf(&b, "[[deployment.teams]]\nname = %q\ncpus = %.1f\ncpus_max = %.1f\ngpus = %.1f\ngpus_max = %.1f\n", t.Name, t.Cores, t.CoresMax, t.Accels, t.AccelsMax)
 	}
+	b.WriteString(d.objectives)
 	fmt.Fprintf(&b, "[deployment.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = %.1f\ngang_peer_s = %.1f\ncancel_s = %.1f\n", d.reportS, d.leaseS, d.gangWaitS, d.peerS, d.cancelS)
 	fmt.Fprintf(&b, "[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n", d.rps, d.writeRPS, d.valueKB, d.txnOps)
 	if d.nextSettings != "" {
