--- a/review/_stage/stage.go
+++ b/review/_stage/stage.go
@@ -92,6 +92,7 @@
 	teams                             []config.Team
 	types                             []protocol.MachineType
 	capacity                          int
+	maxByType                         map[string]int
 	reportS, leaseS, gangWaitS, peerS float64
 	cancelS                           float64
 	rps, writeRPS, valueKB            float64
@@ -195,7 +196,7 @@
 	d := &s.d
 	seconds := protocol.Seconds
 	var err error
-	s.world, err = emulator.New(s.ctx, emulator.Loopback{}, emulator.Setup{Controllers: d.names, Types: d.types, Teams: d.teams, Capacity: d.capacity,
+	s.world, err = emulator.New(s.ctx, emulator.Loopback{}, emulator.Setup{Controllers: d.names, Types: d.types, Teams: d.teams, Capacity: d.capacity, MaxByType: d.maxByType,
 		CloudRPS: 6, State: emulator.Limits{RPS: d.rps, WriteRPS: d.writeRPS, ValueKB: d.valueKB, TxnOps: d.txnOps},
 		ReportEvery: seconds(d.reportS), Lease: seconds(d.leaseS), GangWait: seconds(d.gangWaitS), GangPeer: seconds(d.peerS), CancelWithin: seconds(d.cancelS),
 		Seed: 1, Record: s.observe})
