--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/daledyke ] && [ -x target/review-stage ] || { echo "build first: the deploy file's build, then review/build-2.sh"; exit 2; }
-exec target/review-stage lines "$folder"
+exec target/review-stage image "$folder"
--- a/review/_stage/stage.go
+++ b/review/_stage/stage.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,12 +15,15 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/BurntSushi/toml"
+
 	"daledyke/internal/config"
 	"daledyke/internal/emulator"
 	"daledyke/internal/history"
@@ -59,7 +63,9 @@
 		return cantRun
 	}
 	defer os.RemoveAll(dir)
-	ctx, cancel := context.WithTimeout(context.Background(), timeLimit)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 	s := &stage{ctx: ctx, dir: dir, record: record, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
 		processes: map[string]*process{}, d: smallDeployment()}
@@ -77,7 +83,7 @@
 	select {
 	case r = <-done:
 	case <-ctx.Done():
-		r = result{cantRun, "the case did not finish in time"}
+		r = result{cantRun, "the case did not finish in time, or was interrupted"}
 	}
 	word := map[int]string{held: "the rule held", broken: "THE RULE WAS BROKEN", cantRun: "the case could not run"}[r.status]
 	s.log("result: %s: %s", word, r.why)
@@ -129,6 +135,7 @@
 	dir     string
 	began   time.Time
 	trouble bool
+	command []string // of the deploy file
 	d       deployment
 	world   *emulator.World
 	front   map[string]string
@@ -190,7 +197,14 @@
 
 // start starts the environment and the controllers, and waits until all are healthy.
 func (s *stage) start() error {
-	if _, err := os.Stat("target/daledyke"); err != nil {
+	var deploy struct{ Run string }
+	if _, err := toml.DecodeFile("deploy/service.toml", &deploy); err != nil {
+		return err
+	}
+	if s.command = strings.Fields(deploy.Run); len(s.command) == 0 {
+		return errors.New("the deploy file has no command")
+	}
+	if _, err := os.Stat(s.command[0]); err != nil {
 		return fmt.Errorf("the deploy file's build has not run: %w", err)
 	}
 	d := &s.d
@@ -264,7 +278,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command("target/daledyke", "--config", s.settingsFile(name))
+	cmd := exec.Command(s.command[0], append(s.command[1:len(s.command):len(s.command)], s.settingsFile(name))...)
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+envOr("LOG_LEVEL", "info"))
 	cmd.Stderr = log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-stage ./review/_stage
+go build -buildvcs=false -o target/review-stage ./review/_stage
