A job's results wait until its description is read (review/4)

What callers saw: a job whose description is stored in parts and that had some results when all controllers crashed ran its recorded tasks again and was never called done.

Cause: a replica that loads its records meets results before it has read a description in parts, and cleared all results without a known job at the end of the load. The job was then published without results, and each write of further results had the condition that no result record exists.

Change: only results of jobs that don't wait for their description are dropped. A debug line names the records whose conditions failed.

--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -42,7 +42,7 @@
 	// batchCounts is the number of batches that contain a machine. It exceeds one if several controllers
 	// found the machine at once.
 	batchCounts map[string]int
-	// earlyResults are results of jobs whose records have not arrived yet.
+	// earlyResults are results of jobs that are not known yet: their records or descriptions have not arrived.
 	earlyResults map[string]map[int]Chunk
 	// dependencies is the graph of jobs that name one another.
 	dependencies *dependencyGraph
@@ -217,7 +217,7 @@
 			break
 		}
 	}
-	clear(r.earlyResults) // leftover results of jobs that ended with more chunks than one transaction drops
+	r.dropLeftoverResults()
 	for id, j := range r.jobs {
 		if final(j.RecordedState) || seen[jobKey(id)] {
 			continue
@@ -239,6 +239,16 @@
 	return first, nil
 }
 
+// dropLeftoverResults drops the results of jobs that ended with more chunks than one transaction drops. Every job
+// that has not ended is listed by now, but its description may still have to be read.
+func (r *Replica) dropLeftoverResults() {
+	for id := range r.earlyResults {
+		if !r.unreadParts[id] {
+			delete(r.earlyResults, id)
+		}
+	}
+}
+
 func parse[T any](key string, raw json.RawMessage, dropped bool) *T {
 	if dropped {
 		return nil
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -108,8 +108,9 @@
 }
 
 func (s *Store) commit(ctx context.Context, u transport.Urgency, timeout time.Duration, conds []protocol.Condition, then ...protocol.Change) error {
-	_, ok, err := s.transact(ctx, u, timeout, conds, then)
+	ans, ok, err := s.transact(ctx, u, timeout, conds, then)
 	if err == nil && !ok {
+		slog.Debug("records changed meanwhile", "keys", ans.Failed)
 		err = ErrConflict
 	}
 	return err
