A replica publishes a job by its newest record once its description is read

Cause: the lookup read the record and the description, and what the watch delivered meanwhile was dropped, so the job was published by an old record for good.

Records of incomplete jobs that ended while the replica was disconnected are taken in by the load, since the lookup finds them no longer.

--- a/internal/bookkeeping/parts_test.go
+++ b/internal/bookkeeping/parts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,10 +54,11 @@
 	}
 }
 
-// acceptLongJob records a job whose description takes several values.
+// acceptLongJob records a held job whose description takes several values.
 func acceptLongJob(t *testing.T, st *Store, id string) *Job {
 	t.Helper()
-	spec := &protocol.JobSpec{ID: id, Class: "batch", Team: "free", Shape: protocol.Array, Priority: "normal", Tasks: 4, Cores: 1, RAM: 1, Image: "img"}
+	spec := &protocol.JobSpec{ID: id, Class: "batch", Team: "free", Shape: protocol.Array, Priority: "normal", Tasks: 4, Cores: 1, RAM: 1, Image: "img",
+		Batch: &protocol.Batch{Hold: true}}
 	for n := range 300 {
 		spec.Types = append(spec.Types, fmt.Sprintf("t%x", uint64(n+1)*0x9e3779b97f4a7c15))
 	}
@@ -84,3 +87,57 @@
 		t.Errorf("after its last results the job is %+v, %v", ended, err)
 	}
 }
+
+// Guards against the loss of a record that changes while the job's description is read: a job that was released just
+// then stayed held for ever, and all writes that depend on its record failed.
+func TestReleaseWhileDescriptionIsRead(t *testing.T) {
+	reads, resume := make(chan bool, 100), make(chan bool)
+	delayParts := false
+	st := newStoreBehind(t, func(state http.Handler) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if delayParts && r.Method == http.MethodGet && strings.HasPrefix(r.URL.Query().Get("prefix"), partPrefix) {
+				reads <- true
+				<-resume
+			}
+			state.ServeHTTP(w, r)
+		}
+	})
+	acceptLongJob(t, st, "wk-1")
+	delayParts = true
+	replica := runReplica(t, st)
+	<-reads
+	resumed := time.AfterFunc(500*time.Millisecond, func() { close(resume) })
+	defer resumed.Stop()
+	if _, changed, err := st.HoldJob(t.Context(), "wk-1", false); err != nil || !changed {
+		t.Fatal(changed, err)
+	}
+	j := replica.awaitJob(t, "a released job", func(j *Job) bool { return !j.Held })
+	st.Record(t.Context(), transport.Ordinary, []Outcome{{Job: j, Tasks: []int{0, 1, 2, 3}}})
+	if ended, err := st.ReadJob(t.Context(), "wk-1"); err != nil || ended.State != protocol.Done {
+		t.Errorf("after its last results the job is %+v, %v", ended, err)
+	}
+}
+
+// A job that ends, and is archived, while a replica is disconnected and lacks its description is published as ended.
+func TestIncompleteJobEndsWhileDisconnected(t *testing.T) {
+	transactionsLeft := 1000
+	st := newEmulatedStore(t, &transactionsLeft)
+	acceptLongJob(t, st, "wk-1")
+	listener := &jobListener{jobs: map[string]*Job{}}
+	replica := NewReplica(st, func(*protocol.JobSpec) RingPosition { return RingPosition{Blocks: 1} }, func(*Job) Urgency { return Urgency{} }, listener, nil)
+	load := func() {
+		t.Helper()
+		if _, err := replica.load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	load()
+	ended, err := st.CancelJob(t.Context(), "wk-1")
+	for ; err == nil && !ended.Archived; ended, err = st.ReadJob(t.Context(), "wk-1") {
+		st.Archive(t.Context(), []*Job{ended})
+	}
+	load()
+	if j := listener.jobs["wk-1"]; err != nil || j == nil || j.State != protocol.Cancelled || len(replica.incomplete) != 0 {
+		t.Errorf("published as %+v, %d incomplete jobs, %v", j, len(replica.incomplete), err)
+	}
+}
--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -46,8 +48,8 @@
 	earlyResults map[string]map[int]Chunk
 	// dependencies is the graph of jobs that name one another.
 	dependencies *dependencyGraph
-	// unreadParts are the jobs whose descriptions are stored in parts that are not read yet.
-	unreadParts map[string]bool
+	// incomplete are the jobs whose descriptions are stored in parts that are not read yet.
+	incomplete map[string]incompleteJob
 	// lookupActive: jobs are being looked up in the state service; lookups receives the results.
 	lookupActive bool
 	nextLookup   time.Time
@@ -68,7 +70,7 @@
 func NewReplica(store *Store, positionOf func(*protocol.JobSpec) RingPosition, urgencyOf func(*Job) Urgency, listener Listener, caughtUp func(uint64)) *Replica {
 	return &Replica{store: store, listener: listener, caughtUp: caughtUp, jobs: map[string]*Job{}, knownKeys: map[string]bool{}, batches: map[string]*RentalBatch{},
 		batchCounts: map[string]int{}, earlyResults: map[string]map[int]Chunk{}, positionOf: positionOf, dependencies: newDependencyGraph(urgencyOf),
-		unreadParts: map[string]bool{}, delayed: map[string]time.Time{}, lookups: make(chan []lookupResult, 1)}
+		incomplete: map[string]incompleteJob{}, delayed: map[string]time.Time{}, lookups: make(chan []lookupResult, 1)}
 }
 
 // defaultWatchTimeout limits one wait for changes, and so how stale a replica can be while it considers itself
@@ -118,70 +120,6 @@
 	}
 }
 
-// Jobs missing from the replica are looked up a few at a time, beside the watch, whose waits are limited to
-// lookupWatchTimeout meanwhile. Failed lookups are retried after lookupRetryDelay.
-const (
-	lookupWatchTimeout = 100 * time.Millisecond
-	maxLookups         = 8
-	lookupRetryDelay   = 500 * time.Millisecond
-)
-
-// lookupResult is the result of looking up a job; job is nil if it was never accepted.
-type lookupResult struct {
-	id  string
-	job *Job
-	err error
-}
-
-// startLookups starts looking up jobs that others name but that the replica lacks since they ended long ago,
-// and jobs whose descriptions are stored in parts. It reports whether a lookup is in progress.
-func (r *Replica) startLookups(ctx context.Context) bool {
-	ids := r.dependencies.unknownJobs(maxLookups)
-	for id := range r.unreadParts {
-		if len(ids) == 2*maxLookups {
-			break
-		}
-		ids = append(ids, id)
-	}
-	if len(ids) == 0 || r.lookupActive || time.Now().Before(r.nextLookup) {
-		return r.lookupActive
-	}
-	r.lookupActive = true
-	go func() {
-		var out []lookupResult
-		for _, id := range ids {
-			j, err := r.store.ReadArchived(ctx, id)
-			out = append(out, lookupResult{id, j, err})
-		}
-		r.lookups <- out // never blocks: only one lookup runs at a time
-	}()
-	return true
-}
-
-// applyLookups takes in the results of lookups.
-func (r *Replica) applyLookups(found []lookupResult) {
-	r.lookupActive = false
-	for _, f := range found {
-		switch {
-		case f.err != nil:
-			r.nextLookup = time.Now().Add(lookupRetryDelay)
-			slog.Debug("job lookup failed", "job", f.id, "err", f.err)
-		case r.unreadParts[f.id] && f.job != nil:
-			delete(r.unreadParts, f.id)
-			if r.jobs[f.id] == nil {
-				r.updateJob(f.id, f.job)
-			}
-		case f.job != nil && !f.job.Final():
-			r.nextLookup = time.Now().Add(lookupRetryDelay) // the watch will deliver it soon
-		default:
-			if f.job == nil {
-				slog.Error("a record names a job that was never accepted", "job", f.id)
-			}
-			r.republish(r.dependencies.resolve(f.id, f.job))
-		}
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -218,32 +156,46 @@
 		}
 	}
 	r.dropLeftoverResults()
+	if err := r.applyEndedMeanwhile(ctx, seen); err != nil {
+		return 0, err
+	}
+	for key := range r.knownKeys {
+		if !seen[key] {
+			r.apply(key, true, nil, first)
+		}
+	}
+	return first, nil
+}
+
+// applyEndedMeanwhile takes in the records of jobs that ended while the replica was disconnected: those that it took
+// for unfinished and that were not among the records seen in a load.
+func (r *Replica) applyEndedMeanwhile(ctx context.Context, seen map[string]bool) error {
+	unfinished := slices.Collect(maps.Keys(r.incomplete))
 	for id, j := range r.jobs {
-		if final(j.RecordedState) || seen[jobKey(id)] {
+		if !final(j.RecordedState) {
+			unfinished = append(unfinished, id)
+		}
+	}
+	for _, id := range unfinished {
+		if seen[jobKey(id)] {
 			continue
 		}
-		// The job ended while the replica was disconnected.
 		p, found, err := r.store.state.Get(ctx, transport.Vital, 3*time.Second, archiveKey(id))
 		if err != nil {
-			return 0, err
+			return err
 		}
 		if found {
 			r.apply(p.Key, false, p.Value, p.Version)
 		}
 	}
-	for key := range r.knownKeys {
-		if !seen[key] {
-			r.apply(key, true, nil, first)
-		}
-	}
-	return first, nil
+	return nil
 }
 
 // dropLeftoverResults drops the results of jobs that ended with more chunks than one transaction drops. Every job
 // that has not ended is listed by now, but its description may still have to be read.
 func (r *Replica) dropLeftoverResults() {
 	for id := range r.earlyResults {
-		if !r.unreadParts[id] {
+		if _, waits := r.incomplete[id]; !waits {
 			delete(r.earlyResults, id)
 		}
 	}
@@ -291,11 +243,11 @@
 	switch {
 	case rec == nil:
 	case rec.Spec == nil && r.jobs[id] == nil && rec.PartCount > 0:
-		r.unreadParts[id] = true
+		r.keepIncomplete(id, rec, version)
 	case rec.Spec == nil && r.jobs[id] == nil:
 		slog.Error("malformed record", "key", key)
 	default:
-		delete(r.unreadParts, id)
+		delete(r.incomplete, id)
 		j := r.jobs[id].withRecord(rec, version)
 		if archived && !j.Archived {
 			moved := *j
--- a/internal/bookkeeping/stale_writes_test.go
+++ b/internal/bookkeeping/stale_writes_test.go
@@ -21,21 +21,27 @@
 // newEmulatedStore returns a store on a state service that commits *transactionsLeft transactions and refuses
 // all later ones, with the smallest limits that daledyke accepts.
 func newEmulatedStore(t *testing.T, transactionsLeft *int) *Store {
+	return newStoreBehind(t, func(state http.Handler) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost && r.URL.Path == "/multi" {
+				if *transactionsLeft--; *transactionsLeft < 0 {
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+			}
+			state.ServeHTTP(w, r)
+		}
+	})
+}
+
+// newStoreBehind returns a store on a state service behind a handler, with the smallest limits that daledyke accepts.
+func newStoreBehind(t *testing.T, handler func(state http.Handler) http.HandlerFunc) *Store {
 	limits := emulator.Limits{ValueKB: 2, WriteRPS: 10_000, TxnOps: 4}
 	state, err := emulator.NewState(t.Context(), limits, "")
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := state.Handler("c0")
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPost && r.URL.Path == "/multi" {
-			if *transactionsLeft--; *transactionsLeft < 0 {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-		}
-		h.ServeHTTP(w, r)
-	}))
+	srv := httptest.NewServer(handler(state.Handler("c0")))
 	t.Cleanup(srv.Close)
 	return NewStore(transport.NewState(transport.NetDialer(), strings.TrimPrefix(srv.URL, "http://"), 10_000, 10_000), limits.TxnOps, int(limits.ValueKB*1024))
 }
