--- a/internal/balance/vacate.go
+++ b/internal/balance/vacate.go
@@ -168,7 +168,7 @@
 		// that is not expensive, and change its zone; the owner of its job knows this rule.
 		leavesExpensive := expensive[m.Type]
 		for _, t := range v.in.Machines {
-			if t == m || v.emptied[t] || t.Booting || t.Draining || !t.Free.Fits(r.Spec.Need()) || !r.Spec.Allows(t.Type, t.Zone, t.Spot) {
+			if t == m || v.emptied[t] || t.Booting || t.Draining || t.TasksLeft() == 0 || !t.Free.Fits(r.Spec.Need()) || !r.Spec.Allows(t.Type, t.Zone, t.Spot) {
 				continue
 			}
 			if len(t.Replicas) == 0 && !(leavesExpensive && !expensive[t.Type]) || !leavesExpensive && !slices.Contains(t.Images, r.Spec.Image) || (r.Spec.Scatter && !leavesExpensive || r.Spec.OneZone) && t.Zone != m.Zone {
@@ -194,9 +194,9 @@
 		if best == nil {
 			return rollback()
 		}
-		free, took := best.Free, v.receives[best]
-		undos = append(undos, func() { best.Free, v.receives[best] = free, took })
-		best.Free, v.receives[best] = free.Sub(r.Spec.Need()), true
+		free, tasks, took := best.Free, best.Tasks, v.receives[best]
+		undos = append(undos, func() { best.Free, best.Tasks, v.receives[best] = free, tasks, took })
+		best.Free, best.Tasks, v.receives[best] = free.Sub(r.Spec.Need()), tasks+1, true
 	}
 	v.emptied[m] = true
 	v.freeRoom[m.Type]--
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -39,10 +39,39 @@
 	// FirstSeen is when the machine was first reported here.
 	FirstSeen time.Time
 	Instances []*Instance
-	// RequestedRoom is the room of requested starts that the view does not show yet.
-	RequestedRoom protocol.Room
+	// RequestedRoom is the room of requested starts that the view does not show yet, RequestedTasks their number.
+	RequestedRoom  protocol.Room
+	RequestedTasks int
 }
 
+// FreeRoom is the room that is neither in use nor requested.
+func (m *Machine) FreeRoom() protocol.Room { return m.Free.Sub(m.RequestedRoom) }
+
+// TasksLeft is how many more tasks the machine may have, since its reports have to list them all.
+func (m *Machine) TasksLeft() int {
+	return protocol.MaxTasksPerMachine - len(m.Instances) - m.RequestedTasks
+}
+
+// HasRoomFor reports whether the machine has room for one more task.
+func (m *Machine) HasRoomFor(need protocol.Room) bool {
+	return m.TasksLeft() > 0 && m.FreeRoom().Fits(need)
+}
+
+// Request adds a requested start.
+func (m *Machine) Request(need protocol.Room) {
+	m.RequestedRoom = m.RequestedRoom.Add(need)
+	m.RequestedTasks++
+}
+
+// Unrequest removes a requested start.
+func (m *Machine) Unrequest(need protocol.Room) {
+	m.RequestedRoom = m.RequestedRoom.Sub(need)
+	m.RequestedTasks--
+}
+
+// ClearRequests removes all requested starts.
+func (m *Machine) ClearRequests() { m.RequestedRoom, m.RequestedTasks = protocol.Room{}, 0 }
+
 // Slot is one partition of the workers, as its newest holder reports it.
 type Slot struct {
 	Term     uint64
--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -86,7 +86,7 @@
 	// The room of a reservation is already set aside, although evicted tasks may still occupy it.
 	if ahead := st.Reserve && st.Ahead; ahead && w.hasReservedAhead(st.Task) {
 		return "kept for another"
-	} else if reserved == nil && !ahead && !h.roomAfterEvictions(w, st).Fits(j.Spec.Need()) {
+	} else if reserved == nil && !ahead && !h.fitsAfterEvictions(w, st, j.Spec.Need()) {
 		return "no room"
 	}
 	h.evict(w, st.Evict)
@@ -146,15 +146,16 @@
 	return false
 }
 
-// roomAfterEvictions is the free room on a machine once the tasks that a start evicts are gone.
-func (h *Holder) roomAfterEvictions(w *worker, st Start) protocol.Room {
-	room := h.freeRoom(w, true)
+// fitsAfterEvictions reports whether a machine has room for one more task once those that a start evicts are gone.
+func (h *Holder) fitsAfterEvictions(w *worker, st Start, need protocol.Room) bool {
+	room, tasksLeft := h.freeRoom(w, true), protocol.MaxTasksPerMachine-len(w.entries)
 	for _, name := range st.Evict {
 		if victim := w.entries[name]; victim != nil && !victim.exited() && !victim.unconfirmed() {
 			room = room.Add(h.need(victim))
+			tasksLeft++
 		}
 	}
-	return room
+	return tasksLeft > 0 && room.Fits(need)
 }
 
 // evict stops tasks to make room, with the time that they need to save.
--- a/internal/coordination/commands.go
+++ b/internal/coordination/commands.go
@@ -45,12 +45,16 @@
 	return protocol.Command{Verb: protocol.VerbStop, Task: task, Attempt: attempt, GraceS: &graceS}
 }
 
-// desiredCommands returns the commands that lead from what is on a machine to what should be. A holder that
+// desiredCommands returns the commands that lead from what is on a machine to what should be, at most
+// protocol.MaxCommands; the others follow once these are answered. A holder that
 // may not act as usual (mayAct is false) only stops tasks that may not run any more. Any controller entitled
 // to a machine may do that: such commands are fenced by the slot's term, as all are, and undo no others.
 func (h *Holder) desiredCommands(w *worker, now time.Time, mayAct bool) []protocol.Command {
 	var out []protocol.Command
 	for _, e := range w.entries {
+		if len(out) == protocol.MaxCommands {
+			break
+		}
 		j := h.jobs[e.job]
 		jobOver := h.isJobOver(e.job)
 		switch {
@@ -168,15 +172,17 @@
 	}
 }
 
-// repeatUnanswered returns the stops and forgets that an answer to a report repeats because the direct command
-// for them was not answered: a direct command may be delayed for long, while an answer is received at once or
+// repeatUnanswered returns the stops and forgets, at most limit, that an answer to a report repeats because the direct
+// command for them was not answered: a direct command may be delayed for long, while an answer is received at once or
 // never. Both may be repeated.
-func (h *Holder) repeatUnanswered(w *worker) (commands []protocol.Command) {
+func (h *Holder) repeatUnanswered(w *worker, limit int) (commands []protocol.Command) {
 	if !w.verified || !h.session.Valid() {
 		return nil
 	}
 	for _, e := range w.entries {
 		switch {
+		case len(commands) == limit:
+			return commands
 		case !e.unanswered:
 		case e.exited() && e.forgetRequested:
 			commands = append(commands, protocol.Command{Verb: protocol.VerbForget, Task: e.task, Attempt: e.attempt})
--- a/internal/coordination/commands_test.go
+++ b/internal/coordination/commands_test.go
@@ -345,3 +345,83 @@
 		}
 	})
 }
+
+// manyTasks puts tasks of wk-1 in a state on a machine.
+func (w *worker) manyTasks(from, to int, state string) {
+	for index := from; index < to; index++ {
+		task := protocol.TaskName("wk-1", index)
+		w.entries[task] = &entry{task: task, job: "wk-1", index: index, attempt: 3, state: state, expiresAt: time.Now().Add(queueTimeout)}
+	}
+}
+
+// Guards against answers to reports of more than 64 KiB: what does not fit goes with the next answer, and a task whose
+// start went with none is not taken for started.
+func TestAnswerStartsWhatFits(t *testing.T) {
+	withUsableMachine(t, func(t *testing.T, h *Holder, w *worker) {
+		h.jobs["wk-1"].Spec.Tasks = 2000
+		w.manyTasks(0, protocol.MaxCommands+100, board.TaskQueued)
+		_, body := h.Report(testReport(1, 6, protocol.NewToken(7, w.tokenSeq)))
+		if n := len(carriedTasks(body, protocol.VerbStart)); n != protocol.MaxCommands {
+			t.Errorf("%d starts in one answer, want %d", n, protocol.MaxCommands)
+		}
+		queued := 0
+		for _, e := range w.entries {
+			if e.state == board.TaskQueued {
+				queued++
+			}
+		}
+		if queued != 100 {
+			t.Errorf("%d tasks wait for the next answer, want 100", queued)
+		}
+	})
+}
+
+// Guards against answers that renew the lease of a cancelled task without its stop: an answer that can't contain all
+// stops isn't given, and direct commands of a bounded size stop the tasks.
+func TestTooManyCancelledTasksForOneAnswer(t *testing.T) {
+	withUsableMachine(t, func(t *testing.T, h *Holder, w *worker) {
+		rep := testReport(1, 6, protocol.NewToken(7, w.tokenSeq))
+		for index := range protocol.MaxTasksPerMachine + 1 {
+			rep.Tasks = append(rep.Tasks, protocol.TaskReport{Task: protocol.TaskName("wk-1", index), Attempt: 3, State: protocol.TaskRunning})
+		}
+		h.Report(rep)
+		h.cancelled.Learn("wk-1", time.Now())
+		rep.Ticket++
+		if status, body := h.Report(rep); status != http.StatusServiceUnavailable {
+			t.Errorf("answer %d with %d stops", status, len(carriedTasks(body, protocol.VerbStop)))
+		}
+		for _, e := range w.entries {
+			e.lastSentAt = time.Time{}
+		}
+		if n := len(h.desiredCommands(w, time.Now(), true)); n != protocol.MaxCommands {
+			t.Errorf("a direct command has %d commands, want %d", n, protocol.MaxCommands)
+		}
+		if n := len(h.desiredCommands(w, time.Now(), true)); n != 1 {
+			t.Errorf("the next direct command has %d commands, want 1", n)
+		}
+	})
+}
+
+// Guards against machines with more tasks than their reports can list.
+func TestAdmissionBoundsTasksOnMachine(t *testing.T) {
+	withUsableMachine(t, func(t *testing.T, h *Holder, w *worker) {
+		w.manyTasks(0, protocol.MaxTasksPerMachine-1, protocol.TaskRunning)
+		tiny := protocol.Room{}
+		if !h.fitsAfterEvictions(w, Start{}, tiny) {
+			t.Error("the last task that a report can list is refused")
+		}
+		w.manyTasks(protocol.MaxTasksPerMachine-1, protocol.MaxTasksPerMachine, protocol.TaskExited)
+		if h.fitsAfterEvictions(w, Start{}, tiny) {
+			t.Error("a task that no report can list is admitted")
+		}
+		if !h.fitsAfterEvictions(w, Start{Evict: []string{"wk-1/0"}}, tiny) {
+			t.Error("a task is refused though another one is evicted for it")
+		}
+		w.queueStart()
+		w.entries["wk-1/0"].task = "wk-1/0"
+		w.manyTasks(protocol.MaxTasksPerMachine, protocol.MaxTasksPerMachine+1, protocol.TaskRunning)
+		if n := len(h.queuedStarts(w, time.Now())); n != 0 {
+			t.Errorf("%d tasks are started beside as many as a report can list", n)
+		}
+	})
+}
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -90,7 +90,7 @@
 			t.Errorf("requests: %+v", rq["c1"])
 		}
 		for _, m := range o.board.Machines {
-			m.RequestedRoom = protocol.Room{}
+			m.ClearRequests()
 		}
 	}
 }
--- a/internal/coordination/demand.go
+++ b/internal/coordination/demand.go
@@ -111,7 +111,7 @@
 
 // fleetMachine describes a machine for fleet planning.
 func (o *Owner) fleetMachine(id string, m *board.Machine, now time.Time) *fleet.Machine {
-	f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Used: len(m.Instances) > 0, Fresh: now.Sub(m.FirstSeen) < fleet.FreshFor, Images: m.Images}
+	f := &fleet.Machine{ID: id, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: m.Free, Tasks: len(m.Instances), Used: len(m.Instances) > 0, Fresh: now.Sub(m.FirstSeen) < fleet.FreshFor, Images: m.Images}
 	for _, i := range m.Instances {
 		if js := o.jobs[i.Job]; js != nil && !i.Exited() {
 			addTaskUse(f, js.job, i, now)
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -407,15 +407,15 @@
 	return cmp.Or(o.startDeadline(a).Compare(o.startDeadline(b)), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
 }
 
-// addPendingStarts sums up, by machine, the room requested for starts that the board does not show yet.
+// addPendingStarts sums up, by machine, the requested starts that the board does not show yet.
 func (o *Owner) addPendingStarts() {
 	for _, m := range o.board.Machines {
-		m.RequestedRoom = protocol.Room{}
+		m.ClearRequests()
 	}
 	for _, js := range o.unresolved {
 		for _, ps := range js.pending {
 			if m := o.board.Machines[ps.machine]; m != nil {
-				m.RequestedRoom = m.RequestedRoom.Add(ps.need)
+				m.Request(ps.need)
 			}
 		}
 	}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -101,8 +101,13 @@
 	if !known {
 		return unavailable // owners look such jobs up
 	}
-	commands = append(commands, h.repeatUnanswered(w)...)
-	commands = append(commands, h.startCommands(w, now)...)
+	if len(commands) > protocol.MaxCommands {
+		// Without all of these stops the answer would renew cancelled tasks. Direct commands stop them. Only a holder of
+		// an earlier version lets a machine have so many tasks.
+		return unavailable
+	}
+	commands = append(commands, h.repeatUnanswered(w, protocol.MaxCommands-len(commands))...)
+	commands = append(commands, h.startCommands(w, now, protocol.MaxCommands-len(commands))...)
 	w.unackedAnswer, w.unackedAnswerToken = now, h.tokenToSend(w, now)
 	return reportAnswer{http.StatusOK, protocol.ReportAnswer{Token: w.unackedAnswerToken, Commands: commands}}
 }
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -69,7 +69,7 @@
 	}
 	js.stale = true
 	o.unresolved[js.job.Spec.ID] = js
-	m.RequestedRoom = m.RequestedRoom.Add(ps.need)
+	m.Request(ps.need)
 }
 
 // sendRequest sends a request to a holder. If no reply comes in time, the feed resolves its outcome by a
--- a/internal/coordination/starts.go
+++ b/internal/coordination/starts.go
@@ -120,9 +120,9 @@
 	if !w.verified || w.ack.awaitsAck() {
 		return nil
 	}
-	room := h.freeRoom(w, false)
+	room, tasksLeft := h.freeRoom(w, false), protocol.MaxTasksPerMachine-w.listedTasks()
 	for _, e := range w.entries {
-		if need := h.need(e); e.state == board.TaskQueued && h.mayStart(w, e, now) && room.Fits(need) {
+		if need := h.need(e); e.state == board.TaskQueued && len(queued) < tasksLeft && h.mayStart(w, e, now) && room.Fits(need) {
 			room = room.Sub(need)
 			queued = append(queued, e)
 		}
@@ -130,27 +130,40 @@
 	return queued
 }
 
+// listedTasks is how many tasks the machine's reports list, or will list once all starts in flight have arrived.
+func (w *worker) listedTasks() (n int) {
+	for _, e := range w.entries {
+		if e.state != board.TaskQueued && e.state != board.TaskReserved {
+			n++
+		}
+	}
+	return n
+}
+
 // mayStart reports whether a task that was admitted is still to be started: by what is known now, and for as
 // long as it may wait.
 func (h *Holder) mayStart(w *worker, e *entry, now time.Time) bool {
 	return h.session.Valid() && h.usable(w) && !e.stopRequested && h.jobs[e.job] != nil && !h.isJobOver(e.job) && now.Sub(h.syncedAt) <= maxRecordsAge && now.Before(e.expiresAt)
 }
 
-// startCommands returns the starts for the answer to a report: of tasks that wait and for which there is room,
-// and again of those that an earlier answer started and the report does not show. A worker has one report in
-// flight, so that answer was lost. This one then gets a higher token: if the next report shows it without the
-// task, the task was not started.
-func (h *Holder) startCommands(w *worker, now time.Time) (commands []protocol.Command) {
-	due := h.queuedStarts(w, now)
+// startCommands returns the starts for the answer to a report, at most limit: again of tasks that an earlier answer
+// started and the report does not show, and of those that wait and for which there is room. The others go with the
+// next answer. A worker has one report in flight, so an answer whose starts the report does not show was lost. This one
+// then gets a higher token: if the next report shows it without the task, the task was not started.
+func (h *Holder) startCommands(w *worker, now time.Time, limit int) (commands []protocol.Command) {
+	queued := h.queuedStarts(w, now)
 	if w.hasUnseenStart() {
 		w.requireAck(now)
 		h.markChanged(w)
 	}
+	var due []*entry
 	for _, e := range w.entries {
 		if e.state == board.TaskStarting && h.mayStart(w, e, now) {
 			due = append(due, e)
 		}
 	}
+	due = append(due, queued...)
+	due = due[:min(limit, len(due))]
 	for _, e := range due {
 		e.state, e.startToken = board.TaskStarting, w.token()
 		commands = append(commands, protocol.Command{Verb: protocol.VerbStart, Task: e.task, Attempt: e.attempt})
--- a/internal/coordination/unmet.go
+++ b/internal/coordination/unmet.go
@@ -89,7 +89,7 @@
 	for k, need := range o.unmetNeeds {
 		if slices.ContainsFunc(views, func(v board.MachineView) bool {
 			m := o.board.Machines[v.ID]
-			return m != nil && m.Usable && m.Free.Sub(m.RequestedRoom).Fits(need.spec.Need()) && need.spec.Allows(m.Type, m.Zone, m.Spot)
+			return m != nil && m.Usable && m.HasRoomFor(need.spec.Need()) && need.spec.Allows(m.Type, m.Zone, m.Spot)
 		}) {
 			delete(o.unmetNeeds, k)
 		}
--- a/internal/emulator/machine_commands.go
+++ b/internal/emulator/machine_commands.go
@@ -48,6 +48,9 @@
 
 func (m *machine) do(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var o protocol.Orders
+	if r.ContentLength > protocol.MaxBody {
+		m.recordOversized("direct command", int(r.ContentLength))
+	}
 	if read(r, &o) != nil || o.Session == 0 {
 		answer(w, http.StatusBadRequest, problem("baton or shift is missing"))
 		return
--- a/internal/emulator/machine_reports.go
+++ b/internal/emulator/machine_reports.go
@@ -1,12 +1,14 @@
 package emulator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
 
+	"daledyke/internal/history"
 	"daledyke/internal/protocol"
 	"daledyke/internal/transport"
 )
@@ -104,9 +106,13 @@
 func (m *machine) sendReport(client *http.Client, rep protocol.Report, boots int, node, addr string, every time.Duration) (wait time.Duration) {
 	sent := time.Now()
 	status, body := 0, []byte(nil)
-	if addr != "" {
+	if addr != "" && m.reportFits(&rep) {
 		status, body = request(m.ctx, client, http.MethodPost, "http://"+addr+"/checkin", rep, reportTimeout)
 	}
+	if line := longestLine(body); line > protocol.MaxLine {
+		m.recordOversized("answer to a report", line)
+		status = 0 // the worker reads no such answer
+	}
 	deaf := false
 	if m.w.loop.do(func() { deaf = m.inboundDropped }); deaf {
 		// The report arrived, but its answer is dropped: the worker waits for it until the timeout.
@@ -149,6 +155,37 @@
 	return wait
 }
 
+// maxUncheckedTasks is the number of tasks up to which a report certainly fits into a request.
+const maxUncheckedTasks = protocol.MaxBody / 200
+
+// reportFits reports whether a report fits into a request. The worker does not send one that doesn't.
+func (m *machine) reportFits(rep *protocol.Report) bool {
+	if len(rep.Tasks) <= maxUncheckedTasks {
+		return true
+	}
+	raw, err := json.Marshal(rep)
+	if err != nil || len(raw) > protocol.MaxBody {
+		m.recordOversized("report", len(raw))
+		return false
+	}
+	return true
+}
+
+// recordOversized records a message that exceeds its limit.
+func (m *machine) recordOversized(message string, bytes int) {
+	m.w.loop.do(func() {
+		m.w.record(history.Event{Kind: history.Oversized, Machine: m.id, Cause: message, Code: bytes})
+	})
+}
+
+// longestLine returns the length of the longest line of a response.
+func longestLine(body []byte) (longest int) {
+	for line := range bytes.Lines(body) {
+		longest = max(longest, len(bytes.TrimRight(line, "\r\n")))
+	}
+	return longest
+}
+
 // request sends one request with a timeout; status 0 means no answer.
 func request(ctx context.Context, c *http.Client, method, url string, body any, timeout time.Duration) (status int, raw []byte) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/fleet/packing.go
+++ b/internal/fleet/packing.go
@@ -81,17 +81,21 @@
 	return r
 }
 
+// TasksLeft is how many more tasks the machine may have. Tasks that may be evicted count as staying.
+func (b *Machine) TasksLeft() int { return max(0, protocol.MaxTasksPerMachine-b.Tasks) }
+
 // take packs up to left tasks into the machine and returns how many fit.
 func (b *Machine) take(d *Demand, left int) int {
 	if zone, bound := d.ZoneLeft[b.Zone]; bound {
 		left = min(left, zone)
 	}
-	n := b.room(d).CountFits(d.Spec.Need(), left)
+	n := b.room(d).CountFits(d.Spec.Need(), min(left, b.TasksLeft()))
 	if n == 0 {
 		return 0
 	}
 	b.fillerOnly = b.fillerOnly || d.Filler && b.Booting && !b.Used
 	b.Used, b.Packed = true, true
+	b.Tasks += n
 	for range n {
 		b.Free = b.Free.Sub(d.Spec.Need())
 	}
@@ -121,7 +125,7 @@
 	avoidExpensive := d.expensive != nil && !d.onlyExpensive
 	for _, b := range bins {
 		room := b.room(d)
-		if b.Draining || avoidScarce && in.Scarce[b.Type] || avoidExpensive && d.expensive[b.Type] || !room.Fits(need) || !d.allows(b) {
+		if b.Draining || avoidScarce && in.Scarce[b.Type] || avoidExpensive && d.expensive[b.Type] || b.TasksLeft() == 0 || !room.Fits(need) || !d.allows(b) {
 			continue
 		}
 		t := in.Types[b.Type]
@@ -163,7 +167,7 @@
 				if !d.allows(b) || in.Refused(Kind{t.Name, zone, spot}) {
 					continue
 				}
-				fitting := t.Room().CountFits(d.Spec.Need(), left)
+				fitting := t.Room().CountFits(d.Spec.Need(), min(left, b.TasksLeft()))
 				if fitting == 0 {
 					continue
 				}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -47,6 +47,8 @@
 	// class is the class of the jobs for which a machine is to be rented.
 	class string
 	Free  protocol.Room
+	// Tasks is the number of tasks on the machine, of which it may have protocol.MaxTasksPerMachine.
+	Tasks int
 	// RoomByRank is the room held by tasks of each priority. FillerRoom is the room held by filler work,
 	// which is evicted for any work of higher priority.
 	RoomByRank [4]protocol.Room
@@ -247,7 +249,7 @@
 	fit := map[string]int{}
 	for _, b := range bins {
 		if !b.Draining && d.allows(b) {
-			fit[b.Zone] += b.room(d).CountFits(d.Spec.Need(), d.Count)
+			fit[b.Zone] += b.room(d).CountFits(d.Spec.Need(), min(d.Count, b.TasksLeft()))
 		}
 	}
 	best, most := "", -1
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -57,6 +57,11 @@
 	if rent, _ := plan([]*Machine{idle()}, Demand{Spec: protocoltest.Job(nil), Count: 1, Avoid: map[string]bool{"m2": true}}); total(rent) != 1 {
 		t.Errorf("room on a machine that the job avoids must not be counted, but rented %+v", rent)
 	}
+	tiny := Demand{Spec: protocoltest.Job(func(s *protocol.JobSpec) { s.Cores, s.Accels, s.RAM = 0.001, 0, 0.001 }), Count: 2 * protocol.MaxTasksPerMachine}
+	almostFull := &Machine{ID: "m6", Type: "small", Zone: "a", Free: protocol.Room{Cores: 8, Accels: 2, RAM: 64}, Tasks: protocol.MaxTasksPerMachine - 1}
+	if rent, _ := plan([]*Machine{almostFull}, tiny); total(rent) != 2 {
+		t.Errorf("tiny tasks need as many machines as can list them in their reports, got %+v", rent)
+	}
 	filled := &Machine{ID: "m3", Type: "small", Zone: "a", FillerRoom: protocol.Room{Cores: 8, Accels: 2, RAM: 64}}
 	high := protocoltest.Job(func(s *protocol.JobSpec) { s.Priority = "high" })
 	for _, spare := range []bool{false, true} {
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -27,6 +27,7 @@
 	MachineGone    Kind = "gone"         // Machine, Cause
 	NodeUp         Kind = "node-up"      // Node: a controller was started
 	NodeDown       Kind = "node-down"    // Node: a controller was killed or ended
+	Oversized      Kind = "oversized"    // Machine, Cause, Code: a message to or from a worker exceeds its limit; Cause is the kind of message, Code its size in bytes
 	FaultBegins    Kind = "fault"        // Cause: the fault, in the words of the experiment
 	FaultEnds      Kind = "fault-over"   // Cause
 	Sampled        Kind = "sample"       // Sample
--- a/internal/history/rules.go
+++ b/internal/history/rules.go
@@ -45,6 +45,7 @@
 	TooEarly     = "too_early"     // a task starts before a job that its job needs is done
 	InUse        = "in_use"        // a task is started on a machine where another attempt of it has not ended
 	StartedTwice = "started_twice" // a task is started while another attempt is on another machine in any state
+	TooLarge     = "too_large"     // a message between controllers and workers exceeds the protocol's limits
 )
 
 // unanswered limits how long all polls for a job may fail while most others are answered;
@@ -200,6 +201,8 @@
 		if j := c.jobs[e.Job]; j != nil {
 			j.cancelAsked = true
 		}
+	case Oversized:
+		c.violate(TooLarge, "%s of %s: %d bytes", e.Cause, e.Machine, e.Code)
 	case StartReceived, TaskStarted, TaskStopped, AttemptEnded:
 		id, index, ok := protocol.SplitTask(e.Task)
 		j := c.jobs[id]
--- a/internal/placement/delay.go
+++ b/internal/placement/delay.go
@@ -35,7 +35,7 @@
 		if !slices.Contains(m.Images, p.Spec.Image) || slices.Contains(m.Pulling, p.Spec.Image) || !p.allowed(m) {
 			continue
 		}
-		free := m.Free.Sub(m.RequestedRoom)
+		free := m.FreeRoom()
 		share := 1 / float64(CountWantedImages(m, wantedImages))
 		for _, i := range m.Instances {
 			if !i.Running() {
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -85,7 +85,7 @@
 }
 
 func (p *Placer) fits(m *board.Machine) bool {
-	return m.Free.Sub(m.RequestedRoom).Fits(p.Spec.Need()) && p.allowed(m)
+	return m.HasRoomFor(p.Spec.Need()) && p.allowed(m)
 }
 
 // BestFit samples up to SampleSize candidates with the task's image and as many without it, and selects
@@ -120,7 +120,7 @@
 	t := p.Types[m.Type]
 	capacity := t.Room()
 	c := p.FetchTime(m).Seconds()
-	left := m.Free.Sub(m.RequestedRoom).Sub(p.Spec.Need())
+	left := m.FreeRoom().Sub(p.Spec.Need())
 	c += 8 * left.DominantShare(capacity)
 	if p.Scarce[t.Name] && HasNonScarceType(p.Spec, p.Types, p.Scarce) {
 		c += 15 // keep scarce machines free for work that fits nowhere else
@@ -177,8 +177,8 @@
 	need := p.Spec.Need()
 	var candidates, victims []Victim // reused for each machine: there may be thousands
 	for _, m := range machines {
-		room := m.Free.Sub(m.RequestedRoom)
-		if room.Fits(need) || !p.allowed(m) {
+		room, tasksLeft := m.FreeRoom(), m.TasksLeft()
+		if tasksLeft > 0 && room.Fits(need) || !p.allowed(m) {
 			continue // no eviction is needed, or none would help
 		}
 		if t := p.Types[m.Type]; !t.Room().Fits(need) {
@@ -198,12 +198,13 @@
 			return cmp.Or(cmp.Compare(a.Cost, b.Cost), cmp.Compare(a.Name, b.Name))
 		})
 		n := 0
-		for n < len(candidates) && !room.Fits(need) && total < bestCost {
+		for n < len(candidates) && !(tasksLeft > 0 && room.Fits(need)) && total < bestCost {
 			room = room.Add(candidates[n].Need)
+			tasksLeft++
 			total += candidates[n].Cost
 			n++
 		}
-		if room.Fits(need) && total < bestCost {
+		if tasksLeft > 0 && room.Fits(need) && total < bestCost {
 			best.Machine, bestCost = m, total
 			victims = append(victims[:0], candidates[:n]...)
 		}
--- a/internal/placement/fit_test.go
+++ b/internal/placement/fit_test.go
@@ -4,6 +4,7 @@
 	"daledyke/internal/board"
 	"daledyke/internal/protocol"
 	"daledyke/internal/protocoltest"
+	"math"
 	"math/rand/v2"
 	"testing"
 )
@@ -44,3 +45,31 @@
 		t.Error("placed where there is no room")
 	}
 }
+
+// Guards against machines with more tasks than their reports can list: such a machine has no room, unless a task is
+// evicted.
+func TestFullMachineByNumberOfTasks(t *testing.T) {
+	m := machine("m1", "small", protocol.Room{Cores: 8, Accels: 2, RAM: 64})
+	m.Instances = make([]*board.Instance, protocol.MaxTasksPerMachine-1)
+	for k := range m.Instances {
+		m.Instances[k] = &board.Instance{TaskView: board.TaskView{Task: protocol.TaskName("wk-2", k)}}
+	}
+	p := &Placer{Spec: protocoltest.Job(nil), Types: protocoltest.Types(), SampleSize: 4, Rand: rand.New(rand.NewPCG(1, 2)), TasksByZone: map[string]int{}}
+	machines := []*board.Machine{m}
+	p.FindCandidates(machines)
+	if _, ok := p.BestFit(); !ok {
+		t.Error("the last task that a report can list finds no room")
+	}
+	if picks, _ := p.PickGang(2, nil); picks != nil || m.RequestedTasks != 0 {
+		t.Errorf("a gang finds room beyond that: %+v", picks)
+	}
+	m.Request(p.Spec.Need())
+	p.FindCandidates(machines)
+	if c, ok := p.BestFit(); ok {
+		t.Errorf("a task finds room beyond that: %+v", c)
+	}
+	evictable := func(i *board.Instance) (Victim, bool) { return Victim{Name: i.Task, Cost: 1}, true }
+	if c, ok := p.Preempt(machines, math.Inf(1), evictable); !ok || len(c.Evict) != 1 {
+		t.Errorf("one task is to be evicted, got %+v", c)
+	}
+}
--- a/internal/placement/gang.go
+++ b/internal/placement/gang.go
@@ -102,7 +102,7 @@
 	// While further machines are selected, the room taken on those selected so far counts as requested.
 	defer func() {
 		for _, c := range choices {
-			c.Machine.RequestedRoom = c.Machine.RequestedRoom.Sub(p.Spec.Need())
+			c.Machine.Unrequest(p.Spec.Need())
 		}
 		if len(choices) < tasks {
 			choices = nil
@@ -117,7 +117,7 @@
 			break
 		}
 		p.TasksByZone[c.Machine.Zone]++
-		c.Machine.RequestedRoom = c.Machine.RequestedRoom.Add(p.Spec.Need())
+		c.Machine.Request(p.Spec.Need())
 		choices, fetch = append(choices, c), max(fetch, p.FetchTime(c.Machine))
 	}
 	return choices, fetch
--- a/internal/placement/machine_reservation.go
+++ b/internal/placement/machine_reservation.go
@@ -23,7 +23,7 @@
 		if !p.allowed(m) || !t.Room().Fits(need) {
 			continue
 		}
-		free := m.Free.Sub(m.RequestedRoom)
+		free := m.FreeRoom()
 		freeAfter := free
 		for _, i := range m.Instances {
 			if e := estimate(i); e.Mean > 0 && !board.Unconfirmed(i.State) {
--- a/internal/placement/sample_test.go
+++ b/internal/placement/sample_test.go
@@ -101,7 +101,7 @@
 				if !ok {
 					t.Fatal("no room")
 				}
-				c.Machine.RequestedRoom = c.Machine.RequestedRoom.Add(p.Spec.Need())
+				c.Machine.Request(p.Spec.Need())
 				requests[c.Machine.ID]++
 				requested++
 			}
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -49,9 +49,6 @@
 // MaxTasks limits the tasks of one job.
 const MaxTasks = 100_000
 
-// MaxBody limits the size of a request body, in bytes.
-const MaxBody = 64 << 10
-
 // JobSpec is a job as submitted by its user.
 type JobSpec struct {
 	ID          string   `json:"id"`
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"slices"
@@ -102,3 +103,27 @@
 		}
 	})
 }
+
+// A machine with as many tasks as it may have is within the limits on messages, whatever the names and numbers.
+func TestMessagesOfFullMachineFit(t *testing.T) {
+	const longestNumber, longestTask = math.MaxUint64, "wk-123456789012345678/99999"
+	grace := 1.2345678901234567e-100
+	rep := Report{Machine: strings.Repeat("m", 100), Addr: strings.Repeat("a", 100), Type: strings.Repeat("t", 100), Zone: strings.Repeat("z", 100),
+		Session: longestNumber, Ticket: longestNumber, Token: longestNumber, NoticeS: &grace}
+	answer := ReportAnswer{Token: longestNumber}
+	orders := Orders{Token: longestNumber, Session: longestNumber}
+	for range MaxTasksPerMachine {
+		rep.Tasks = append(rep.Tasks, TaskReport{Task: longestTask, Attempt: longestNumber, State: TaskExited, Cause: CauseIncomplete, Saved: true})
+	}
+	for range MaxCommands {
+		answer.Commands = append(answer.Commands, Command{Verb: VerbStart, Task: longestTask, Attempt: longestNumber, GraceS: &grace})
+	}
+	orders.Commands = answer.Commands
+	for name, message := range map[string]any{"report": rep, "answer": answer, "direct command": orders} {
+		raw, err := json.Marshal(message)
+		spaces := bytes.Count(raw, []byte(",")) + bytes.Count(raw, []byte(":"))
+		if err != nil || len(raw)+spaces > min(MaxBody, MaxLine) {
+			t.Errorf("a %s has %d bytes and %d spaces, %v", name, len(raw), spaces, err)
+		}
+	}
+}
