Responses to users have no lines of more than 64 KiB

Cause: responses were encoded without a bound; only the list of jobs was indented.

Change: what writes JSON responses breaks longer ones into a line a value, and quoted text is cut to 1 KiB.

--- a/internal/coordination/status.go
+++ b/internal/coordination/status.go
@@ -99,7 +99,7 @@
 // jobView is the status of a job.
 func (o *Owner) jobView(js *jobState, now time.Time) protocol.JobView {
 	s := js.job.Spec
-	v := protocol.JobView{ID: s.ID, Status: js.job.State, Class: s.Class, Team: s.Team, Shape: s.Shape, Priority: string(s.Priority),
+	v := protocol.JobView{ID: s.ID, Status: js.job.State, Class: protocol.Shorten(s.Class), Team: s.Team, Shape: s.Shape, Priority: string(s.Priority),
 		AgeS: *seconds(max(0, now.Sub(js.job.Accepted))), Tasks: s.Tasks, Done: js.job.DoneCount(), FailedOn: len(js.failedOn)}
 	v.Account = o.account(js)
 	if b := s.Batch; b != nil {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -245,6 +245,11 @@
 	}
 	defer resp.Body.Close()
 	out, err := io.ReadAll(resp.Body)
+	for line := range bytes.Lines(out) {
+		if len(line) > protocol.MaxLine {
+			w.t.Errorf("%s answers %s %s with a line of %d bytes", host, method, path, len(line))
+		}
+	}
 	return resp.StatusCode, out, err
 }
 
--- a/internal/pbs/translate.go
+++ b/internal/pbs/translate.go
@@ -172,7 +172,8 @@
 }
 
 func (t *translation) addNote(o Option, why string) {
-	t.job.Notes = append(t.job.Notes, fmt.Sprintf("%v: %v: %s", o.At, o, why))
+	note := fmt.Sprintf("%v: %v: %s", o.At, o, why)
+	t.job.Notes = append(t.job.Notes, protocol.Shorten(note))
 }
 
 func (t *translation) apply(o Option) {
--- a/internal/protocol/limits.go
+++ b/internal/protocol/limits.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "strings"
+
 // Limits on the size of messages, in bytes.
 const (
 	// MaxBody limits a request body, and so a worker's report and the commands that are sent directly to it.
@@ -21,3 +23,14 @@
 	// MaxCommands limits the commands in one message to a worker.
 	MaxCommands = MaxTasksPerMachine
 )
+
+// maxQuotedBytes limits text of any length, such as a part of a request, where a response quotes it.
+const maxQuotedBytes = 1 << 10
+
+// Shorten cuts a text that a response quotes, so that no line of the response exceeds MaxLine.
+func Shorten(text string) string {
+	if len(text) <= maxQuotedBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxQuotedBytes], "") + "..."
+}
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -99,9 +99,11 @@
 	return srv.Serve(netutil.LimitListener(l, connections))
 }
 
+// reply writes a response with a JSON body, none if body is nil. No line of it is longer than protocol.MaxLine, provided
+// that no string in the body is.
 func reply(w http.ResponseWriter, status int, body any) {
 	if err, ok := body.(error); ok {
-		body = map[string]string{"error": err.Error()}
+		body = errorBody{protocol.Shorten(err.Error())}
 	}
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", "1")
@@ -118,7 +120,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	w.Write(raw)
+	w.Write(breakLines(raw))
 }
 
 var errUnreadableBody = errors.New("the body is too large or did not come whole")
--- a/internal/transport/operators.go
+++ b/internal/transport/operators.go
@@ -47,11 +47,7 @@
 		reply(w, http.StatusServiceUnavailable, err)
 		return
 	}
-	// The output is indented since users request it too, and no line of a response to them may exceed 64 KiB.
-	w.Header().Set("Content-Type", "application/json")
-	e := json.NewEncoder(w)
-	e.SetIndent("", " ")
-	e.Encode(l)
+	reply(w, http.StatusOK, l)
 }
 
 func (f front) metrics(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
