Transactions with the state service stay within 64 KiB

Cause: a transaction was bounded by the number of its changes and the size of each value, not by its total.

Change: changes of more than one record are collected by bytes, too.

--- a/internal/bookkeeping/quotas.go
+++ b/internal/bookkeeping/quotas.go
@@ -79,27 +79,26 @@
 	next.Sum = sum
 	var then []protocol.Change
 	for k, p := range parts {
-		if then = append(then, set(quotaKey(sum, k), p, 0)); len(then) == s.txnOps || k == len(parts)-1 {
-			if err := s.commit(ctx, transport.Urgent, quotaTimeout, nil, then...); err != nil {
-				return err
-			}
-			then = nil
+		then = append(then, set(quotaKey(sum, k), p, 0))
+	}
+	for _, some := range s.splitChanges(then) {
+		if err := s.commit(ctx, transport.Urgent, quotaTimeout, nil, some...); err != nil {
+			return err
 		}
 	}
 	if err := s.commit(ctx, transport.Urgent, quotaTimeout, []protocol.Condition{cond}, set(keyQuotas, next, 0)); err != nil {
 		return err
 	}
 	if seen != nil && seen.Sum != sum {
+		var drops []protocol.Change
 		for k := range seen.PartCount { // leftover parts are harmless
-			then = append(then, protocol.Change{Drop: quotaKey(seen.Sum, k)})
+			drops = append(drops, protocol.Change{Drop: quotaKey(seen.Sum, k)})
 		}
-		for len(then) > 0 {
-			n := min(len(then), s.txnOps)
-			if err := s.commit(ctx, transport.Ordinary, quotaTimeout, nil, then[:n]...); err != nil {
+		for _, some := range s.splitChanges(drops) {
+			if err := s.commit(ctx, transport.Ordinary, quotaTimeout, nil, some...); err != nil {
 				slog.Debug("parts of former quotas were not dropped", "err", err)
 				break
 			}
-			then = then[n:]
 		}
 	}
 	return nil
--- a/internal/bookkeeping/sizes.go
+++ b/internal/bookkeeping/sizes.go
@@ -31,6 +31,33 @@
 
 func (s *Store) fits(v any) bool { return encodedSize(v) <= s.valueBytes }
 
+// maxTransactionBytes limits the conditions and changes of a transaction together. The rest of the request takes less
+// than what is left to protocol.MaxBody.
+const maxTransactionBytes = protocol.MaxBody - 64
+
+// transactionBytes is what conditions and changes take in a transaction.
+func transactionBytes(conds []protocol.Condition, then []protocol.Change) int {
+	return encodedSize(conds) + encodedSize(then)
+}
+
+// splitChanges divides changes without conditions into transactions.
+func (s *Store) splitChanges(changes []protocol.Change) (transactions [][]protocol.Change) {
+	var next []protocol.Change
+	bytes := 0
+	for _, c := range changes {
+		n := transactionBytes(nil, []protocol.Change{c})
+		if len(next) == s.txnOps || len(next) > 0 && bytes+n > maxTransactionBytes {
+			transactions = append(transactions, next)
+			next, bytes = nil, 0
+		}
+		next, bytes = append(next, c), bytes+n
+	}
+	if len(next) > 0 {
+		transactions = append(transactions, next)
+	}
+	return transactions
+}
+
 // ---- values stored in parts: job descriptions, quotas
 
 // partRecord is a part of a compressed value.
@@ -89,7 +116,7 @@
 			then = append(then, set(key, p, 0))
 		}
 	}
-	for some := range slices.Chunk(then, s.txnOps) {
+	for _, some := range s.splitChanges(then) {
 		if err := s.commit(ctx, transport.Urgent, userTimeout, nil, some...); err != nil {
 			return err
 		}
--- a/internal/bookkeeping/stale_writes_test.go
+++ b/internal/bookkeeping/stale_writes_test.go
@@ -36,7 +36,11 @@
 
 // newStoreBehind returns a store on a state service behind a handler, with the smallest limits that daledyke accepts.
 func newStoreBehind(t *testing.T, handler func(state http.Handler) http.HandlerFunc) *Store {
-	limits := emulator.Limits{ValueKB: 2, WriteRPS: 10_000, TxnOps: 4}
+	return newStoreWith(t, emulator.Limits{ValueKB: 2, WriteRPS: 10_000, TxnOps: 4}, handler)
+}
+
+// newStoreWith returns a store on a state service with these limits behind a handler.
+func newStoreWith(t *testing.T, limits emulator.Limits, handler func(state http.Handler) http.HandlerFunc) *Store {
 	state, err := emulator.NewState(t.Context(), limits, "")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/bookkeeping/store_jobs.go
+++ b/internal/bookkeeping/store_jobs.go
@@ -104,9 +104,13 @@
 func (s *Store) Archive(ctx context.Context, jobs []*Job) {
 	var conds []protocol.Condition
 	var then []protocol.Change
+	bytes := 0
 	flush := func() bool {
+		if len(then) == 0 {
+			return true
+		}
 		err := s.commit(ctx, transport.Deferred, 10*time.Second, conds, then...)
-		conds, then = nil, nil
+		conds, then, bytes = nil, nil, 0
 		return err == nil
 	}
 	for _, j := range jobs {
@@ -126,22 +130,27 @@
 				return
 			}
 		}
-		if len(then)+len(drops)+2 > s.txnOps && !flush() {
+		cond, changes := s.archiveChanges(j, drops)
+		more := transactionBytes([]protocol.Condition{cond}, changes)
+		if (len(then)+len(changes) > s.txnOps || bytes+more > maxTransactionBytes) && !flush() {
 			return
 		}
-		ended := j.Ended
-		if j.RecordedState == protocol.Pending {
-			ended = time.Now()
-		}
-		id, rec := j.Spec.ID, j.endedRecord(j.State, j.CancelledWith, ended)
-		rec.PartCount, rec.Sum = 0, ""
-		conds = append(conds, protocol.Condition{Key: jobKey(id), Version: j.Version})
-		then = append(then, set(archiveKey(id), s.trimToFit(rec), 0), protocol.Change{Drop: jobKey(id)})
-		then = append(then, drops...)
+		conds, then, bytes = append(conds, cond), append(then, changes...), bytes+more
 	}
-	if len(then) > 0 {
-		flush()
+	flush()
+}
+
+// archiveChanges returns the condition and the changes that move a job's record to the archive, with the given drops
+// of what is stored beside it.
+func (s *Store) archiveChanges(j *Job, drops []protocol.Change) (protocol.Condition, []protocol.Change) {
+	ended := j.Ended
+	if j.RecordedState == protocol.Pending {
+		ended = time.Now()
 	}
+	id, rec := j.Spec.ID, j.endedRecord(j.State, j.CancelledWith, ended)
+	rec.PartCount, rec.Sum = 0, ""
+	changes := []protocol.Change{set(archiveKey(id), s.trimToFit(rec), 0), {Drop: jobKey(id)}}
+	return protocol.Condition{Key: jobKey(id), Version: j.Version}, append(changes, drops...)
 }
 
 // CancelJob cancels a job unless it is already over. It returns the resulting job, nil if it was never accepted.
@@ -252,13 +261,14 @@
 	for len(outcomes) > 0 {
 		var conds []protocol.Condition
 		var then []protocol.Change
-		n := 0
+		n, bytes := 0, 0
 		for n < len(outcomes) {
 			c, t := s.changes(&outcomes[n])
-			if n > 0 && (len(then)+len(t) > s.txnOps || len(conds)+len(c) > 4*s.txnOps || n >= 16) {
+			more := transactionBytes(c, t)
+			if n > 0 && (len(then)+len(t) > s.txnOps || len(conds)+len(c) > 4*s.txnOps || n >= 16 || bytes+more > maxTransactionBytes) {
 				break
 			}
-			conds, then = append(conds, c...), append(then, t...)
+			conds, then, bytes = append(conds, c...), append(then, t...), bytes+more
 			n++
 		}
 		batch := outcomes[:n]
