A holder carries out each request of an owner once

Cause: a holder refuses requests below the caller's fence, which rose only after requests without an answer; a copy of an answered one was carried out as if new.

Change: the fence rises with each request that is carried out. The emulator repeats direct commands, rentals, returns and changes of records, and tests also repeat requests between controllers. TestRequestsUnderOutdatedWindowsAreRefused sent all its requests under one number, as copies, which are void now; it numbers them, and its conditions are the same. An unused field of the owner is gone.

--- a/internal/coordination/admission.go
+++ b/internal/coordination/admission.go
@@ -24,7 +24,7 @@
 const maxRecordsAge = 10 * time.Second
 
 // handleAsk carries out an owner's request with the admission check (invariant 5); false if the request is
-// void or the holder may not act.
+// void or the holder may not act. A request is void if one with the same or a higher number was carried out.
 func (h *Holder) handleAsk(a *AskArgs) (r AskReply, ok bool) {
 	h.adoptWindowUpTo(a.Window)
 	if a.ID < h.fences[a.Caller] || h.window == nil || a.Window > h.window.Number || !h.session.Valid() {
@@ -35,6 +35,8 @@
 		// range again by now: it does not know what others started in between.
 		return r, false
 	}
+	// Each request is carried out once: a copy of it may arrive when its tasks have ended here and run elsewhere.
+	h.fences[a.Caller] = a.ID + 1
 	for _, st := range a.Stops {
 		h.handleStop(a, st)
 	}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -113,11 +113,16 @@
 // fails.
 func (k *Controller) Serve(ctx context.Context, front, inner net.Listener, connections int) error {
 	failed := make(chan error, 2)
-	go func() { failed <- transport.ServeFront(front, k, connections) }()
 	go func() { failed <- transport.ServeRPC(inner, k.Receivers()) }()
+	go func() { failed <- k.serve(ctx, front, connections) }()
+	return <-failed
+}
+
+// serve runs the controller and serves users and workers until the listener fails.
+func (k *Controller) serve(ctx context.Context, front net.Listener, connections int) error {
 	go k.Run(ctx)
 	slog.Info("controller started", "name", k.cfg.Name, "zone", k.cfg.Zone)
-	return <-failed
+	return transport.ServeFront(front, k, connections)
 }
 
 // Run runs all actors until ctx ends.
--- a/internal/coordination/decisions_test.go
+++ b/internal/coordination/decisions_test.go
@@ -33,8 +33,10 @@
 	window := func(n uint64, owners ...string) *bookkeeping.Window {
 		return &bookkeeping.Window{Number: n, Owners: owners}
 	}
+	requests := uint64(0)
 	accepts := func(number uint64) bool {
-		_, ok := h.handleAsk(&AskArgs{Caller: "c0", ID: protocol.NewToken(1, 1), Window: number})
+		requests++
+		_, ok := h.handleAsk(&AskArgs{Caller: "c0", ID: protocol.NewToken(1, requests), Window: number})
 		return ok
 	}
 	h.adoptWindow(window(1, "c0", "c1"))
--- a/internal/coordination/owner.go
+++ b/internal/coordination/owner.go
@@ -52,9 +52,8 @@
 	gainRevisions    map[uint64]uint64 // by gain window: former owners started no job created after this revision
 	fetchingRevision map[uint64]bool
 
-	seq      uint64
-	inFlight map[string]bool // holders with a request in progress
-	peers    map[string]*peerState
+	seq   uint64
+	peers map[string]*peerState
 	// handleMisrouted receives a sibling's notice that a machine of this controller reported to the sibling.
 	// detailed is false for a sibling whose version sends no such notices.
 	handleMisrouted func(s board.Stray, detailed bool, receivedAt time.Time)
@@ -183,7 +182,6 @@
 		rosters:            map[int]bookkeeping.Roster{},
 		gainRevisions:      map[uint64]uint64{},
 		fetchingRevision:   map[uint64]bool{},
-		inFlight:           map[string]bool{},
 		peers:              map[string]*peerState{},
 		failingJobs:        map[string]*jobState{},
 		publishVerdict:     publishVerdict,
--- a/internal/coordination/trace_test.go
+++ b/internal/coordination/trace_test.go
@@ -433,6 +433,11 @@
 		by, err := time.ParseDuration(args[0])
 		w.em.DuplicateReports(by)
 		return err
+	case "repeats": // repeats TIME: a copy of each request between controllers and of each direct command, rental, return and change of records arrives later by TIME; 0s ends it
+		by, err := time.ParseDuration(args[0])
+		w.copies.setDelay(by)
+		w.em.RepeatRequests(by)
+		return err
 	default:
 		return fmt.Errorf("unknown verb %s", verb)
 	}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -18,6 +18,7 @@
 	"daledyke/internal/emulator"
 	"daledyke/internal/history"
 	"daledyke/internal/protocol"
+	"daledyke/internal/transport"
 )
 
 // world is a whole deployment in memory: real controllers, with everything else emulated.
@@ -38,6 +39,8 @@
 	accounts string
 	// onEvent is called for each event on the goroutine of the emulator; it may be nil.
 	onEvent func(history.Event)
+	// copies repeats requests between controllers.
+	copies *requestCopies
 	// cancellations tracks cancelled jobs; it is used on the goroutine of the emulator.
 	cancellations history.Cancellations
 }
@@ -62,7 +65,7 @@
 func newWorld(t *testing.T, controllers int, nextLimits, accounts string) *world {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &world{t: t, net: emulator.NewPipes(ctx), dir: t.TempDir(), kill: map[string]context.CancelFunc{}, faulted: map[string]string{},
-		startedAt: time.Now(), cancel: cancel, nextLimits: nextLimits, accounts: accounts}
+		startedAt: time.Now(), cancel: cancel, nextLimits: nextLimits, accounts: accounts, copies: newRequestCopies(ctx)}
 	fronts := map[string]string{}
 	for n := range controllers {
 		w.names = append(w.names, fmt.Sprintf("c%d", n))
@@ -190,7 +193,9 @@
 func (w *world) startController(name string) {
 	c := w.loadSettings(name)
 	kill, err := w.net.StartController(name, func(ctx context.Context, front, inner net.Listener) {
-		NewController(ctx, c, w.net.Dialer(name)).Serve(ctx, front, inner, 100)
+		k := NewController(ctx, c, w.net.Dialer(name))
+		go transport.ServeRPC(inner, w.copies.receivers(name, k))
+		k.serve(ctx, front, 100)
 	})
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/emulator/cloud.go
+++ b/internal/emulator/cloud.go
@@ -69,7 +69,7 @@
 			return http.StatusOK, struct{}{}
 		})
 	})
-	return r
+	return w.copies.repeat(r)
 }
 
 // answerOrDelay answers as cloudAnswer does. If requests are delayed, it runs f after the delay and drops the
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -75,7 +75,7 @@
 	r := httprouter.New()
 	r.POST("/do", m.do)
 	r.GET("/inspect", m.inspect)
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	srv := &http.Server{Handler: m.w.copies.repeat(r), ReadHeaderTimeout: time.Minute}
 	context.AfterFunc(m.ctx, func() { srv.Close() })
 	m.w.loop.do(func() {
 		m.addr = l.Addr().String()
--- a/internal/emulator/state.go
+++ b/internal/emulator/state.go
@@ -36,6 +36,7 @@
 	rng            *rand.Rand
 	maxPage        int
 	counts         StateCounts
+	copies         *repeater
 	// unwritten are changes that the next commit writes; that commit closes nextCommit. The commit in
 	// progress closes currentCommit. Each channel is nil if there is no such commit.
 	unwritten                 []record
@@ -47,13 +48,17 @@
 	Requests, Changes, Malformed, Refused int
 }
 
+// RepeatRequests lets a copy of each request that may change something arrive once more after a delay. 0 ends it,
+// except for copies that are already scheduled.
+func (s *State) RepeatRequests(by time.Duration) { s.copies.setDelay(by) }
+
 // expiryInterval is how often leases are checked for expiry; the protocol allows them to end 100 ms late.
 const expiryInterval = 50 * time.Millisecond
 
 // NewState returns a state service that runs until ctx ends. With a directory it starts from the state that
 // is stored there, and stores its state there.
 func NewState(ctx context.Context, l Limits, dir string) (*State, error) {
-	s := &State{store: newStore(), changed: make(chan struct{}), refused: map[string]bool{}, renewalsRefused: map[string]bool{}, dropNextPrefix: map[string]string{}, watchDelays: map[string]time.Duration{}, maxPage: maxPageKeys, rng: rand.New(rand.NewPCG(0, 0x57a7e))}
+	s := &State{copies: &repeater{ctx: ctx}, store: newStore(), changed: make(chan struct{}), refused: map[string]bool{}, renewalsRefused: map[string]bool{}, dropNextPrefix: map[string]string{}, watchDelays: map[string]time.Duration{}, maxPage: maxPageKeys, rng: rand.New(rand.NewPCG(0, 0x57a7e))}
 	if dir != "" {
 		var err error
 		if s.disk, err = openDisk(dir); err != nil {
--- a/internal/emulator/state_http.go
+++ b/internal/emulator/state_http.go
@@ -263,7 +263,7 @@
 	r.POST("/leases/:id/touch", q.touch)
 	r.DELETE("/leases/:id", q.end)
 	r.GET("/changes", q.watch)
-	return r
+	return s.copies.repeat(r)
 }
 
 // Sleep waits for d; it returns false if the context ends first.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -103,6 +103,8 @@
 	running             int
 	// duplicateDelay is how much later copies of all reports are sent; 0 sends none.
 	duplicateDelay time.Duration
+	// copies repeats requests to the cloud and to workers.
+	copies *repeater
 	// delayedCommandShare is the share of direct commands that are delayed. While keepReports is set, the
 	// first report of each machine is copied to keptReports.
 	delayedCommandShare float64
@@ -116,7 +118,7 @@
 // New returns a world on a network, which runs until ctx ends. Its services listen as cloud and
 // state-CONTROLLER.
 func New(ctx context.Context, n Network, set Setup) (*World, error) {
-	w := &World{net: n, setup: set, rng: rand.New(rand.NewPCG(set.Seed, 0x1dea)), types: map[string]*protocol.MachineType{}, jobs: map[string]*job{},
+	w := &World{copies: &repeater{ctx: ctx}, net: n, setup: set, rng: rand.New(rand.NewPCG(set.Seed, 0x1dea)), types: map[string]*protocol.MachineType{}, jobs: map[string]*job{},
 		machines: map[string]*machine{}, bookings: map[string][]string{}, capacity: set.Capacity, spotFactors: map[string]float64{}, chargedByType: map[string]int{}, costAccruedTo: time.Now(), bootFactor: 1,
 		controllerAddrs: map[string]string{}, cloudLimiter: newLimiter(set.CloudRPS, 2)}
 	w.rules = history.NewChecker(history.Deployment{Limits: set.Limits(), CancelWithin: set.CancelWithin})
@@ -239,6 +241,13 @@
 // happened to the machine meanwhile. 0 ends it, except for copies that are already scheduled.
 func (w *World) DuplicateReports(by time.Duration) { w.loop.do(func() { w.duplicateDelay = by }) }
 
+// RepeatRequests lets a copy of each direct command, rental, return and request to the state service that may change
+// something arrive once more after a delay. 0 ends it, except for copies that are already scheduled.
+func (w *World) RepeatRequests(by time.Duration) {
+	w.copies.setDelay(by)
+	w.State.RepeatRequests(by)
+}
+
 // DelayCommands delays a share of the direct commands: each is unanswered and carried out once, 2 to 16 s
 // later, if its token and session still match. 0 ends it, except for commands that are already delayed.
 func (w *World) DelayCommands(share float64) { w.loop.do(func() { w.delayedCommandShare = share }) }
