Authorities of quotas refuse copies of requests for permits

What callers would see: an account of nested quotas exceeds its limit after a late copy of an owner's request.

Cause: requests were ordered by their owner's incarnation alone, and what a request doesn't list as held counts as released.

Change: requests are numbered, and one that is not newer is refused. Earlier versions send no number and are ordered as before.

--- a/internal/coordination/quota_owner.go
+++ b/internal/coordination/quota_owner.go
@@ -107,7 +107,8 @@
 			}
 			continue
 		}
-		request := quota.Request{Team: team, Caller: o.cfg.Name, Term: o.session.Term(), Wants: pending.wants}
+		o.seq++
+		request := quota.Request{Team: team, Caller: o.cfg.Name, Term: o.session.Term(), Number: o.seq, Wants: pending.wants}
 		for id, js := range o.quotas.withPermits {
 			if js.job.Spec.Team == team {
 				for index, p := range js.permits {
--- a/internal/quota/authority.go
+++ b/internal/quota/authority.go
@@ -37,9 +37,10 @@
 type Request struct {
 	Team   string
 	Caller string
-	// Term is the caller's incarnation.
-	Term  uint64
-	Wants []Want
+	// Term is the caller's incarnation. Number rises with each of its requests; 0 from a version without it.
+	Term   uint64
+	Number uint64
+	Wants  []Want
 	// Holding lists all attempts of the caller that have a permit, used or not, and whose start is not
 	// settled yet.
 	Holding []Attempt
@@ -101,8 +102,8 @@
 	running map[string]booking
 	// grants holds the permits whose attempts the view does not show yet.
 	grants map[Attempt]*grant
-	// callerTerms holds the newest incarnation of each owner that sent a request.
-	callerTerms map[string]uint64
+	// latestRequests identifies the newest request of each owner.
+	latestRequests map[string]requestID
 	// claims holds, by job, what was not granted. yields holds the tasks told to stop, and since when.
 	claims map[string]*pendingClaim
 	yields map[string]time.Time
@@ -118,6 +119,18 @@
 	room    protocol.Room
 }
 
+// requestID identifies a request of an owner by its incarnation and its number.
+type requestID struct{ term, number uint64 }
+
+// isNewer reports whether a request was sent after another one of the same owner. Requests without a number are of
+// a version that sends none, and ordered by incarnation alone.
+func (r requestID) isNewer(other requestID) bool {
+	if r.term != other.term {
+		return r.term > other.term
+	}
+	return r.number > other.number || r.number == 0 && other.number == 0
+}
+
 // grant is a permit whose attempt the view does not show yet.
 type grant struct {
 	booking
@@ -138,7 +151,7 @@
 
 // NewAuthority returns an authority with no use booked and no permit granted.
 func NewAuthority(t *Tree) *Authority {
-	return &Authority{ledger: NewLedger(t), running: map[string]booking{}, grants: map[Attempt]*grant{}, callerTerms: map[string]uint64{},
+	return &Authority{ledger: NewLedger(t), running: map[string]booking{}, grants: map[Attempt]*grant{}, latestRequests: map[string]requestID{},
 		claims: map[string]*pendingClaim{}, yields: map[string]time.Time{}}
 }
 
@@ -201,10 +214,11 @@
 // is not to be started; running lists the workloads that run in the tree.
 func (a *Authority) Lend(r *Request, p Permit, freshness Freshness, job func(id string) (Job, bool), running func() []Workload, now time.Time) Reply {
 	reply := Reply{Permit: p}
-	if r.Term < a.callerTerms[r.Caller] {
-		return reply // a delayed request of a former process
+	id := requestID{r.Term, r.Number}
+	if !id.isNewer(a.latestRequests[r.Caller]) {
+		return reply // a copy, or a delayed request of a former process: what it lists as held is out of date
 	}
-	a.callerTerms[r.Caller] = r.Term
+	a.latestRequests[r.Caller] = id
 	held := make(map[Attempt]bool, len(r.Holding))
 	for _, attempt := range r.Holding {
 		held[attempt] = true
--- a/internal/quota/authority_test.go
+++ b/internal/quota/authority_test.go
@@ -46,8 +46,13 @@
 	requestedAt time.Time // when the feed in flight was requested; zero if there is none
 	freshness   Freshness
 	ready       bool
+	// requests are the latest requests that owners sent for permits, of which copies may arrive.
+	requests []Request
 }
 
+// maxKeptRequests bounds the requests of which copies may arrive.
+const maxKeptRequests = 10
+
 // replaceAuthority starts a new incarnation of the authority; with newWindow set, another controller becomes
 // the authority in a new window.
 func (w *simWorld) replaceAuthority(newWindow bool) {
@@ -96,7 +101,7 @@
 		// choices.
 		seed := rapid.Uint64().Draw(t, "seed")
 		rng := rand.New(rand.NewPCG(seed, seed))
-		steps := []string{"requestPermits", "requestPermits", "requestPermits", "sendStart", "sendStart", "sendStart", "startArrives", "startsSettle", "requestFeed", "requestFeed", "feedArrives", "feedArrives", "taskEnds", "authorityCrashes", "authorityReplaced", "ownersChange", "quotasChange", "ownerCrashes", "ownerFeedArrives"}
+		steps := []string{"requestPermits", "requestPermits", "requestPermits", "copyOfRequestArrives", "sendStart", "sendStart", "sendStart", "startArrives", "startsSettle", "requestFeed", "requestFeed", "feedArrives", "feedArrives", "taskEnds", "authorityCrashes", "authorityReplaced", "ownersChange", "quotasChange", "ownerCrashes", "ownerFeedArrives"}
 		for range 300 {
 			w.now = w.now.Add(100 * time.Millisecond)
 			index := rng.IntN(len(w.owners))
@@ -106,7 +111,8 @@
 				if !w.ready || !owner.heard {
 					continue
 				}
-				r := &Request{Caller: name, Term: owner.term}
+				w.seq++
+				r := &Request{Caller: name, Term: owner.term, Number: w.seq}
 				for attempt := range owner.holding {
 					r.Holding = append(r.Holding, attempt)
 				}
@@ -116,6 +122,8 @@
 					want.Attempts = append(want.Attempts, Attempt{want.Job, w.seq})
 				}
 				r.Wants = []Want{want}
+				w.requests = append(w.requests, *r)
+				w.requests = w.requests[max(0, len(w.requests)-maxKeptRequests):]
 				reply := w.authority.Lend(r, Permit{w.name, w.term, w.window}, w.freshness, w.job, w.workloads, w.now)
 				if rng.IntN(4) == 0 {
 					continue
@@ -123,6 +131,11 @@
 				for _, attempt := range reply.Granted {
 					owner.holding[attempt] = reply.Permit
 				}
+			case "copyOfRequestArrives": // its reply is dropped
+				if w.ready && len(w.requests) > 0 {
+					r := w.requests[rng.IntN(len(w.requests))]
+					w.authority.Lend(&r, Permit{w.name, w.term, w.window}, w.freshness, w.job, w.workloads, w.now)
+				}
 			case "sendStart":
 				for attempt, p := range owner.holding {
 					if !owner.sent[attempt] {
@@ -259,6 +272,32 @@
 	}
 }
 
+// Guards against a copy of an old request for permits: it lists fewer permits as held than its owner holds by now, and
+// their room was granted to others while the owner could still start its tasks.
+func TestCopyOfRequestReleasesNothing(t *testing.T) {
+	cores := func(c float64) protocol.Room { return protocol.Room{Cores: c} }
+	tree, err := NewTree([]Account{{Name: "a", Limit: cores(1)}}, anyTeam)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := NewAuthority(tree)
+	now := time.Unix(1000, 0)
+	ask := func(r Request) []Attempt {
+		fresh := Freshness{RequestedAt: now.Add(time.Second), OwnersSince: 1}
+		job := func(string) (Job, bool) { return Job{"a", cores(1), 1}, true }
+		return a.Lend(&r, Permit{"c", 1, 1}, fresh, job, func() []Workload { return nil }, now).Granted
+	}
+	first := Request{Caller: "o", Term: 1, Number: 1}
+	ask(first)
+	if got := ask(Request{Caller: "o", Term: 1, Number: 2, Wants: []Want{{Job: "x", Attempts: []Attempt{{"x", 1}}}}}); len(got) != 1 {
+		t.Fatalf("granted %v", got)
+	}
+	ask(first)
+	if got := ask(Request{Caller: "p", Term: 1, Number: 1, Wants: []Want{{Job: "y", Attempts: []Attempt{{"y", 1}}}}}); len(got) != 0 {
+		t.Errorf("granted %v beside a permit that is held", got)
+	}
+}
+
 // BenchmarkLend shows the cost of a request for 64 tasks with up to 2,000 accounts and 3,000 running jobs.
 func BenchmarkLend(b *testing.B) {
 	for _, n := range []int{10, 200, 2000} {
