Authority.Lend divided into steps

Need: one function of 75 lines for four jobs. Change: releasing, granting a want, booking a permit and keeping a claim are functions of their own; nothing else changed.

--- a/internal/quota/authority.go
+++ b/internal/quota/authority.go
@@ -219,61 +219,18 @@
 		return reply // a copy, or a delayed request of a former process: what it lists as held is out of date
 	}
 	a.latestRequests[r.Caller] = id
-	held := make(map[Attempt]bool, len(r.Holding))
-	for _, attempt := range r.Holding {
-		held[attempt] = true
-	}
-	for attempt, g := range a.grants {
-		if g.owner == r.Caller && g.releasedAt.IsZero() && (g.term != r.Term || !held[attempt]) {
-			g.releasedAt = now
-		}
-	}
+	a.releaseUnheld(r, now)
 	a.expireGrants(freshness)
 	a.expireClaims(now)
 	wanted := 0
 	for _, w := range r.Wants {
-		limitedBy := ""
 		j, ok := job(w.Job)
 		if wanted += len(w.Attempts); !ok || wanted > MaxAttemptsPerRequest && wanted > len(w.Attempts) {
-			reply.Binds = append(reply.Binds, limitedBy)
+			reply.Binds = append(reply.Binds, "")
 			continue
 		}
-		since := now
-		if c := a.claims[w.Job]; c != nil {
-			since = c.since
-			a.dropClaim(w.Job)
-		}
-		groupSize := 1
-		if w.Together {
-			groupSize = len(w.Attempts)
-		}
-		denied := 0
-		for k := 0; k+groupSize <= len(w.Attempts) && groupSize > 0; k += groupSize {
-			c := &Claim{Account: j.Account, Need: j.Need.Scale(float64(groupSize)), Rank: j.Rank}
-			if denied == 0 {
-				limitedBy, ok = a.ledger.Admits(c)
-			}
-			if denied > 0 || !ok {
-				denied += groupSize
-				continue
-			}
-			for _, attempt := range w.Attempts[k : k+groupSize] {
-				if old := a.grants[attempt]; old != nil { // granted in a reply that was lost
-					a.book(old.booking, -1)
-				}
-				g := &grant{booking: booking{j.Account, j.Need}, owner: r.Caller, term: r.Term, window: p.Window}
-				a.book(g.booking, 1)
-				a.grants[attempt] = g
-			}
-			reply.Granted = append(reply.Granted, w.Attempts[k:k+groupSize]...)
-		}
-		if denied > 0 {
-			c := &pendingClaim{Claim: Claim{Account: j.Account, Need: j.Need.Scale(float64(denied)), Rank: j.Rank}, since: since, renewedAt: now, limitedBy: limitedBy}
-			a.claims[w.Job] = c
-			if c.reserved = now.Sub(since)%(reservePeriod+bypassPeriod) < reservePeriod; c.reserved {
-				a.ledger.Reserve(&c.Claim)
-			}
-		}
+		granted, limitedBy := a.grantWant(r, &w, j, p.Window, now)
+		reply.Granted = append(reply.Granted, granted...)
 		reply.Binds = append(reply.Binds, limitedBy)
 	}
 	a.reclaim(running, now)
@@ -284,6 +241,69 @@
 	return reply
 }
 
+// releaseUnheld notes the caller's permits that the request no longer lists as held.
+func (a *Authority) releaseUnheld(r *Request, now time.Time) {
+	held := make(map[Attempt]bool, len(r.Holding))
+	for _, attempt := range r.Holding {
+		held[attempt] = true
+	}
+	for attempt, g := range a.grants {
+		if g.owner == r.Caller && g.releasedAt.IsZero() && (g.term != r.Term || !held[attempt]) {
+			g.releasedAt = now
+		}
+	}
+}
+
+// grantWant grants the attempts of a want as far as the limits admit them, and keeps a claim for the rest. It returns
+// the attempts granted and the account whose limit prevented the others, "" if all were granted.
+func (a *Authority) grantWant(r *Request, w *Want, j Job, window uint64, now time.Time) (granted []Attempt, limitedBy string) {
+	since := now
+	if c := a.claims[w.Job]; c != nil {
+		since = c.since
+		a.dropClaim(w.Job)
+	}
+	groupSize := 1
+	if w.Together {
+		groupSize = len(w.Attempts)
+	}
+	denied := 0
+	for k := 0; k+groupSize <= len(w.Attempts) && groupSize > 0; k += groupSize {
+		admitted := false
+		if denied == 0 {
+			limitedBy, admitted = a.ledger.Admits(&Claim{Account: j.Account, Need: j.Need.Scale(float64(groupSize)), Rank: j.Rank})
+		}
+		if !admitted {
+			denied += groupSize
+			continue
+		}
+		for _, attempt := range w.Attempts[k : k+groupSize] {
+			a.grant(attempt, &grant{booking: booking{j.Account, j.Need}, owner: r.Caller, term: r.Term, window: window})
+		}
+		granted = append(granted, w.Attempts[k:k+groupSize]...)
+	}
+	if denied > 0 {
+		a.keepClaim(w.Job, &pendingClaim{Claim: Claim{Account: j.Account, Need: j.Need.Scale(float64(denied)), Rank: j.Rank}, since: since, renewedAt: now, limitedBy: limitedBy})
+	}
+	return granted, limitedBy
+}
+
+// grant books a permit for an attempt, in place of one that was granted in a reply that was lost.
+func (a *Authority) grant(attempt Attempt, g *grant) {
+	if old := a.grants[attempt]; old != nil {
+		a.book(old.booking, -1)
+	}
+	a.book(g.booking, 1)
+	a.grants[attempt] = g
+}
+
+// keepClaim keeps what was not granted to a job, with room reserved for it in turns.
+func (a *Authority) keepClaim(id string, c *pendingClaim) {
+	a.claims[id] = c
+	if c.reserved = c.renewedAt.Sub(c.since)%(reservePeriod+bypassPeriod) < reservePeriod; c.reserved {
+		a.ledger.Reserve(&c.Claim)
+	}
+}
+
 func (a *Authority) dropClaim(id string) {
 	if c := a.claims[id]; c.reserved {
 		a.ledger.Release(&c.Claim)
