--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -31,6 +31,7 @@
 	"cut":           "TIME NODE WHAT",  // the controller is cut off from workers, siblings, services (the state service and siblings) or all (virtual time only)
 	"cut-zone":      "TIME ZONE",       // the zone is cut off from everything outside it (virtual time only)
 	"echoes":        "TIME BY",         // copies of reports arrive BY later
+	"repeats":       "TIME BY",         // copies of direct commands, rentals, returns and changes of records arrive BY later
 	"late-commands": "TIME SHARE",      // this share of direct commands is delayed for seconds, without a response
 	"kept-reports":  "TIME",            // copies of reports are kept, then delivered to every controller at once
 	"machines":      "TROUBLE N [FOR]", // N machines die, hang, deafen, hold or mute FOR, sicken, slow, reboot, leave or are taken
--- a/internal/lab/faults_begin.go
+++ b/internal/lab/faults_begin.go
@@ -158,6 +158,8 @@
 		r.whileActive(kind, r.world.ReplayReports)
 	case "echoes":
 		r.whileActive(kind, func(active bool) { r.world.DuplicateReports(valueIf(active, r.durationArg(1))) })
+	case "repeats":
+		r.whileActive(kind, func(active bool) { r.world.RepeatRequests(valueIf(active, r.durationArg(1))) })
 	case "cut":
 		r.whileActive(name, func(active bool) { r.setCut(name, active, nodeCut(r.fault.Args[1], r.fault.Args[2])) })
 	case "cut-zone":
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -142,8 +142,9 @@
 			return Fault{At: nextTime(6 * time.Second), Kind: "machines", Args: []string{"reboot", count}}
 		}
 		return []Fault{{At: nextTime(time.Second), Kind: "late-commands", Args: []string{about(d.Lease * 2), "0.5"}}, reboot(), crash(node), reboot(), crash(other), reboot()}
-	default: // copies of old reports reach a controller that has just started
-		return []Fault{{At: nextTime(time.Second), Kind: "echoes", Args: []string{about(d.Lease * 2), about(d.Lease)}}, crash(node),
+	default: // copies of old reports and requests reach controllers and machines that have just started
+		start, args := nextTime(time.Second), []string{about(d.Lease * 2), about(d.Lease)}
+		return []Fault{{At: start, Kind: "echoes", Args: args}, {At: start, Kind: "repeats", Args: args}, crash(node),
 			{At: nextTime(5 * time.Second), Kind: "machines", Args: []string{"reboot", count}}}
 	}
 }
