Errors of up to 10 KiB are told whole

Need: cut the text of errors to 1 KiB, which would have cut what a batch script with many refused options is told. Change: 10 KiB, the most that stays within a line of 64 KiB even if each byte is escaped.

--- a/internal/protocol/limits.go
+++ b/internal/protocol/limits.go
@@ -24,8 +24,12 @@
 	MaxCommands = MaxTasksPerMachine
 )
 
-// maxQuotedBytes limits text of any length, such as a part of a request, where a response quotes it.
-const maxQuotedBytes = 1 << 10
+// maxEscapedBytes is what JSON makes of one byte of text at most.
+const maxEscapedBytes = 6
+
+// maxQuotedBytes limits text of any length, such as a part of a request, where a response quotes it. Escaped it takes
+// less than a line.
+const maxQuotedBytes = (MaxLine - maxEnvelopeBytes) / maxEscapedBytes
 
 // Shorten cuts a text that a response quotes, so that no line of the response exceeds MaxLine.
 func Shorten(text string) string {
