--- a/internal/coordination/random_copies_test.go
+++ b/internal/coordination/random_copies_test.go
@@ -27,7 +27,9 @@
 
 // randomCopies draws the steps of a deployment in which copies of requests and reports arrive late.
 type randomCopies struct {
-	rng       *rand.Rand
+	rng *rand.Rand
+	// accounts: jobs are charged to accounts with limits. Services would use up the limits and are left out.
+	accounts  bool
 	jobs      []string
 	cancelled map[string]bool
 }
@@ -43,6 +45,9 @@
 	r.jobs = append(r.jobs, id)
 	urgency := []string{"idle", "normal", "high", "critical"}[r.rng.IntN(4)]
 	form := []string{"array 6 run=20s", "array 3 run=50s saves=2", "gang 3 run=25s", "gang 2 run=60s saves=2 onezone", "service 2"}[r.rng.IntN(5)]
+	if r.accounts {
+		form = strings.Replace(form, "service 2", "array 2 run=30s", 1) + " account=" + []string{"free/north", "free/south"}[len(r.jobs)%2]
+	}
 	return fmt.Sprintf("submit %s %s urgency=%s", id, form, urgency)
 }
 
@@ -82,8 +87,12 @@
 }
 
 func playRandomCopies(t *testing.T, seed uint64) {
-	r := &randomCopies{rng: rand.New(rand.NewPCG(seed, 0xc0b1e5)), cancelled: map[string]bool{}}
-	w := newWorld(t, 3, "", "")
+	r := &randomCopies{rng: rand.New(rand.NewPCG(seed, 0xc0b1e5)), accounts: seed%3 == 0, cancelled: map[string]bool{}}
+	accounts := ""
+	if r.accounts {
+		accounts = `(account "free" (cpus 40 56)) (account "free/north" (cpus 8 24)) (account "free/south" (cpus 16 32))`
+	}
+	w := newWorld(t, 3, "", accounts)
 	defer w.shutDown()
 	run := func(step string) {
 		words := strings.Fields(step)
