Replica: a function for each kind of record

Need: two functions of the replica did everything. Measured: tests of bookkeeping under the race detector, of coordination and lab without it.

--- a/internal/bookkeeping/replica.go
+++ b/internal/bookkeeping/replica.go
@@ -68,9 +68,21 @@
 
 // NewReplica returns a replica; urgencyOf returns a job's own urgency.
 func NewReplica(store *Store, positionOf func(*protocol.JobSpec) RingPosition, urgencyOf func(*Job) Urgency, listener Listener, caughtUp func(uint64)) *Replica {
-	return &Replica{store: store, listener: listener, caughtUp: caughtUp, jobs: map[string]*Job{}, knownKeys: map[string]bool{}, batches: map[string]*RentalBatch{},
-		batchCounts: map[string]int{}, earlyResults: map[string]map[int]Chunk{}, positionOf: positionOf, dependencies: newDependencyGraph(urgencyOf),
-		incomplete: map[string]incompleteJob{}, delayed: map[string]time.Time{}, lookups: make(chan []lookupResult, 1)}
+	return &Replica{
+		store:        store,
+		listener:     listener,
+		positionOf:   positionOf,
+		caughtUp:     caughtUp,
+		jobs:         map[string]*Job{},
+		knownKeys:    map[string]bool{},
+		batches:      map[string]*RentalBatch{},
+		batchCounts:  map[string]int{},
+		earlyResults: map[string]map[int]Chunk{},
+		incomplete:   map[string]incompleteJob{},
+		delayed:      map[string]time.Time{},
+		dependencies: newDependencyGraph(urgencyOf),
+		lookups:      make(chan []lookupResult, 1),
+	}
 }
 
 // defaultWatchTimeout limits one wait for changes, and so how stale a replica can be while it considers itself
@@ -84,25 +96,15 @@
 	for ctx.Err() == nil {
 		sent := time.Now()
 		var err error
-		if !loaded {
+		if loaded {
+			from, err = r.watch(ctx, from)
+		} else {
 			from, err = r.load(ctx)
 			loaded = err == nil
-		} else {
-			var ev protocol.Events
-			timeout := cmp.Or(r.WatchTimeout, defaultWatchTimeout)
-			if r.startLookups(ctx) {
-				timeout = lookupWatchTimeout
-			}
-			ev, err = r.store.state.Watch(ctx, Root, from, timeout)
-			if err == nil {
-				for _, e := range ev.Events {
-					r.apply(e.Set+e.Drop, e.Drop != "", e.Value, e.Version)
-				}
-				from = max(from, ev.Revision)
-			} else if errors.Is(err, transport.ErrTooOld) {
-				loaded = false
-				continue
-			}
+		}
+		if errors.Is(err, transport.ErrTooOld) {
+			loaded = false
+			continue
 		}
 		if err != nil {
 			slog.Debug("replica can't read changes", "err", err)
@@ -120,6 +122,22 @@
 	}
 }
 
+// watch waits for changes after a revision, takes them in, and returns the revision up to which they go.
+func (r *Replica) watch(ctx context.Context, from uint64) (uint64, error) {
+	timeout := cmp.Or(r.WatchTimeout, defaultWatchTimeout)
+	if r.startLookups(ctx) {
+		timeout = lookupWatchTimeout
+	}
+	changes, err := r.store.state.Watch(ctx, Root, from, timeout)
+	if err != nil {
+		return from, err
+	}
+	for _, e := range changes.Events {
+		r.apply(e.Set+e.Drop, e.Drop != "", e.Value, e.Version)
+	}
+	return max(from, changes.Revision), nil
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -261,47 +279,76 @@
 // quotas and the catalogue.
 func (r *Replica) applyShared(key string, dropped bool, raw json.RawMessage, version uint64) {
 	if name, ok := keySuffix(key, memberPrefix); ok {
-		m := parse[Member](key, raw, dropped)
-		if m != nil {
-			m.Version = version
-		}
-		r.listener.MemberChanged(name, m)
-	} else if num, ok := keySuffix(key, slotPrefix); ok {
-		slot, err := strconv.Atoi(num)
-		s := parse[Slot](key, raw, dropped)
-		if s != nil && err == nil {
-			s.unpackRoster()
-			s.Version = version
-			r.listener.SlotChanged(slot, s)
-		}
+		r.applyMember(name, parse[Member](key, raw, dropped), version)
+	} else if number, ok := keySuffix(key, slotPrefix); ok {
+		r.applySlot(number, parse[Slot](key, raw, dropped), version)
 	} else if name, ok := keySuffix(key, batchPrefix); ok {
-		batch := parse[RentalBatch](key, raw, dropped)
-		if batch != nil {
-			batch.Version = version
-		}
-		if batch != nil || dropped {
-			r.applyRentalBatch(name, batch)
-		}
+		r.applyBatchRecord(name, parse[RentalBatch](key, raw, dropped), dropped, version)
 	} else if key == keyLeader {
-		l := parse[Leader](key, raw, dropped)
-		if l != nil {
-			l.Version = version
-		}
-		r.listener.LeaderChanged(l)
+		r.applyLeader(parse[Leader](key, raw, dropped), version)
 	} else if key == keyWindow {
-		if w := parse[Window](key, raw, dropped); w != nil {
-			w.Version = version
-			r.listener.WindowChanged(w)
-		}
+		r.applyWindow(parse[Window](key, raw, dropped), version)
 	} else if key == keyQuotas || strings.HasPrefix(key, quotaPrefix) {
 		if q := r.quotas.update(key, raw, version, dropped); q != nil {
 			r.listener.QuotasChanged(q)
 		}
 	} else if key == keyCatalog || strings.HasPrefix(key, catalogPrefix) {
-		if rec := parse[catalogRecord](key, raw, dropped); rec != nil {
-			if c := r.catalog.add(*rec, version); c != nil {
-				r.listener.CatalogChanged(c)
-			}
-		}
+		r.applyCatalog(parse[catalogRecord](key, raw, dropped), version)
+	}
+}
+
+// applyMember takes in the record of a controller's session, nil if it was dropped.
+func (r *Replica) applyMember(name string, m *Member, version uint64) {
+	if m != nil {
+		m.Version = version
+	}
+	r.listener.MemberChanged(name, m)
+}
+
+// applySlot takes in the record of a slot. Slots are never dropped.
+func (r *Replica) applySlot(number string, s *Slot, version uint64) {
+	slot, err := strconv.Atoi(number)
+	if s == nil || err != nil {
+		return
+	}
+	s.unpackRoster()
+	s.Version = version
+	r.listener.SlotChanged(slot, s)
+}
+
+// applyBatchRecord takes in the record of a batch of machines; a nil one that was not dropped is malformed.
+func (r *Replica) applyBatchRecord(name string, batch *RentalBatch, dropped bool, version uint64) {
+	if batch != nil {
+		batch.Version = version
+	}
+	if batch != nil || dropped {
+		r.applyRentalBatch(name, batch)
+	}
+}
+
+// applyLeader takes in the leader's record, nil if it was dropped.
+func (r *Replica) applyLeader(l *Leader, version uint64) {
+	if l != nil {
+		l.Version = version
+	}
+	r.listener.LeaderChanged(l)
+}
+
+// applyWindow takes in the record of the newest window, which is never dropped.
+func (r *Replica) applyWindow(w *Window, version uint64) {
+	if w == nil {
+		return
+	}
+	w.Version = version
+	r.listener.WindowChanged(w)
+}
+
+// applyCatalog takes in the catalogue or a part of it.
+func (r *Replica) applyCatalog(record *catalogRecord, version uint64) {
+	if record == nil {
+		return
+	}
+	if c := r.catalog.add(*record, version); c != nil {
+		r.listener.CatalogChanged(c)
 	}
 }
